--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/configuration/ServiceSettings.java
@@ -0,0 +1,51 @@
+package org.passhaven.core.configuration;
+
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.NotNull;
+import java.util.List;
+
+/**
+ * A named service behind passhaven.
+ *
+ * @param serverGroup group of servers in the platform's machine list
+ * @param deadlineMillis longest time that a caller waits
+ * @param routes request classes by path; others go by HTTP method
+ */
+public record ServiceSettings(
+    @NotBlank String serverGroup,
+    @Min(1) @Max(600_000) long deadlineMillis,
+    @Valid List<@NotNull Route> routes) {
+  public ServiceSettings {
+    routes = routes == null ? List.of() : List.copyOf(routes);
+  }
+
+  /**
+   * Request class of one path.
+   *
+   * @param path path prefix below the service
+   * @param requestClass whether requests on it may be repeated
+   */
+  public record Route(@NotBlank String path, @NotNull RequestClass requestClass) {}
+
+  /** Whether a request may be sent again after it may have run. */
+  public enum RequestClass {
+    REPEATABLE,
+    AT_MOST_ONCE
+  }
+
+  /** Class of a request by its path, else by the semantics of its method (RFC 9110, 9.2.2). */
+  public RequestClass classOf(String method, String path) {
+    for (Route route : routes) {
+      if (path.startsWith(route.path())) {
+        return route.requestClass();
+      }
+    }
+    return switch (method) {
+      case "GET", "HEAD", "OPTIONS", "PUT", "DELETE" -> RequestClass.REPEATABLE;
+      default -> RequestClass.AT_MOST_ONCE;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' configuration: typed documents, whole-file checks and the fold of accepted revisions.
+ */
+package org.passhaven.core.configuration;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/lease/LeaseTerms.java
@@ -0,0 +1,35 @@
+package org.passhaven.core.lease;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Clock rules of a lease.
+ *
+ * <p>The holder stops at {@code sentAt + term - drift}, counted from before it sent the record that
+ * renewed. A successor waits {@code term + drift} from when it read that record, which is later
+ * than when it was sent. So the two never overlap while clocks drift by less than {@code drift} in
+ * a term.
+ *
+ * @param term how long one renewal lasts
+ * @param drift bound on the drift of two monotonic clocks within one term
+ * @param renewEvery time between renewals of an idle holder
+ */
+public record LeaseTerms(Duration term, Duration drift, Duration renewEvery) {
+  public LeaseTerms {
+    Objects.requireNonNull(term, "term");
+    if (drift.multipliedBy(2).plus(renewEvery).compareTo(term) >= 0) {
+      throw new IllegalArgumentException("term must exceed renewEvery plus twice drift");
+    }
+  }
+
+  /** Time at which the holder stops acting, in the holder's monotonic milliseconds. */
+  public long holderStopsAt(long renewalSentAtMillis) {
+    return renewalSentAtMillis + term.toMillis() - drift.toMillis();
+  }
+
+  /** Time from which others may claim, in their own monotonic milliseconds. */
+  public long claimableAt(long renewalReadAtMillis) {
+    return renewalReadAtMillis + term.toMillis() + drift.toMillis();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** Identity and order of records in a stream. */
+package org.passhaven.core.log;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Who is alive: heartbeats, suspicion and their spread. */
+package org.passhaven.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Rendezvous placement of work on members, spread over zones. */
+package org.passhaven.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/request/IntentTable.java
@@ -0,0 +1,90 @@
+package org.passhaven.core.request;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.passhaven.core.log.WriterPositions;
+import org.passhaven.protocol.LogEntry;
+import org.passhaven.protocol.LogRecord;
+import org.passhaven.protocol.RecordId;
+
+/**
+ * Fold of one stream of intents: for each idempotency key, who may run its request and what it
+ * answered.
+ *
+ * <p>Invariant: a key's request is sent only by the writer of its first folded intent that was not
+ * withdrawn, so it runs at most once whoever else tries, also after a crash. Not thread-safe.
+ */
+public final class IntentTable {
+  private static final String STREAM_PREFIX = "intents-";
+  private static final int MOST_KEYS = 200_000;
+
+  /** What is known of one key. */
+  public record Intent(RecordId holder, long requestDigest, LogRecord.IntentAnswered answer) {}
+
+  private final WriterPositions writers = new WriterPositions();
+  private final Map<String, Intent> intents = new LinkedHashMap<>();
+
+  /** Stream that holds the intents of a key. */
+  public static String streamOf(String key, int streams) {
+    return STREAM_PREFIX + Math.floorMod(key.hashCode(), streams);
+  }
+
+  /** Folds one record; returns whether it took effect. */
+  public boolean apply(LogEntry entry) {
+    if (!writers.accept(entry.id())) {
+      return false;
+    }
+    if (entry.record() instanceof LogRecord.IntentRecorded recorded) {
+      return record(entry.id(), recorded);
+    }
+    if (entry.record() instanceof LogRecord.IntentAnswered answered) {
+      Intent known = intents.get(answered.key());
+      boolean first =
+          known != null && known.answer() == null && sameWriter(known.holder(), entry.id());
+      if (first) {
+        intents.put(answered.key(), new Intent(known.holder(), known.requestDigest(), answered));
+      }
+      return first;
+    }
+    if (entry.record() instanceof LogRecord.IntentWithdrawn withdrawn) {
+      Intent known = intents.get(withdrawn.key());
+      boolean own =
+          known != null && known.answer() == null && sameWriter(known.holder(), entry.id());
+      if (own) {
+        intents.remove(withdrawn.key());
+      }
+      return own;
+    }
+    return false;
+  }
+
+  private boolean record(RecordId id, LogRecord.IntentRecorded recorded) {
+    if (intents.containsKey(recorded.key())) {
+      return false;
+    }
+    intents.put(recorded.key(), new Intent(id, recorded.requestDigest(), null));
+    forgetOldest();
+    return true;
+  }
+
+  private void forgetOldest() {
+    if (intents.size() > MOST_KEYS) {
+      intents.remove(intents.keySet().iterator().next());
+    }
+  }
+
+  private static boolean sameWriter(RecordId first, RecordId second) {
+    return first.writer().equals(second.writer()) && first.incarnation() == second.incarnation();
+  }
+
+  /** What is known of a key. */
+  public Optional<Intent> find(String key) {
+    return Optional.ofNullable(intents.get(key));
+  }
+
+  /** Number of keys held. */
+  public int size() {
+    return intents.size();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of back ends from lagging reports. */
+package org.passhaven.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
@@ -0,0 +1,345 @@
+package org.passhaven.core.run;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.passhaven.core.configuration.TrainerSettings;
+import org.passhaven.core.routing.EnginePicker;
+import org.passhaven.core.routing.EngineView;
+import org.passhaven.protocol.LogRecord;
+import org.passhaven.protocol.LogRecord.Commit;
+import org.passhaven.protocol.Sample;
+import org.passhaven.protocol.Segment;
+import org.passhaven.protocol.ServerId;
+
+/**
+ * Decisions of the owner of one shard in one epoch: which slots to generate where, what to commit,
+ * what to hand over. Holds the content of samples, which is not in the log; a successor starts
+ * without it. Pure: no clock, no I/O. Not thread-safe.
+ */
+public final class RunCoordinator {
+  private static final int PRIORITY_SPAN = 1000;
+  private final RunState state;
+  private final long epoch;
+  private final TrainerSettings settings;
+  private final Map<Long, StepWork> work = new TreeMap<>();
+  private final Map<StepPrompt, ServerId> affinity = new HashMap<>();
+  private long trainerVersion;
+  private long discardedTokens;
+
+  /**
+   * Creates the owner's decisions for {@code epoch}; {@code state} is the fold, read but not
+   * changed.
+   */
+  public RunCoordinator(RunState state, long epoch, TrainerSettings settings) {
+    this.state = Objects.requireNonNull(state, "state");
+    this.epoch = epoch;
+    this.settings = Objects.requireNonNull(settings, "settings");
+    onFolded();
+  }
+
+  /**
+   * The fold moved on: takes in new steps, drops finished ones, marks commits that were read back.
+   */
+  public void onFolded() {
+    trainerVersion = Math.max(trainerVersion, state.trainerVersion());
+    work.keySet().removeIf(step -> state.step(step) == null);
+    affinity.keySet().removeIf(key -> state.step(key.step()) == null);
+    for (StepState step : state.steps()) {
+      work.computeIfAbsent(step.step(), number -> new StepWork(step)).onFolded();
+    }
+  }
+
+  /** The trainer stated its version; never goes back. */
+  public void onTrainerVersion(long version) {
+    trainerVersion = Math.max(trainerVersion, version);
+  }
+
+  /** Newest version that the trainer stated. */
+  public long trainerVersion() {
+    return trainerVersion;
+  }
+
+  /** Tokens thrown away so far in this epoch. */
+  public long discardedTokens() {
+    return discardedTokens;
+  }
+
+  /** Generations to cancel because their samples would be over the bound when taken. */
+  public List<RunAction> cancelOverAge() {
+    List<RunAction> actions = new ArrayList<>();
+    for (StepWork step : work.values()) {
+      for (SlotWork slot : step.slots) {
+        if (slot.phase == SlotWork.Phase.GENERATING && isOverAge(step, oldestVersion(slot))) {
+          actions.add(new RunAction.Cancel(slot.attemptId(epoch, step.number())));
+          discard(slot);
+        }
+      }
+    }
+    return actions;
+  }
+
+  /** Generations to begin now, earliest step first. */
+  public List<RunAction> dispatch(Collection<EngineView> engines, String localZone) {
+    EnginePicker picker = new EnginePicker(engines, localZone);
+    long newestServed = engines.stream().mapToLong(EngineView::version).max().orElse(0);
+    List<RunAction> actions = new ArrayList<>();
+    int stepsAhead = 0;
+    for (StepWork step : work.values()) {
+      long oldestAllowed = oldestAllowedFor(step, newestServed);
+      if (mayStart(step)) {
+        dispatchStep(
+            step, picker, oldestAllowed, settings.priority() * PRIORITY_SPAN - stepsAhead, actions);
+      }
+      stepsAhead++;
+    }
+    return actions;
+  }
+
+  private void dispatchStep(
+      StepWork step,
+      EnginePicker picker,
+      long oldestAllowed,
+      int priority,
+      List<RunAction> actions) {
+    for (SlotWork slot : step.plannedFirstCommitted()) {
+      if (!picker.hasRoom(oldestAllowed)) {
+        return;
+      }
+      StepPrompt prompt = new StepPrompt(step.number(), step.state.promptOf(slot.slot).index());
+      Optional<EngineView> engine = picker.pick(oldestAllowed, affinity.get(prompt));
+      if (engine.isEmpty()) {
+        return;
+      }
+      affinity.put(prompt, engine.get().id());
+      actions.add(begin(step, slot, engine.get(), priority));
+    }
+  }
+
+  private RunAction begin(StepWork step, SlotWork slot, EngineView engine, int priority) {
+    if (isOverAge(step, oldestVersion(slot))) {
+      discard(slot);
+    }
+    slot.begin(engine.id(), engine.incarnation(), engine.version());
+    return new RunAction.Generate(
+        slot.attemptId(epoch, step.number()),
+        engine,
+        step.state.promptOf(slot.slot),
+        step.state.sampleIndexOf(slot.slot),
+        List.copyOf(slot.segments),
+        priority);
+  }
+
+  private boolean mayStart(StepWork step) {
+    long ahead = state.expectedVersionAt(step.number()) - trainerVersion;
+    return settings.objective() == TrainerSettings.Objective.IDLE_TIME
+        ? ahead <= settings.stalenessBound()
+        : ahead <= 0;
+  }
+
+  /**
+   * Oldest engine version that keeps a new sample of the step within the bound when it is taken.
+   */
+  private long oldestAllowedFor(StepWork step, long newestServed) {
+    long expected = Math.max(trainerVersion, state.expectedVersionAt(step.number()));
+    long withinBound = expected - settings.stalenessBound();
+    if (settings.objective() == TrainerSettings.Objective.STALENESS) {
+      return Math.max(withinBound, Math.min(newestServed, trainerVersion));
+    }
+    return withinBound;
+  }
+
+  /** New tokens of a running attempt arrived; returns false if the attempt is no longer wanted. */
+  public boolean onSegment(AttemptId attempt, Segment segment) {
+    Optional<SlotWork> slot = running(attempt);
+    slot.ifPresent(work -> work.append(segment));
+    return slot.isPresent();
+  }
+
+  /** The engine finished an attempt. */
+  public List<RunAction> onGenerated(AttemptId attempt) {
+    Optional<SlotWork> slot = running(attempt);
+    if (slot.isEmpty()) {
+      return List.of();
+    }
+    SlotWork finished = slot.get();
+    StepState step = state.step(attempt.step());
+    if (finished.segments.isEmpty()) {
+      finished.phase = SlotWork.Phase.PLANNED;
+      return List.of();
+    }
+    finished.sample =
+        new Sample(
+            finished.position,
+            step.promptOf(attempt.slot()).index(),
+            step.sampleIndexOf(attempt.slot()),
+            attempt.attempt(),
+            finished.segments,
+            Double.NaN);
+    if (settings.scorer().isEmpty()) {
+      finished.phase = SlotWork.Phase.READY;
+      return List.of();
+    }
+    finished.phase = SlotWork.Phase.SCORING;
+    return List.of(new RunAction.Score(attempt, finished.sample));
+  }
+
+  /** The scorer answered. */
+  public void onScored(AttemptId attempt, double score) {
+    find(attempt, SlotWork.Phase.SCORING)
+        .ifPresent(
+            slot -> {
+              Sample sample = slot.sample;
+              slot.sample =
+                  new Sample(
+                      sample.position(),
+                      sample.promptIndex(),
+                      sample.sampleIndex(),
+                      sample.attempt(),
+                      sample.segments(),
+                      score);
+              slot.phase = SlotWork.Phase.READY;
+            });
+  }
+
+  /**
+   * An attempt failed.
+   *
+   * @param keepTokens whether the tokens so far are whole and truthful, so that another engine may
+   *     go on
+   */
+  public void onFailed(AttemptId attempt, boolean keepTokens) {
+    running(attempt)
+        .ifPresent(
+            slot -> {
+              if (!keepTokens) {
+                discard(slot);
+              }
+              slot.phase = SlotWork.Phase.PLANNED;
+            });
+  }
+
+  /** The record that commits all ready samples of one step; empty if there are none. */
+  public Optional<LogRecord> commitReady() {
+    for (StepWork step : work.values()) {
+      List<Commit> commits = new ArrayList<>();
+      for (SlotWork slot : step.slots) {
+        if (slot.phase == SlotWork.Phase.READY) {
+          commitOrDiscard(step, slot, commits);
+        }
+      }
+      if (!commits.isEmpty()) {
+        return Optional.of(new LogRecord.SamplesCommitted(epoch, step.number(), commits));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void commitOrDiscard(StepWork step, SlotWork slot, List<Commit> commits) {
+    if (isOverAge(step, slot.sample.oldestVersion())) {
+      discard(slot);
+      return;
+    }
+    if (slot.position < 0) {
+      slot.position = step.nextPosition++;
+    }
+    slot.sample = slot.sample.atPosition(slot.position);
+    slot.phase = SlotWork.Phase.COMMITTING;
+    commits.add(
+        new Commit(
+            slot.position,
+            slot.slot,
+            slot.attempt,
+            slot.sample.oldestVersion(),
+            slot.sample.newestVersion(),
+            SampleDigest.of(slot.sample)));
+  }
+
+  /**
+   * Samples after a cursor, in order of position, as far as they are there. One that has grown
+   * older than the bound is thrown away, to be regenerated into the same position.
+   */
+  public List<Sample> pull(long step, long cursor, int most) {
+    StepWork stepWork = work.get(step);
+    List<Sample> samples = new ArrayList<>();
+    if (stepWork == null) {
+      return samples;
+    }
+    for (long position = cursor; samples.size() < most; position++) {
+      SlotWork slot = stepWork.atPosition(position);
+      if (slot == null || slot.phase != SlotWork.Phase.COMMITTED) {
+        break;
+      }
+      if (trainerVersion - slot.sample.oldestVersion() > settings.stalenessBound()) {
+        discardAllOverAge(stepWork);
+        break;
+      }
+      samples.add(slot.sample);
+    }
+    return samples;
+  }
+
+  private void discardAllOverAge(StepWork step) {
+    for (SlotWork slot : step.slots) {
+      boolean held = slot.phase == SlotWork.Phase.COMMITTED;
+      if (held && trainerVersion - slot.sample.oldestVersion() > settings.stalenessBound()) {
+        discard(slot);
+      }
+    }
+  }
+
+  /** Drops content that the trainer acknowledged by its cursor. */
+  public void onCursor(long step, long cursor) {
+    StepWork stepWork = work.get(step);
+    if (stepWork != null) {
+      stepWork.acknowledge(cursor);
+    }
+  }
+
+  /** Attempts that run now. */
+  public List<AttemptId> runningAttempts() {
+    List<AttemptId> attempts = new ArrayList<>();
+    for (StepWork step : work.values()) {
+      step.slots.stream()
+          .filter(slot -> slot.phase == SlotWork.Phase.GENERATING)
+          .forEach(slot -> attempts.add(slot.attemptId(epoch, step.number())));
+    }
+    return attempts;
+  }
+
+  private boolean isOverAge(StepWork step, long oldestVersion) {
+    long expected = Math.max(trainerVersion, state.expectedVersionAt(step.number()));
+    return oldestVersion != Long.MAX_VALUE && expected - oldestVersion > settings.stalenessBound();
+  }
+
+  private static long oldestVersion(SlotWork slot) {
+    return slot.segments.stream().mapToLong(Segment::version).min().orElse(Long.MAX_VALUE);
+  }
+
+  private void discard(SlotWork slot) {
+    discardedTokens += slot.segments.stream().mapToInt(segment -> segment.tokens().length).sum();
+    slot.reset();
+  }
+
+  private Optional<SlotWork> running(AttemptId attempt) {
+    return find(attempt, SlotWork.Phase.GENERATING);
+  }
+
+  private Optional<SlotWork> find(AttemptId attempt, SlotWork.Phase phase) {
+    StepWork step = work.get(attempt.step());
+    if (step == null || attempt.epoch() != epoch) {
+      return Optional.empty();
+    }
+    SlotWork slot = step.slots.get(attempt.slot());
+    return slot.attempt == attempt.attempt() && slot.phase == phase
+        ? Optional.of(slot)
+        : Optional.empty();
+  }
+
+  private record StepPrompt(long step, int prompt) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Order in which engines take a new weight version. */
+package org.passhaven.core.weights;
--- /dev/null
+++ b/emulator/src/main/java/org/passhaven/emulator/http/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-ins behind HTTP. */
+package org.passhaven.emulator.http;
--- /dev/null
+++ b/emulator/src/main/java/org/passhaven/emulator/load/package-info.java
@@ -0,0 +1,2 @@
+/** Trainers and callers that put load on nodes. */
+package org.passhaven.emulator.load;
--- /dev/null
+++ b/emulator/src/main/java/org/passhaven/emulator/site/package-info.java
@@ -0,0 +1,2 @@
+/** Sizes, latencies and load of a site. */
+package org.passhaven.emulator.site;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/NodeContext.java
@@ -0,0 +1,28 @@
+package org.passhaven.node;
+
+import java.util.Objects;
+import java.util.function.IntUnaryOperator;
+import org.passhaven.platform.Platform;
+import org.passhaven.platform.Timers;
+
+/**
+ * What every part of a node is given.
+ *
+ * @param incarnation this start of the node; higher than that of any earlier start
+ * @param randomBelow random number from zero to below the argument; seeded in the simulator
+ */
+public record NodeContext(
+    NodeSettings settings,
+    long incarnation,
+    Platform platform,
+    Timers timers,
+    IntUnaryOperator randomBelow,
+    NodeMetrics metrics) {
+  public NodeContext {
+    Objects.requireNonNull(settings, "settings");
+    Objects.requireNonNull(platform, "platform");
+    Objects.requireNonNull(timers, "timers");
+    Objects.requireNonNull(randomBelow, "randomBelow");
+    Objects.requireNonNull(metrics, "metrics");
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/NodeSettings.java
@@ -0,0 +1,66 @@
+package org.passhaven.node;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.passhaven.core.lease.LeaseTerms;
+import org.passhaven.core.membership.MembershipSettings;
+import org.passhaven.protocol.NodeId;
+
+/**
+ * Settings of one node, checked and immutable.
+ *
+ * @param node unique name
+ * @param zone zone, as in the machine list
+ * @param address host and port that peers and callers reach
+ * @param seeds peer addresses asked first, beside the machine list
+ * @param lease clock rules of leases
+ * @param membership pace of heartbeats
+ * @param tick time between two rounds of an owner's decisions
+ * @param machineListPeriod time between two looks at the machine list
+ * @param reportPeriod time between two load reports of an engine
+ * @param candidates nodes that follow a shard's stream: the owner and its standbys
+ * @param engineSubset most engines of a group that one shard's owner uses; 0 for all
+ * @param intentStreams streams over which idempotency keys are spread
+ * @param swapsAtOnce most engines of a group that swap weights at the same time
+ */
+public record NodeSettings(
+    NodeId node,
+    String zone,
+    String address,
+    List<String> seeds,
+    LeaseTerms lease,
+    MembershipSettings membership,
+    Duration tick,
+    Duration machineListPeriod,
+    Duration reportPeriod,
+    int candidates,
+    int engineSubset,
+    int intentStreams,
+    int swapsAtOnce) {
+  public NodeSettings {
+    Objects.requireNonNull(node, "node");
+    Objects.requireNonNull(zone, "zone");
+    Objects.requireNonNull(address, "address");
+    seeds = List.copyOf(seeds);
+  }
+
+  /** Defaults for a node. */
+  public static NodeSettings defaults(
+      NodeId node, String zone, String address, List<String> seeds) {
+    return new NodeSettings(
+        node,
+        zone,
+        address,
+        seeds,
+        new LeaseTerms(Duration.ofSeconds(6), Duration.ofMillis(500), Duration.ofSeconds(2)),
+        MembershipSettings.DEFAULT,
+        Duration.ofMillis(100),
+        Duration.ofSeconds(1),
+        Duration.ofMillis(500),
+        3,
+        0,
+        16,
+        64);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/backend/EngineDirectory.java
@@ -0,0 +1,196 @@
+package org.passhaven.node.backend;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import org.passhaven.core.placement.Member;
+import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.routing.BackEndHealth;
+import org.passhaven.core.routing.EngineView;
+import org.passhaven.node.NodeContext;
+import org.passhaven.platform.EngineService.Report;
+import org.passhaven.platform.MachineList;
+import org.passhaven.platform.MachineList.Machine;
+import org.passhaven.protocol.ServerId;
+
+/**
+ * What this node knows of the engines that it uses. Only engines of groups in use are asked for
+ * reports, and of a large group only a subset that rendezvous gives this user, so the cost of a
+ * node does not grow with the fleet.
+ */
+public final class EngineDirectory {
+  private static final long REPORT_LIMIT_MILLIS = 2_000;
+  private final NodeContext context;
+  private final MachineWatcher machines;
+  private final Map<ServerId, Known> engines = new HashMap<>();
+  private final Map<EngineUse, Supplier<Boolean>> uses = new LinkedHashMap<>();
+
+  /** Creates a directory over the machine list. */
+  public EngineDirectory(NodeContext context, MachineWatcher machines) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.machines = Objects.requireNonNull(machines, "machines");
+  }
+
+  /** Begins to ask for reports. */
+  public void start() {
+    context.timers().every(context.settings().reportPeriod().toMillis(), this::askAll);
+  }
+
+  /** Declares a use of a group that lasts while {@code inUse} says so. */
+  public void use(EngineUse use, Supplier<Boolean> inUse) {
+    uses.put(use, inUse);
+  }
+
+  /** Engines of a use, those without a report left out. */
+  public List<EngineView> views(EngineUse use) {
+    long now = context.timers().nowMillis();
+    List<EngineView> views = new ArrayList<>();
+    for (Machine machine : subset(use)) {
+      Known known = engines.get(new ServerId(machine.id()));
+      if (known != null && known.report != null) {
+        views.add(view(machine, known, now));
+      }
+    }
+    return views;
+  }
+
+  /** All engines of a group; for the node that orders versions. */
+  public List<Machine> all(String group) {
+    return machines.of(MachineList.Kind.ENGINE, group);
+  }
+
+  /** Whether an engine has answered its last requests for a report. */
+  public boolean isAnswering(ServerId engine) {
+    return known(engine).missedReports < Known.MOST_MISSED;
+  }
+
+  /** A generation went to an engine. */
+  public void onBegin(ServerId engine) {
+    known(engine).outstanding++;
+  }
+
+  /** A generation left an engine; {@code failed} if the engine or the way to it was at fault. */
+  public void onEnd(ServerId engine, boolean failed) {
+    Known known = known(engine);
+    known.outstanding--;
+    if (failed) {
+      known.health.onFailure(context.timers().nowMillis());
+    } else {
+      known.health.onSuccess(context.timers().nowMillis());
+    }
+  }
+
+  /** An engine was seen to serve a version, in a report or in tokens. */
+  public void onVersionSeen(ServerId engine, long incarnation, long version) {
+    Known known = known(engine);
+    if (known.report != null
+        && known.report.incarnation() == incarnation
+        && known.report.version() < version) {
+      Report old = known.report;
+      known.report =
+          new Report(
+              incarnation,
+              old.model(),
+              version,
+              old.orderEpoch(),
+              old.running(),
+              old.queued(),
+              old.capacity(),
+              old.leaving());
+    }
+  }
+
+  /** Asks one engine for a report now. */
+  public void ask(Machine machine) {
+    Known known = known(new ServerId(machine.id()));
+    if (known.asking) {
+      return;
+    }
+    known.asking = true;
+    context
+        .timers()
+        .limit(
+            context.platform().engines().report(machine.address()), REPORT_LIMIT_MILLIS, "report")
+        .subscribe()
+        .with(report -> onReport(known, report), failure -> onReportFailed(known));
+  }
+
+  private static void onReport(Known known, Report report) {
+    known.asking = false;
+    known.missedReports = 0;
+    known.report = report;
+    known.outstandingAtReport = known.outstanding;
+  }
+
+  private static void onReportFailed(Known known) {
+    known.asking = false;
+    known.missedReports++;
+  }
+
+  private void askAll() {
+    uses.values().removeIf(inUse -> !inUse.get());
+    Set<String> asked = new TreeSet<>();
+    for (EngineUse use : uses.keySet()) {
+      for (Machine machine : subset(use)) {
+        if (asked.add(machine.id())) {
+          ask(machine);
+        }
+      }
+    }
+  }
+
+  private Collection<Machine> subset(EngineUse use) {
+    List<Machine> group = machines.of(MachineList.Kind.ENGINE, use.group());
+    if (use.most() == EngineUse.ALL || group.size() <= use.most()) {
+      return group;
+    }
+    Map<String, Machine> byId = new HashMap<>();
+    group.forEach(machine -> byId.put(machine.id(), machine));
+    List<Member> members =
+        group.stream().map(machine -> new Member(machine.id(), machine.zone())).toList();
+    return Rendezvous.rank(use.user(), members, use.most()).stream()
+        .map(member -> byId.get(member.name()))
+        .toList();
+  }
+
+  private static EngineView view(Machine machine, Known known, long now) {
+    Report report = known.report;
+    int others = Math.max(0, report.load() - known.outstandingAtReport);
+    boolean usable =
+        machine.state() == MachineList.State.LIVE
+            && !report.leaving()
+            && known.missedReports < Known.MOST_MISSED
+            && known.health.isUsable(now);
+    int capacity = (int) Math.ceil(report.capacity() * known.health.share(now));
+    return new EngineView(
+        new ServerId(machine.id()),
+        machine.address(),
+        machine.zone(),
+        report.incarnation(),
+        report.version(),
+        Math.max(1, capacity),
+        others + known.outstanding,
+        usable);
+  }
+
+  private Known known(ServerId engine) {
+    return engines.computeIfAbsent(engine, ignored -> new Known());
+  }
+
+  private static final class Known {
+    static final int MOST_MISSED = 2;
+    final BackEndHealth health = new BackEndHealth();
+    Report report;
+    int outstanding;
+    int outstandingAtReport;
+    int missedReports;
+    boolean asking;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/backend/package-info.java
@@ -0,0 +1,2 @@
+/** What a node knows of engines and service servers. */
+package org.passhaven.node.backend;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Following and applying the operators' configuration. */
+package org.passhaven.node.configuration;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/http/CompletionHandler.java
@@ -0,0 +1,144 @@
+package org.passhaven.node.http;
+
+import io.smallrye.mutiny.subscription.Cancellable;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.core.configuration.ModelSettings;
+import org.passhaven.core.routing.EnginePicker;
+import org.passhaven.core.routing.EngineView;
+import org.passhaven.node.Node;
+import org.passhaven.node.backend.EngineUse;
+import org.passhaven.platform.EngineService.GenerationRequest;
+import org.passhaven.platform.http.HttpEngineService;
+import org.passhaven.protocol.Segment;
+
+/**
+ * Interactive completions in the shape that client libraries speak: JSON, or server-sent events.
+ */
+final class CompletionHandler {
+  private static final String USER = "completions";
+  private static final int INTERACTIVE_PRIORITY = 100_000;
+  private static final long RETRY_MILLIS = 1_000;
+
+  @com.fasterxml.jackson.annotation.JsonIgnoreProperties(ignoreUnknown = true)
+  record Body(String model, String prompt, Long seed, Boolean stream) {
+    Body {
+      seed = seed == null ? 0 : seed;
+      stream = stream != null && stream;
+    }
+  }
+
+  record Choice(int index, String text, int[] tokens, long weightVersion, String finishReason) {}
+
+  record Chunk(String id, String object, String model, List<Choice> choices) {}
+
+  private final Node node;
+  private long nextId = 1;
+
+  CompletionHandler(Node node) {
+    this.node = Objects.requireNonNull(node, "node");
+  }
+
+  void addTo(Router router) {
+    router.post("/v1/completions").handler(this::handle);
+  }
+
+  private void handle(RoutingContext routing) {
+    Body body = Answers.body(routing, Body.class);
+    ModelSettings model =
+        body.model() == null ? null : node.configuration().inForce().models().get(body.model());
+    if (model == null || body.prompt() == null) {
+      Answers.problem(
+          routing,
+          Problem.notRun(
+              Answers.UNPROCESSABLE, "model and prompt are needed, the model configured"),
+          0);
+      return;
+    }
+    EngineUse use =
+        new EngineUse(USER, model.engineGroup(), node.context().settings().engineSubset());
+    node.engines()
+        .use(use, () -> node.configuration().inForce().models().containsKey(body.model()));
+    EnginePicker picker =
+        new EnginePicker(node.engines().views(use), node.context().settings().zone());
+    Optional<EngineView> engine = picker.pick(0, null);
+    if (engine.isEmpty()) {
+      Answers.problem(
+          routing, Problem.notRun(Answers.UNAVAILABLE, "no engine has room"), RETRY_MILLIS);
+      return;
+    }
+    generate(routing, body, engine.get());
+  }
+
+  private void generate(RoutingContext routing, Body body, EngineView engine) {
+    String id =
+        node.context().settings().node() + "-" + node.context().incarnation() + "-" + nextId++;
+    GenerationRequest request =
+        new GenerationRequest(
+            id, body.model(), body.prompt(), body.seed(), new int[0], INTERACTIVE_PRIORITY);
+    List<Choice> choices = new ArrayList<>();
+    node.engines().onBegin(engine.id());
+    Cancellable running =
+        node.context()
+            .platform()
+            .engines()
+            .generate(engine.address(), request)
+            .onTermination()
+            .invoke((failure, cancelled) -> node.engines().onEnd(engine.id(), failure != null))
+            .subscribe()
+            .with(
+                segment -> onSegment(routing, body, id, choices, segment),
+                failure -> onFailure(routing, failure),
+                () -> onFinished(routing, body, id, choices));
+    routing.response().closeHandler(running::cancel);
+  }
+
+  private static void onSegment(
+      RoutingContext routing, Body body, String id, List<Choice> choices, Segment segment) {
+    Choice choice = new Choice(0, "", segment.tokens(), segment.version(), null);
+    if (!body.stream()) {
+      choices.add(choice);
+      return;
+    }
+    if (!routing.response().headWritten()) {
+      routing.response().setChunked(true).putHeader("Content-Type", "text/event-stream");
+    }
+    writeEvent(
+        routing,
+        new String(
+            Answers.write(chunk(id, body, List.of(choice))),
+            java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  private static void onFinished(
+      RoutingContext routing, Body body, String id, List<Choice> choices) {
+    if (!body.stream()) {
+      Answers.json(routing, Answers.OK, chunk(id, body, choices));
+      return;
+    }
+    writeEvent(routing, HttpEngineService.END_OF_STREAM);
+    routing.response().endAndForget();
+  }
+
+  private static void onFailure(RoutingContext routing, Throwable failure) {
+    if (routing.response().headWritten()) {
+      // The caller must see that its stream was cut and not take it for whole.
+      routing.response().reset();
+      return;
+    }
+    Answers.failure(routing, failure);
+  }
+
+  private static Chunk chunk(String id, Body body, List<Choice> choices) {
+    return new Chunk(id, "text_completion", body.model(), choices);
+  }
+
+  private static void writeEvent(RoutingContext routing, String data) {
+    routing.response().writeAndForget(Buffer.buffer("data: " + data + "\n\n"));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/http/NodeServer.java
@@ -0,0 +1,203 @@
+package org.passhaven.node.http;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.vertx.core.AbstractVerticle;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import io.vertx.mutiny.ext.web.handler.BodyHandler;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Objects;
+import org.passhaven.node.Node;
+import org.passhaven.node.NodeContext;
+import org.passhaven.node.NodeMetrics;
+import org.passhaven.node.NodeSettings;
+import org.passhaven.node.configuration.ConfigurationAgent.ApplyResult;
+import org.passhaven.platform.Platform;
+import org.passhaven.platform.http.Address;
+import org.passhaven.platform.http.HttpEngineService;
+import org.passhaven.platform.http.HttpLogService;
+import org.passhaven.platform.http.HttpMachineList;
+import org.passhaven.platform.http.HttpPeerTransport;
+import org.passhaven.platform.http.HttpServiceBackEnd;
+import org.passhaven.platform.http.VertxTimers;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.ConfigurationDocument;
+import org.passhaven.protocol.PeerRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A node with its sockets: one verticle, so one event loop carries all of the node's work. */
+public final class NodeServer extends AbstractVerticle {
+  private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
+  private static final int MOST_CONNECTIONS = 512;
+  private static final int CONNECT_LIMIT_MILLIS = 1_000;
+  private static final int IDLE_SECONDS = 120;
+  private static final int MOST_HEADER_BYTES = 16_384;
+  private static final int RANDOM_INCARNATION_BITS = 10;
+  private final NodeSettings settings;
+  private final String logAddress;
+  private final String machineListAddress;
+  private final long mostBodyBytes;
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private Node node;
+  private HttpServer server;
+
+  /** Creates a server; deploying it starts the node. */
+  public NodeServer(
+      NodeSettings settings, String logAddress, String machineListAddress, long mostBodyBytes) {
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.logAddress = Objects.requireNonNull(logAddress, "logAddress");
+    this.machineListAddress = Objects.requireNonNull(machineListAddress, "machineListAddress");
+    this.mostBodyBytes = mostBodyBytes;
+  }
+
+  /** The node; null before the start. */
+  public Node node() {
+    return node;
+  }
+
+  @Override
+  public Uni<Void> asyncStart() {
+    SecureRandom random = new SecureRandom();
+    long incarnation =
+        (System.currentTimeMillis() << RANDOM_INCARNATION_BITS)
+            + random.nextInt(1 << RANDOM_INCARNATION_BITS);
+    NodeContext context =
+        new NodeContext(
+            settings,
+            incarnation,
+            platform(),
+            new VertxTimers(vertx),
+            random::nextInt,
+            new NodeMetrics(registry));
+    node = new Node(context);
+    Address address = Address.parse(settings.address());
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setMaxHeaderSize(MOST_HEADER_BYTES)
+            .setIdleTimeout(IDLE_SECONDS)
+            .setReuseAddress(true);
+    server = vertx.createHttpServer(options).requestHandler(router());
+    return server
+        .listen(address.port(), address.host())
+        .invoke(
+            () -> {
+              LOG.info("node: {} listens on {}", settings.node(), settings.address());
+              node.start();
+            })
+        .replaceWithVoid();
+  }
+
+  private Platform platform() {
+    WebClient web =
+        WebClient.create(
+            vertx,
+            new WebClientOptions()
+                .setMaxPoolSize(MOST_CONNECTIONS)
+                .setConnectTimeout(CONNECT_LIMIT_MILLIS)
+                .setFollowRedirects(false));
+    var streams =
+        vertx.createHttpClient(
+            new HttpClientOptions()
+                .setMaxPoolSize(MOST_CONNECTIONS)
+                .setConnectTimeout(CONNECT_LIMIT_MILLIS));
+    return new Platform(
+        new HttpLogService(web, logAddress),
+        new HttpMachineList(web, machineListAddress),
+        new HttpEngineService(web, streams),
+        new HttpServiceBackEnd(web),
+        new HttpPeerTransport(web));
+  }
+
+  private Router router() {
+    Router router = Router.router(vertx);
+    router.route().handler(BodyHandler.create(false).setBodyLimit(mostBodyBytes));
+    router.post(HttpPeerTransport.PATH).handler(this::peer);
+    router.get("/healthz").handler(routing -> routing.response().endAndForget("ok\n"));
+    router.get("/readyz").handler(this::ready);
+    router
+        .get("/metrics")
+        .handler(
+            routing ->
+                routing
+                    .response()
+                    .putHeader("Content-Type", "text/plain; version=0.0.4")
+                    .endAndForget(registry.scrape()));
+    new TrainerHandler(node.rollouts()).addTo(router);
+    new ServiceHandler(node.requests()).addTo(router);
+    new OperatorHandler(node).addTo(router);
+    new CompletionHandler(node).addTo(router);
+    router.route().failureHandler(NodeServer::onFailure);
+    return router;
+  }
+
+  private void peer(RoutingContext routing) {
+    try {
+      PeerRequest request = Codec.decode(routing.body().buffer().getBytes(), PeerRequest.class);
+      node.onPeer(request)
+          .subscribe()
+          .with(
+              response ->
+                  routing
+                      .response()
+                      .putHeader("Content-Type", HttpPeerTransport.MEDIA_TYPE)
+                      .endAndForget(Buffer.buffer(Codec.encode(response))),
+              failure -> Answers.failure(routing, failure));
+    } catch (CodecException e) {
+      Answers.problem(routing, Problem.notRun(Answers.BAD_REQUEST, e.getMessage()), 0);
+    }
+  }
+
+  private void ready(RoutingContext routing) {
+    routing
+        .response()
+        .setStatusCode(node.isReady() ? Answers.OK : Answers.UNAVAILABLE)
+        .endAndForget(node.isReady() ? "ready\n" : "not ready\n");
+  }
+
+  private static void onFailure(RoutingContext routing) {
+    int status = routing.statusCode();
+    boolean thrown = routing.failure() != null && (status <= 0 || status == Answers.INTERNAL_ERROR);
+    if (thrown) {
+      LOG.debug("node: a request failed", routing.failure());
+      Answers.failure(routing, routing.failure());
+      return;
+    }
+    int code = status <= 0 ? Answers.BAD_REQUEST : status;
+    Answers.problem(routing, Problem.notRun(code, "the request can't be taken"), 0);
+  }
+
+  /** Planned stop; gives a result when nothing is in progress or the limit has passed. */
+  public Uni<Void> drain(long limitMillis) {
+    return Uni.createFrom()
+        .emitter(
+            emitter ->
+                context.runOnContext(
+                    ignored ->
+                        node.stop(limitMillis).subscribe().with(emitter::complete, emitter::fail)));
+  }
+
+  /** Applies a configuration from outside the node's own thread. */
+  public Uni<ApplyResult> apply(List<ConfigurationDocument> documents, String operator) {
+    return Uni.createFrom()
+        .emitter(
+            emitter ->
+                context.runOnContext(
+                    ignored ->
+                        node.configuration()
+                            .apply(documents, -1, operator)
+                            .subscribe()
+                            .with(emitter::complete, emitter::fail)));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** Callers', operators' and peers' HTTP interfaces. */
+package org.passhaven.node.http;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Heartbeats between nodes. */
+package org.passhaven.node.membership;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/request/RequestService.java
@@ -0,0 +1,299 @@
+package org.passhaven.node.request;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.passhaven.core.configuration.CallerSettings;
+import org.passhaven.core.configuration.ConfigurationImage;
+import org.passhaven.core.configuration.ServiceSettings;
+import org.passhaven.core.configuration.ServiceSettings.RequestClass;
+import org.passhaven.core.request.IntentTable;
+import org.passhaven.core.request.RateLimiter;
+import org.passhaven.core.request.RequestDigest;
+import org.passhaven.core.request.RetryBudget;
+import org.passhaven.core.routing.ServicePicker;
+import org.passhaven.core.routing.ServiceView;
+import org.passhaven.node.NodeContext;
+import org.passhaven.node.backend.ServiceDirectory;
+import org.passhaven.platform.PlatformException;
+import org.passhaven.platform.ServiceBackEnd;
+import org.passhaven.platform.ServiceBackEnd.Response;
+import org.passhaven.protocol.ServerId;
+
+/**
+ * Carries callers' requests to service servers.
+ *
+ * <p>A request is sent again only if it is known not to have run, or may be repeated; and only
+ * while the retry budget of its service lasts. A non-repeatable request with a key is sent only
+ * after its intent is durable; one without a key is sent to at most one server that may have run
+ * it.
+ */
+public final class RequestService {
+  private static final double RETRIES_PER_REQUEST = 0.1;
+  private static final double MOST_RETRIES_SAVED = 20;
+  private static final long LOG_DOWN_RETRY_MILLIS = 2_000;
+  private static final long NO_SERVER_RETRY_MILLIS = 500;
+  private static final long OVERLOAD_RETRY_MILLIS = 1_000;
+  private static final long INTENT_MARGIN_MILLIS = 50;
+  private static final int MOST_OUTSTANDING_PER_SERVER = 256;
+
+  /**
+   * One request of a caller.
+   *
+   * @param caller name for limits; empty if it gave none
+   * @param deadlineMillis longest time to an answer; 0 for the service's own
+   */
+  public record CallerRequest(
+      String service, ServiceBackEnd.Request request, String caller, long deadlineMillis) {}
+
+  private final NodeContext context;
+  private final ServiceDirectory servers;
+  private final Supplier<ConfigurationImage> configuration;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Map<String, IntentAgent> intents = new HashMap<>();
+  private final Map<String, Limit> limits = new HashMap<>();
+  private int inProgress;
+  private boolean stopping;
+
+  /** Creates the service over the configuration in force. */
+  public RequestService(
+      NodeContext context, ServiceDirectory servers, Supplier<ConfigurationImage> configuration) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.servers = Objects.requireNonNull(servers, "servers");
+    this.configuration = Objects.requireNonNull(configuration, "configuration");
+  }
+
+  /** Takes no new requests from now on. */
+  public void stopAccepting() {
+    stopping = true;
+  }
+
+  /** Requests that are being carried. */
+  public int inProgress() {
+    return inProgress;
+  }
+
+  /** Carries one request; never fails. */
+  public Uni<RequestOutcome> call(CallerRequest caller) {
+    ServiceSettings settings = configuration.get().services().get(caller.service());
+    Optional<RequestOutcome> refusal = admit(caller, settings);
+    if (refusal.isPresent()) {
+      return Uni.createFrom().item(refusal.get()).invoke(this::count);
+    }
+    inProgress++;
+    long limit =
+        caller.deadlineMillis() <= 0
+            ? settings.deadlineMillis()
+            : Math.min(caller.deadlineMillis(), settings.deadlineMillis());
+    Call call = new Call(caller, settings, context.timers().nowMillis() + limit);
+    Uni<RequestOutcome> outcome = call.needsIntent() ? callOnce(call) : attempt(call);
+    return outcome.invoke(
+        result -> {
+          inProgress--;
+          count(result);
+        });
+  }
+
+  private void count(RequestOutcome outcome) {
+    if (outcome instanceof RequestOutcome.Answered) {
+      context.metrics().requestsAnswered.increment();
+    } else if (outcome instanceof RequestOutcome.RefusedNotRun) {
+      context.metrics().requestsRefused.increment();
+    } else {
+      context.metrics().requestsUnknown.increment();
+    }
+  }
+
+  private Optional<RequestOutcome> admit(CallerRequest caller, ServiceSettings settings) {
+    if (settings == null) {
+      return refuse("no service " + caller.service() + " in the configuration", 0);
+    }
+    if (stopping) {
+      return refuse("this node is stopping", NO_SERVER_RETRY_MILLIS);
+    }
+    long wait = limitFor(caller.caller());
+    if (wait > 0) {
+      return refuse("over the limit of caller " + caller.caller(), wait);
+    }
+    List<ServiceView> views = servers.views(settings.serverGroup());
+    int outstanding = views.stream().mapToInt(ServiceView::outstanding).sum();
+    if (!views.isEmpty() && outstanding >= views.size() * MOST_OUTSTANDING_PER_SERVER) {
+      return refuse("the service is full", OVERLOAD_RETRY_MILLIS);
+    }
+    return Optional.empty();
+  }
+
+  private long limitFor(String caller) {
+    CallerSettings settings = configuration.get().callers().get(caller);
+    if (settings == null) {
+      return 0;
+    }
+    long now = context.timers().nowMillis();
+    Limit limit = limits.get(caller);
+    if (limit == null || !limit.settings().equals(settings)) {
+      limit =
+          new Limit(settings, new RateLimiter(settings.requestsPerSecond(), settings.burst(), now));
+      limits.put(caller, limit);
+    }
+    return limit.limiter().acquire(now);
+  }
+
+  private static Optional<RequestOutcome> refuse(String reason, long retryAfterMillis) {
+    return Optional.of(new RequestOutcome.RefusedNotRun(reason, retryAfterMillis));
+  }
+
+  private Uni<RequestOutcome> callOnce(Call call) {
+    String key = call.caller.service() + ":" + call.caller.request().idempotencyKey();
+    IntentAgent agent =
+        intents.computeIfAbsent(
+            IntentTable.streamOf(key, context.settings().intentStreams()),
+            stream -> new IntentAgent(context, stream));
+    if (agent.isDown()) {
+      return Uni.createFrom().item(refuse("the log is down", LOG_DOWN_RETRY_MILLIS).orElseThrow());
+    }
+    long limit = Math.max(1, call.left(context) - INTENT_MARGIN_MILLIS);
+    return agent
+        .begin(
+            key,
+            RequestDigest.of(
+                call.caller.request().method(),
+                call.caller.request().path(),
+                call.caller.request().body()),
+            limit)
+        .chain(decision -> onDecision(call, key, agent, decision));
+  }
+
+  private Uni<RequestOutcome> onDecision(
+      Call call, String key, IntentAgent agent, IntentAgent.Decision decision) {
+    if (decision instanceof IntentAgent.Decision.Run) {
+      return attempt(call).invoke(outcome -> onOwnOutcome(key, agent, outcome));
+    }
+    RequestOutcome outcome;
+    if (decision instanceof IntentAgent.Decision.Answered answered) {
+      outcome = new RequestOutcome.Answered(answered.response());
+    } else if (decision instanceof IntentAgent.Decision.KeyReused) {
+      outcome =
+          new RequestOutcome.RefusedNotRun("the idempotency key was used for another request", 0);
+    } else if (decision instanceof IntentAgent.Decision.NotDurable) {
+      outcome =
+          new RequestOutcome.RefusedNotRun(
+              "the intent could not be made durable", LOG_DOWN_RETRY_MILLIS);
+    } else {
+      outcome = new RequestOutcome.OutcomeUnknown("an earlier try of this key has no known answer");
+    }
+    return Uni.createFrom().item(outcome);
+  }
+
+  private static void onOwnOutcome(String key, IntentAgent agent, RequestOutcome outcome) {
+    if (outcome instanceof RequestOutcome.Answered answered) {
+      agent.answered(key, answered.response());
+    } else if (outcome instanceof RequestOutcome.RefusedNotRun) {
+      agent.withdraw(key);
+    }
+  }
+
+  private Uni<RequestOutcome> attempt(Call call) {
+    budget(call).onRequest();
+    return Uni.createFrom().emitter(emitter -> attempt(call, emitter));
+  }
+
+  private void attempt(Call call, UniEmitter<? super RequestOutcome> emitter) {
+    long left = call.left(context);
+    if (left <= 0) {
+      emitter.complete(call.unsent());
+      return;
+    }
+    Optional<ServiceView> server =
+        ServicePicker.pick(
+            servers.views(call.settings.serverGroup()), context.settings().zone(), call.tried);
+    if (server.isEmpty()) {
+      emitter.complete(call.unsent());
+      return;
+    }
+    ServerId id = server.get().id();
+    call.tried.add(id);
+    servers.onBegin(id);
+    Uni<Response> sent =
+        context.platform().services().call(server.get().address(), call.caller.request(), left);
+    context
+        .timers()
+        .limit(sent, left, "request")
+        .subscribe()
+        .with(
+            response -> {
+              servers.onAnswered(id);
+              emitter.complete(new RequestOutcome.Answered(response));
+            },
+            failure -> onFailure(call, emitter, id, PlatformException.from(failure)));
+  }
+
+  private void onFailure(
+      Call call,
+      UniEmitter<? super RequestOutcome> emitter,
+      ServerId server,
+      PlatformException failure) {
+    boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
+    boolean saidSo = notRun && failure.getCause() == null;
+    if (saidSo) {
+      servers.onRefused(server);
+    } else {
+      servers.onFailed(server);
+    }
+    call.mayHaveRun |= !notRun;
+    boolean repeatable = notRun || call.requestClass == RequestClass.REPEATABLE;
+    boolean free = saidSo && call.tried.size() == 1;
+    if (repeatable && (free || budget(call).trySpend())) {
+      context.metrics().requestsRetried.increment();
+      attempt(call, emitter);
+      return;
+    }
+    emitter.complete(call.unsent());
+  }
+
+  private RetryBudget budget(Call call) {
+    return budgets.computeIfAbsent(
+        call.caller.service(), ignored -> new RetryBudget(RETRIES_PER_REQUEST, MOST_RETRIES_SAVED));
+  }
+
+  private record Limit(CallerSettings settings, RateLimiter limiter) {}
+
+  private static final class Call {
+    final CallerRequest caller;
+    final ServiceSettings settings;
+    final RequestClass requestClass;
+    final long deadlineMillis;
+    final Set<ServerId> tried = new HashSet<>();
+    boolean mayHaveRun;
+
+    Call(CallerRequest caller, ServiceSettings settings, long deadlineMillis) {
+      this.caller = caller;
+      this.settings = settings;
+      this.deadlineMillis = deadlineMillis;
+      this.requestClass = settings.classOf(caller.request().method(), caller.request().path());
+    }
+
+    boolean needsIntent() {
+      return requestClass == RequestClass.AT_MOST_ONCE
+          && !caller.request().idempotencyKey().isEmpty();
+    }
+
+    long left(NodeContext context) {
+      return deadlineMillis - context.timers().nowMillis();
+    }
+
+    /** The final outcome of a request that no server answered. */
+    RequestOutcome unsent() {
+      return mayHaveRun
+          ? new RequestOutcome.OutcomeUnknown(
+              "no answer came from a server that may have run the request")
+          : new RequestOutcome.RefusedNotRun("no server took the request", NO_SERVER_RETRY_MILLIS);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/request/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a caller's request to a back end and back. */
+package org.passhaven.node.request;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/run/RunManager.java
@@ -0,0 +1,130 @@
+package org.passhaven.node.run;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.passhaven.core.configuration.ConfigurationImage;
+import org.passhaven.node.NodeContext;
+import org.passhaven.node.backend.EngineDirectory;
+import org.passhaven.protocol.MemberState;
+import org.passhaven.protocol.PeerRequest;
+import org.passhaven.protocol.PeerResponse;
+import org.passhaven.protocol.ShardId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs a {@link RunAgent} for each shard that this node is a candidate of. */
+public final class RunManager {
+  private static final Logger LOG = LoggerFactory.getLogger(RunManager.class);
+  private final NodeContext context;
+  private final EngineDirectory engines;
+  private final SampleScorer scorer;
+  private final Supplier<List<MemberState>> alive;
+  private final Map<ShardId, RunAgent> agents = new HashMap<>();
+  private ConfigurationImage configuration = ConfigurationImage.EMPTY;
+  private boolean stopping;
+
+  /** Creates the manager; {@code alive} gives the live nodes. */
+  public RunManager(
+      NodeContext context,
+      EngineDirectory engines,
+      SampleScorer scorer,
+      Supplier<List<MemberState>> alive) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.engines = Objects.requireNonNull(engines, "engines");
+    this.scorer = Objects.requireNonNull(scorer, "scorer");
+    this.alive = Objects.requireNonNull(alive, "alive");
+  }
+
+  /** A new configuration came into force. */
+  public void onConfiguration(ConfigurationImage image) {
+    configuration = image;
+    agents.values().forEach(agent -> agent.setConfiguration(image));
+    place();
+  }
+
+  /** The set of live nodes changed. */
+  public void onMembership() {
+    place();
+  }
+
+  /** Shards whose lease this node holds. */
+  public List<ShardId> owned() {
+    return agents.entrySet().stream()
+        .filter(entry -> entry.getValue().isOwner())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /** Number of shards that this node follows. */
+  public int followed() {
+    return agents.size();
+  }
+
+  private void place() {
+    if (stopping) {
+      return;
+    }
+    List<MemberState> members = alive.get();
+    Map<ShardId, Integer> ranks = new HashMap<>();
+    configuration
+        .trainers()
+        .forEach(
+            (trainer, settings) -> {
+              for (int index = 0; index < settings.shards(); index++) {
+                int rank = rankOf(new ShardId(trainer, index), members);
+                if (rank >= 0) {
+                  ranks.put(new ShardId(trainer, index), rank);
+                }
+              }
+            });
+    for (ShardId shard : List.copyOf(agents.keySet())) {
+      if (!ranks.containsKey(shard)) {
+        LOG.debug("run: {} is no longer followed here", shard);
+        agents.remove(shard).release().subscribe().with(ignored -> {});
+      }
+    }
+    ranks.forEach((shard, rank) -> agents.computeIfAbsent(shard, this::startAgent).setRank(rank));
+  }
+
+  private int rankOf(ShardId shard, List<MemberState> members) {
+    List<MemberState> candidates =
+        ShardPlacement.candidates(shard, members, context.settings().candidates());
+    for (int rank = 0; rank < candidates.size(); rank++) {
+      if (candidates.get(rank).node().equals(context.settings().node())) {
+        return rank;
+      }
+    }
+    return -1;
+  }
+
+  private RunAgent startAgent(ShardId shard) {
+    RunAgent agent = new RunAgent(context, shard, configuration, engines, scorer);
+    agent.start();
+    return agent;
+  }
+
+  /** Serves a request for a shard's owner. */
+  public Uni<PeerResponse> onRequest(PeerRequest.ToOwner request) {
+    RunAgent agent = agents.get(request.shard());
+    if (agent == null) {
+      return Uni.createFrom().item(new PeerResponse.NotOwner(""));
+    }
+    return agent.onRequest(request);
+  }
+
+  /** Gives all leases back; gives a result once that is durable. */
+  public Uni<Void> stop() {
+    stopping = true;
+    List<Uni<Void>> releases = new ArrayList<>();
+    agents.values().forEach(agent -> releases.add(agent.release()));
+    agents.clear();
+    return releases.isEmpty()
+        ? Uni.createFrom().voidItem()
+        : Uni.join().all(releases).andCollectFailures().replaceWithVoid();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/run/ServiceSampleScorer.java
@@ -0,0 +1,79 @@
+package org.passhaven.node.run;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.io.IOException;
+import java.util.Objects;
+import org.passhaven.node.NodeContext;
+import org.passhaven.node.request.RequestOutcome;
+import org.passhaven.node.request.RequestService;
+import org.passhaven.platform.ServiceBackEnd;
+import org.passhaven.protocol.Sample;
+
+/**
+ * Scores samples by a configured service: {@code POST /score} with the tokens, answered by a score.
+ */
+public final class ServiceSampleScorer implements SampleScorer {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long RETRY_MILLIS = 500;
+  private static final int STATUS_OK = 200;
+
+  private record Body(int promptIndex, int sampleIndex, int tokens, long digest) {}
+
+  private final NodeContext context;
+  private final RequestService requests;
+
+  /** Creates a scorer over callers' request path. */
+  public ServiceSampleScorer(NodeContext context, RequestService requests) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.requests = Objects.requireNonNull(requests, "requests");
+  }
+
+  @Override
+  public Uni<Double> score(String service, Sample sample) {
+    byte[] body = encode(sample);
+    return Uni.createFrom().emitter(emitter -> attempt(service, body, emitter));
+  }
+
+  private void attempt(String service, byte[] body, UniEmitter<? super Double> emitter) {
+    var request = new ServiceBackEnd.Request("PUT", "/score", "application/json", body, "");
+    requests
+        .call(new RequestService.CallerRequest(service, request, "", 0))
+        .subscribe()
+        .with(
+            outcome -> {
+              if (outcome instanceof RequestOutcome.Answered answered
+                  && answered.response().status() == STATUS_OK) {
+                complete(answered.response().body(), service, body, emitter);
+              } else {
+                context.timers().after(RETRY_MILLIS, () -> attempt(service, body, emitter));
+              }
+            });
+  }
+
+  private void complete(
+      byte[] answer, String service, byte[] body, UniEmitter<? super Double> emitter) {
+    try {
+      JsonNode node = MAPPER.readTree(answer);
+      emitter.complete(node.path("score").asDouble());
+    } catch (IOException e) {
+      context.timers().after(RETRY_MILLIS, () -> attempt(service, body, emitter));
+    }
+  }
+
+  private static byte[] encode(Sample sample) {
+    try {
+      return MAPPER.writeValueAsBytes(
+          new Body(
+              sample.promptIndex(),
+              sample.sampleIndex(),
+              sample.tokenCount(),
+              org.passhaven.core.run.SampleDigest.of(sample)));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a sample's summary can't be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/run/package-info.java
@@ -0,0 +1,2 @@
+/** Serving runs: owners of shards, and the way from a trainer to them. */
+package org.passhaven.node.run;
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/Codec.java
@@ -0,0 +1,37 @@
+package org.passhaven.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/** MessagePack encoding of all internal messages and log records. Thread-safe. */
+public final class Codec {
+  private static final ObjectMapper MAPPER =
+      new MessagePackMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+  private Codec() {}
+
+  /** Encodes {@code message}. */
+  public static byte[] encode(Object message) {
+    try {
+      return MAPPER.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new CodecException("cannot encode " + message.getClass().getSimpleName(), e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws CodecException if the bytes are not a message of {@code type}
+   */
+  public static <T> T decode(byte[] bytes, Class<T> type) {
+    try {
+      return MAPPER.readValue(bytes, type);
+    } catch (IOException e) {
+      throw new CodecException("cannot decode " + type.getSimpleName(), e);
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/LogEntry.java
@@ -0,0 +1,11 @@
+package org.passhaven.protocol;
+
+import java.util.Objects;
+
+/** A record with its identity, as it stands in the platform's log. */
+public record LogEntry(RecordId id, LogRecord record) {
+  public LogEntry {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(record, "record");
+  }
+}
