Simulate whole sites in virtual time with the production nodes

Cause: promises under faults cannot be judged by real processes alone; the same code must run under a seed.

--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults: kinds, scenario files, draws from a seed. */
+package org.passhaven.simulator.fault;
--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
@@ -0,0 +1,143 @@
+package org.passhaven.simulator.time;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import org.passhaven.platform.Timers;
+
+/**
+ * A process in virtual time. Killed, all that it was to do is dropped; paused, it happens after the
+ * pause, as in a process that was stopped by a signal. Its monotonic clock goes on in a pause and
+ * may drift.
+ */
+public final class SimulatedProcess {
+  private static final long PARTS_PER_MILLION = 1_000_000;
+  private final VirtualTime time;
+  private final String name;
+  private final String zone;
+  private final Deque<Runnable> heldBack = new ArrayDeque<>();
+  private long generation;
+  private boolean alive;
+  private boolean paused;
+  private long driftPartsPerMillion;
+  private long cpuNanos;
+
+  /** Creates a process that is not started. */
+  public SimulatedProcess(VirtualTime time, String name, String zone) {
+    this.time = Objects.requireNonNull(time, "time");
+    this.name = Objects.requireNonNull(name, "name");
+    this.zone = Objects.requireNonNull(zone, "zone");
+  }
+
+  /** Name, used as its address. */
+  public String name() {
+    return name;
+  }
+
+  /** Zone. */
+  public String zone() {
+    return zone;
+  }
+
+  /** Number of starts so far. */
+  public long generation() {
+    return generation;
+  }
+
+  /** Whether it runs, paused or not. */
+  public boolean isAlive() {
+    return alive;
+  }
+
+  /** Whether it is paused. */
+  public boolean isPaused() {
+    return paused;
+  }
+
+  /** Processor time spent in its tasks; real time, so no seed fixes it. */
+  public long cpuNanos() {
+    return cpuNanos;
+  }
+
+  /** How much faster than true its clock runs. */
+  public void setDrift(long partsPerMillion) {
+    driftPartsPerMillion = partsPerMillion;
+  }
+
+  /** Starts it; gives the generation of this start. */
+  public long start() {
+    alive = true;
+    paused = false;
+    heldBack.clear();
+    return ++generation;
+  }
+
+  /** Ends it at once with all that it was to do. */
+  public void kill() {
+    alive = false;
+    paused = false;
+    heldBack.clear();
+  }
+
+  /** Stops it from running anything for a while. */
+  public void pause() {
+    paused = alive;
+  }
+
+  /** Lets it run again, first what was held back. */
+  public void resume() {
+    paused = false;
+    while (!heldBack.isEmpty() && alive && !paused) {
+      run(heldBack.poll());
+    }
+  }
+
+  /** Runs a task of this start of the process: now, after a pause, or never. */
+  public void execute(long taskGeneration, Runnable task) {
+    if (!alive || taskGeneration != generation) {
+      return;
+    }
+    if (paused) {
+      heldBack.add(() -> execute(taskGeneration, task));
+      return;
+    }
+    run(task);
+  }
+
+  private void run(Runnable task) {
+    long from = System.nanoTime();
+    task.run();
+    cpuNanos += System.nanoTime() - from;
+  }
+
+  /** Timers of the current start. */
+  public Timers timers() {
+    long ownGeneration = generation;
+    return new Timers() {
+      @Override
+      public long nowMillis() {
+        long now = time.nowMillis();
+        return now + now * driftPartsPerMillion / PARTS_PER_MILLION;
+      }
+
+      @Override
+      public Timer after(long delayMillis, Runnable task) {
+        boolean[] cancelled = new boolean[1];
+        time.after(
+            Math.max(0, delayMillis) * VirtualTime.MICROS_PER_MILLI,
+            () -> {
+              if (!cancelled[0]) {
+                execute(
+                    ownGeneration,
+                    () -> {
+                      if (!cancelled[0]) {
+                        task.run();
+                      }
+                    });
+              }
+            });
+        return () -> cancelled[0] = true;
+      }
+    };
+  }
+}
--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedServer.java
@@ -0,0 +1,109 @@
+package org.passhaven.simulator.world;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.Objects;
+import org.passhaven.emulator.check.Checker;
+import org.passhaven.emulator.model.ServiceModel;
+import org.passhaven.platform.PlatformException;
+import org.passhaven.platform.PlatformException.Kind;
+import org.passhaven.platform.ServiceBackEnd.Request;
+import org.passhaven.platform.ServiceBackEnd.Response;
+import org.passhaven.simulator.network.SimulatedNetwork;
+import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.simulator.time.VirtualTime;
+
+/** A service server in virtual time. */
+public final class SimulatedServer {
+  private static final long LEAVE_LIMIT_MILLIS = 5_000;
+  private final VirtualTime time;
+  private final SimulatedNetwork network;
+  private final SimulatedProcess process;
+  private final ServiceModel model;
+  private final Checker checker;
+  private final long answerMicros;
+  private long leavingSinceMillis = Long.MAX_VALUE;
+  private boolean refuses;
+
+  /** Creates a server that answers after {@code answerMicros}. */
+  public SimulatedServer(
+      VirtualTime time,
+      SimulatedNetwork network,
+      SimulatedProcess process,
+      ServiceModel model,
+      Checker checker,
+      long answerMicros) {
+    this.time = Objects.requireNonNull(time, "time");
+    this.network = Objects.requireNonNull(network, "network");
+    this.process = Objects.requireNonNull(process, "process");
+    this.model = Objects.requireNonNull(model, "model");
+    this.checker = Objects.requireNonNull(checker, "checker");
+    this.answerMicros = answerMicros;
+  }
+
+  /** The server's process. */
+  public SimulatedProcess process() {
+    return process;
+  }
+
+  /** The platform wants the server to go; it says so itself only if {@code refusing}. */
+  public void setLeaving(boolean refusing) {
+    leavingSinceMillis = time.nowMillis();
+    refuses = refusing;
+  }
+
+  Uni<Response> call(SimulatedProcess caller, Request request) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              if (!isOpen(caller)) {
+                return;
+              }
+              long delay = oneWay(caller);
+              if (!process.isAlive()) {
+                network.deliver(
+                    caller,
+                    2 * delay,
+                    () ->
+                        emitter.fail(
+                            new PlatformException(
+                                Kind.NOT_RUN,
+                                "connection refused",
+                                new java.net.ConnectException())));
+                return;
+              }
+              network.deliver(process, delay, () -> serve(caller, request, emitter));
+            });
+  }
+
+  private void serve(
+      SimulatedProcess caller, Request request, UniEmitter<? super Response> emitter) {
+    if (refuses) {
+      network.deliver(
+          caller,
+          oneWay(caller),
+          () -> emitter.fail(new PlatformException(Kind.NOT_RUN, "leaving")));
+      return;
+    }
+    if (time.nowMillis() - leavingSinceMillis > LEAVE_LIMIT_MILLIS) {
+      checker.onWorkAfterLeave();
+    }
+    Response response = model.run(request);
+    network.deliver(
+        process,
+        answerMicros,
+        () -> {
+          if (isOpen(caller)) {
+            network.deliver(caller, oneWay(caller), () -> emitter.complete(response));
+          }
+        });
+  }
+
+  private boolean isOpen(SimulatedProcess caller) {
+    return network.isOpen(caller.zone(), process.zone());
+  }
+
+  private long oneWay(SimulatedProcess caller) {
+    return network.latencyMicros(caller.zone(), process.zone());
+  }
+}
