--- a/cli/src/main/java/org/passhaven/cli/Main.java
+++ b/cli/src/main/java/org/passhaven/cli/Main.java
@@ -16,6 +16,7 @@
   private static final List<Command> COMMANDS =
       List.of(
           new QuickstartCommand(),
+          new ExperimentCommand(),
           new NodeCommand(),
           new EmulatorCommand(),
           new ValidateCommand(),
