--- a/cli/src/main/java/org/passhaven/cli/ExperimentCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/ExperimentCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -10,8 +11,10 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.passhaven.core.configuration.ConfigurationException;
+import org.passhaven.core.routing.DispatchPolicy;
 import org.passhaven.emulator.check.Report;
 import org.passhaven.emulator.site.SiteLoader;
+import org.passhaven.node.NodeSettings;
 import org.passhaven.simulator.experiment.Shrinker;
 import org.passhaven.simulator.experiment.Simulation;
 import org.passhaven.simulator.fault.Fault;
@@ -54,6 +57,9 @@
   public ExitCode run(CommandLine line) throws CommandException {
     Scenario scenario = load(line);
     String policy = Flags.text(line, "policy", "default");
+    if (!policy.equals("default") && !policy.equals("baseline")) {
+      throw new CommandException(ExitCode.USAGE, "--policy must be default or baseline");
+    }
     List<Long> seeds = seeds(line);
     int threads = (int) Flags.number(line, "threads", 4, 1, MOST_THREADS);
     List<Report> reports = runAll(scenario, policy, seeds, threads);
@@ -126,7 +132,12 @@
 
   private static Report simulate(Scenario scenario, long seed, String policy)
       throws SiteLoader.SiteException, ConfigurationException {
-    return new Simulation(scenario, seed, policy, UnaryOperator.identity()).run();
+    return new Simulation(scenario, seed, policy, nodeSettings(policy)).run();
+  }
+
+  private static UnaryOperator<NodeSettings> nodeSettings(String policy) {
+    DispatchPolicy chosen = DispatchPolicy.valueOf(policy.toUpperCase(Locale.ROOT));
+    return settings -> settings.withDispatchPolicy(chosen);
   }
 
   private static ExitCode summarize(
@@ -137,6 +148,9 @@
     System.out.println(
         "idle fraction "
             + spread(reports.stream().mapToDouble(Report::trainerIdleFraction).toArray()));
+    System.out.println(
+        "oracle idle    "
+            + spread(reports.stream().mapToDouble(Report::oracleIdleFraction).toArray()));
     System.out.println(
         "staleness mean " + spread(reports.stream().mapToDouble(Report::stalenessMean).toArray()));
     System.out.println(
@@ -195,8 +209,7 @@
   private static void printShrunk(Scenario scenario, String policy, long seed)
       throws CommandException {
     try {
-      List<Fault> faults =
-          new Simulation(scenario, seed, policy, UnaryOperator.identity()).faults();
+      List<Fault> faults = new Simulation(scenario, seed, policy, nodeSettings(policy)).faults();
       List<Fault> shrunk =
           Shrinker.shrink(faults, candidate -> fails(scenario.withFaults(candidate), seed, policy));
       System.out.println(
--- a/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
+++ b/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
@@ -9,8 +9,11 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.passhaven.core.configuration.TrainerSettings;
+import org.passhaven.core.routing.DispatchPolicy;
 import org.passhaven.core.routing.EnginePicker;
 import org.passhaven.core.routing.EngineView;
+import org.passhaven.core.routing.LeastLoadedPicker;
+import org.passhaven.core.routing.RoundRobinPicker;
 import org.passhaven.protocol.LogRecord;
 import org.passhaven.protocol.LogRecord.Commit;
 import org.passhaven.protocol.Sample;
@@ -26,24 +29,30 @@
   private static final int PRIORITY_SPAN = 1000;
   private static final long MOST_STEPS_BEHIND = 8;
   private static final long NONE = -1;
+  private static final long SWAP_PATIENCE_MILLIS = 15_000;
   private final RunState state;
   private final long epoch;
   private final TrainerSettings settings;
+  private final DispatchPolicy policy;
   private final Map<Long, StepWork> work = new TreeMap<>();
   private final Map<StepPrompt, ServerId> affinity = new HashMap<>();
   private long trainerVersion;
   private long pulledStep = NONE;
   private long versionAtPull;
+  private long versionSinceMillis = Long.MIN_VALUE / 2;
+  private int roundRobin;
   private long discardedTokens;
 
   /**
    * Creates the owner's decisions for {@code epoch}; {@code state} is the fold, read but not
    * changed.
    */
-  public RunCoordinator(RunState state, long epoch, TrainerSettings settings) {
+  public RunCoordinator(
+      RunState state, long epoch, TrainerSettings settings, DispatchPolicy policy) {
     this.state = Objects.requireNonNull(state, "state");
     this.epoch = epoch;
     this.settings = Objects.requireNonNull(settings, "settings");
+    this.policy = Objects.requireNonNull(policy, "policy");
     onFolded();
   }
 
@@ -60,8 +69,11 @@
   }
 
   /** The trainer stated its version; never goes back. */
-  public void onTrainerVersion(long version) {
-    trainerVersion = Math.max(trainerVersion, version);
+  public void onTrainerVersion(long version, long nowMillis) {
+    if (version > trainerVersion) {
+      trainerVersion = version;
+      versionSinceMillis = nowMillis;
+    }
   }
 
   /** Newest version that the trainer stated. */
@@ -77,6 +89,9 @@
   /** Generations to cancel because their samples would be over the bound when taken. */
   public List<RunAction> cancelOverAge() {
     List<RunAction> actions = new ArrayList<>();
+    if (policy == DispatchPolicy.BASELINE) {
+      return actions;
+    }
     for (StepWork step : work.values()) {
       for (SlotWork slot : step.slots) {
         if (slot.phase == SlotWork.Phase.GENERATING && isOverAge(step, oldestVersion(slot))) {
@@ -89,19 +104,24 @@
   }
 
   /** Generations to begin now, earliest step first. */
-  public List<RunAction> dispatch(Collection<EngineView> engines, String localZone) {
-    EnginePicker picker = new EnginePicker(engines, localZone);
+  public List<RunAction> dispatch(
+      Collection<EngineView> engines, String localZone, long nowMillis) {
+    EnginePicker picker =
+        policy == DispatchPolicy.BASELINE
+            ? new RoundRobinPicker(engines, roundRobin)
+            : new LeastLoadedPicker(engines, localZone);
     long newestServed = engines.stream().mapToLong(EngineView::version).max().orElse(0);
     List<RunAction> actions = new ArrayList<>();
     int stepsAhead = 0;
     for (StepWork step : work.values()) {
-      long oldestAllowed = oldestAllowedFor(step, newestServed);
       if (mayStart(step)) {
+        long oldestAllowed = oldestAllowedFor(step, newestServed, nowMillis);
         dispatchStep(
             step, picker, oldestAllowed, settings.priority() * PRIORITY_SPAN - stepsAhead, actions);
       }
       stepsAhead++;
     }
+    roundRobin += actions.size();
     return actions;
   }
 
@@ -112,9 +132,6 @@
       int priority,
       List<RunAction> actions) {
     for (SlotWork slot : step.plannedFirstCommitted()) {
-      if (!picker.hasRoom(oldestAllowed)) {
-        return;
-      }
       StepPrompt prompt = new StepPrompt(step.number(), step.state.promptOf(slot.slot).index());
       Optional<EngineView> engine = picker.pick(oldestAllowed, affinity.get(prompt));
       if (engine.isEmpty()) {
@@ -141,21 +158,26 @@
 
   private boolean mayStart(StepWork step) {
     long ahead = expectedVersionAt(step.number()) - trainerVersion;
-    return settings.objective() == TrainerSettings.Objective.IDLE_TIME
-        ? ahead <= settings.stalenessBound()
-        : ahead <= 0;
+    boolean waitsForWeights =
+        settings.objective() == TrainerSettings.Objective.STALENESS
+            && policy == DispatchPolicy.DEFAULT;
+    return ahead <= (waitsForWeights ? 0 : settings.stalenessBound());
   }
 
   /**
-   * Oldest engine version that keeps a new sample of the step within the bound when it is taken.
+   * Oldest engine version that keeps a new sample of the step within the bound when it is taken. A
+   * trainer that weighs staleness waits for engines that swap to its version, but not for ones that
+   * fail to.
    */
-  private long oldestAllowedFor(StepWork step, long newestServed) {
-    long expected = expectedVersionAt(step.number());
-    long withinBound = expected - settings.stalenessBound();
-    if (settings.objective() == TrainerSettings.Objective.STALENESS) {
-      return Math.max(withinBound, Math.min(newestServed, trainerVersion));
+  private long oldestAllowedFor(StepWork step, long newestServed, long nowMillis) {
+    long withinBound = expectedVersionAt(step.number()) - settings.stalenessBound();
+    if (settings.objective() != TrainerSettings.Objective.STALENESS
+        || policy == DispatchPolicy.BASELINE) {
+      return withinBound;
     }
-    return withinBound;
+    boolean swapExpected = nowMillis - versionSinceMillis < SWAP_PATIENCE_MILLIS;
+    return Math.max(
+        withinBound, swapExpected ? trainerVersion : Math.min(newestServed, trainerVersion));
   }
 
   /** New tokens of a running attempt arrived; returns false if the attempt is no longer wanted. */
--- a/emulator/src/main/java/org/passhaven/emulator/load/TrainerModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/load/TrainerModel.java
@@ -32,7 +32,17 @@
       int stalenessBound,
       int stepsAhead,
       long pullWaitMillis,
-      long seed) {}
+      long seed) {
+    /** Text of a prompt. */
+    public String promptText(long step, int index) {
+      return name + " step " + step + " prompt " + index + " of " + seed;
+    }
+
+    /** Seed of a prompt's first sample. */
+    public long promptSeed(int index) {
+      return seed + index * PROMPT_SEED_STRIDE;
+    }
+  }
 
   private final Settings settings;
   private final TrainerApi api;
@@ -121,9 +131,8 @@
           checker.onStepWanted(settings.promptsPerStep() * settings.samplesPerPrompt());
           List<Prompt> batch = new ArrayList<>();
           for (int index = 0; index < settings.promptsPerStep(); index++) {
-            String text =
-                settings.name() + " step " + number + " prompt " + index + " of " + settings.seed();
-            batch.add(new Prompt(index, text, settings.seed() + index * PROMPT_SEED_STRIDE));
+            batch.add(
+                new Prompt(index, settings.promptText(number, index), settings.promptSeed(index)));
           }
           return batch;
         });
--- a/node/src/main/java/org/passhaven/node/NodeSettings.java
+++ b/node/src/main/java/org/passhaven/node/NodeSettings.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.passhaven.core.lease.LeaseTerms;
 import org.passhaven.core.membership.MembershipSettings;
+import org.passhaven.core.routing.DispatchPolicy;
 import org.passhaven.protocol.NodeId;
 
 /**
@@ -23,6 +24,7 @@
  * @param engineSubset most engines of a group that one shard's owner uses; 0 for all
  * @param intentStreams streams over which idempotency keys are spread
  * @param swapsAtOnce most engines of a group that swap weights at the same time
+ * @param dispatchPolicy how owners choose engines
  */
 public record NodeSettings(
     NodeId node,
@@ -37,7 +39,8 @@
     int candidates,
     int engineSubset,
     int intentStreams,
-    int swapsAtOnce) {
+    int swapsAtOnce,
+    DispatchPolicy dispatchPolicy) {
   public NodeSettings {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(zone, "zone");
@@ -61,6 +64,26 @@
         3,
         0,
         16,
-        64);
+        64,
+        DispatchPolicy.DEFAULT);
+  }
+
+  /** The same settings with another policy. */
+  public NodeSettings withDispatchPolicy(DispatchPolicy policy) {
+    return new NodeSettings(
+        node,
+        zone,
+        address,
+        seeds,
+        lease,
+        membership,
+        tick,
+        machineListPeriod,
+        reportPeriod,
+        candidates,
+        engineSubset,
+        intentStreams,
+        swapsAtOnce,
+        policy);
   }
 }
--- a/node/src/main/java/org/passhaven/node/http/CompletionHandler.java
+++ b/node/src/main/java/org/passhaven/node/http/CompletionHandler.java
@@ -11,6 +11,7 @@
 import org.passhaven.core.configuration.ModelSettings;
 import org.passhaven.core.routing.EnginePicker;
 import org.passhaven.core.routing.EngineView;
+import org.passhaven.core.routing.LeastLoadedPicker;
 import org.passhaven.node.Node;
 import org.passhaven.node.backend.EngineUse;
 import org.passhaven.platform.EngineService.GenerationRequest;
@@ -65,7 +66,7 @@
     node.engines()
         .use(use, () -> node.configuration().inForce().models().containsKey(body.model()));
     EnginePicker picker =
-        new EnginePicker(node.engines().views(use), node.context().settings().zone());
+        new LeastLoadedPicker(node.engines().views(use), node.context().settings().zone());
     Optional<EngineView> engine = picker.pick(0, null);
     if (engine.isEmpty()) {
       Answers.problem(
--- a/node/src/main/java/org/passhaven/node/run/RunAgent.java
+++ b/node/src/main/java/org/passhaven/node/run/RunAgent.java
@@ -185,7 +185,8 @@
     stepDown();
     TrainerSettings settings = configuration.trainers().get(shard.trainer());
     if (isOwn && !closed && settings != null) {
-      coordinator = new RunCoordinator(state, state.epoch(), settings);
+      coordinator =
+          new RunCoordinator(state, state.epoch(), settings, context.settings().dispatchPolicy());
       rollout = new VersionRollout(context.settings().swapsAtOnce());
       lastRenewalMillis = now();
       context.metrics().leasesClaimed.increment();
@@ -274,7 +275,7 @@
     if (!engines.isCurrent()) {
       return;
     }
-    carryOut(coordinator.dispatch(engines.views(use), context.settings().zone()));
+    carryOut(coordinator.dispatch(engines.views(use), context.settings().zone(), now()));
   }
 
   private void carryOut(List<RunAction> actions) {
@@ -503,7 +504,7 @@
   }
 
   private Uni<PeerResponse> stateVersion(long version) {
-    coordinator.onTrainerVersion(version);
+    coordinator.onTrainerVersion(version, now());
     if (version <= Math.max(state.trainerVersion(), versionBeingStated)) {
       return Uni.createFrom().item(new PeerResponse.Done());
     }
--- a/simulator/src/main/java/org/passhaven/simulator/experiment/Simulation.java
+++ b/simulator/src/main/java/org/passhaven/simulator/experiment/Simulation.java
@@ -32,6 +32,7 @@
   private final long seed;
   private final String policy;
   private final List<Fault> faults;
+  private final Site site;
   private final World world;
 
   /** Prepares a run of a shipped site. */
@@ -41,7 +42,7 @@
     this.scenario = Objects.requireNonNull(scenario, "scenario");
     this.seed = seed;
     this.policy = Objects.requireNonNull(policy, "policy");
-    Site site = SiteLoader.shipped(scenario.site());
+    this.site = SiteLoader.shipped(scenario.site());
     NetworkSettings network =
         new NetworkSettings(
             SAME_ZONE_MICROS,
@@ -122,7 +123,7 @@
         world.checker().findings(),
         new Report.Figures(
             idle,
-            0,
+            oracleIdle(),
             generated,
             messages / nodeSeconds,
             bytes / nodeSeconds,
@@ -130,4 +131,14 @@
             world.log().model().appendedBytes(),
             duration));
   }
+
+  private double oracleIdle() {
+    double sum = 0;
+    for (int index = 0; index < site.trainers().size(); index++) {
+      sum +=
+          Oracle.idleFraction(
+              site, site.trainers().get(index), world.trainers().get(index).settings());
+    }
+    return sum / site.trainers().size();
+  }
 }
--- a/simulator/src/test/java/org/passhaven/simulator/RegressionTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/RegressionTest.java
@@ -1,7 +1,9 @@
 package org.passhaven.simulator;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -9,9 +11,11 @@
 import org.passhaven.simulator.experiment.Simulation;
 import org.passhaven.simulator.fault.Scenario;
 import org.passhaven.simulator.fault.ScenarioLoader;
+
 /** Scenarios that once broke a promise, shortened; each failed before its fix. */
 class RegressionTest {
   private static final String DIRECTORY = "src/test/resources/regressions/";
+
   @ParameterizedTest
   @CsvSource({"last-pull-lost, 182", "paused-while-server-leaves, 182"})
   void keepsAllPromises(String name, long seed) throws Exception {
