Keep later steps off the engines that the trainer waits for, and wait for swaps

Cause: while a trainer waits for the last samples of a step, the next step's samples filled the same engines and made each of their steps up to 1.6 times slower; and a step submitted at the moment of a publication began on engines that swapped seconds later, one version older than need be. Change: samples of later steps stay off engines that run awaited samples; those engines swap last, by 6 s at most; a later step waits up to 4 s for swapped engines.

--- a/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
+++ b/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.passhaven.core.configuration.TrainerSettings;
 import org.passhaven.core.routing.DispatchPolicy;
 import org.passhaven.core.routing.EnginePicker;
@@ -30,6 +32,7 @@
   private static final long MOST_STEPS_BEHIND = 8;
   private static final long NONE = -1;
   private static final long SWAP_PATIENCE_MILLIS = 15_000;
+  private static final long SHORT_SWAP_PATIENCE_MILLIS = 4_000;
   private final RunState state;
   private final long epoch;
   private final TrainerSettings settings;
@@ -103,21 +106,27 @@
     return actions;
   }
 
-  /** Generations to begin now, earliest step first. */
+  /**
+   * Generations to begin now, earliest step first. While the trainer waits for the last samples of
+   * a step, samples of later steps stay off the engines that run them, since a fuller batch is a
+   * slower one.
+   */
   public List<RunAction> dispatch(
       Collection<EngineView> engines, String localZone, long nowMillis) {
-    EnginePicker picker =
-        policy == DispatchPolicy.BASELINE
-            ? new RoundRobinPicker(engines, roundRobin)
-            : new LeastLoadedPicker(engines, localZone);
+    Set<ServerId> awaited = policy == DispatchPolicy.DEFAULT ? enginesOfPulledStep() : Set.of();
+    EnginePicker picker = picker(engines, localZone);
+    List<EngineView> others =
+        engines.stream().filter(view -> !awaited.contains(view.id())).toList();
+    EnginePicker pickerForLater = awaited.isEmpty() ? picker : picker(others, localZone);
     long newestServed = engines.stream().mapToLong(EngineView::version).max().orElse(0);
     List<RunAction> actions = new ArrayList<>();
     int stepsAhead = 0;
     for (StepWork step : work.values()) {
       if (mayStart(step)) {
-        long oldestAllowed = oldestAllowedFor(step, newestServed, nowMillis);
+        EnginePicker chosen = step.number() <= pulledStep ? picker : pickerForLater;
+        int priority = settings.priority() * PRIORITY_SPAN - stepsAhead;
         dispatchStep(
-            step, picker, oldestAllowed, settings.priority() * PRIORITY_SPAN - stepsAhead, actions);
+            step, chosen, oldestAllowedFor(step, newestServed, nowMillis), priority, actions);
       }
       stepsAhead++;
     }
@@ -125,6 +134,24 @@
     return actions;
   }
 
+  private EnginePicker picker(Collection<EngineView> engines, String localZone) {
+    return policy == DispatchPolicy.BASELINE
+        ? new RoundRobinPicker(engines, roundRobin)
+        : new LeastLoadedPicker(engines, localZone);
+  }
+
+  /** Engines that run samples for which the trainer waits. */
+  public Set<ServerId> enginesOfPulledStep() {
+    StepWork pulled = work.get(pulledStep);
+    if (pulled == null) {
+      return Set.of();
+    }
+    return pulled.slots.stream()
+        .filter(slot -> slot.phase == SlotWork.Phase.GENERATING)
+        .map(slot -> slot.engine)
+        .collect(Collectors.toSet());
+  }
+
   private void dispatchStep(
       StepWork step,
       EnginePicker picker,
@@ -165,19 +192,23 @@
   }
 
   /**
-   * Oldest engine version that keeps a new sample of the step within the bound when it is taken. A
-   * trainer that weighs staleness waits for engines that swap to its version, but not for ones that
-   * fail to.
+   * Oldest engine version that a new sample of the step may begin on: one that keeps it within the
+   * bound when it is taken, and, while engines are about to swap to the trainer's version, that
+   * version.
    */
   private long oldestAllowedFor(StepWork step, long newestServed, long nowMillis) {
     long withinBound = expectedVersionAt(step.number()) - settings.stalenessBound();
-    if (settings.objective() != TrainerSettings.Objective.STALENESS
-        || policy == DispatchPolicy.BASELINE) {
+    if (policy == DispatchPolicy.BASELINE) {
       return withinBound;
     }
-    boolean swapExpected = nowMillis - versionSinceMillis < SWAP_PATIENCE_MILLIS;
+    boolean weighsStaleness = settings.objective() == TrainerSettings.Objective.STALENESS;
+    long patience = weighsStaleness ? SWAP_PATIENCE_MILLIS : SHORT_SWAP_PATIENCE_MILLIS;
+    boolean awaited = step.number() <= pulledStep && !weighsStaleness;
+    if (nowMillis - versionSinceMillis < patience && !awaited) {
+      return Math.max(withinBound, trainerVersion);
+    }
     return Math.max(
-        withinBound, swapExpected ? trainerVersion : Math.min(newestServed, trainerVersion));
+        withinBound, weighsStaleness ? Math.min(newestServed, trainerVersion) : withinBound);
   }
 
   /** New tokens of a running attempt arrived; returns false if the attempt is no longer wanted. */
--- a/core/src/main/java/org/passhaven/core/weights/VersionRollout.java
+++ b/core/src/main/java/org/passhaven/core/weights/VersionRollout.java
@@ -20,7 +20,10 @@
 public final class VersionRollout {
   private static final long FIRST_RETRY_MILLIS = 500;
   private static final long MOST_RETRY_MILLIS = 8_000;
+  private static final long MOST_DEFERRED_MILLIS = 6_000;
   private final int atOnce;
+  private long lastTarget = Long.MIN_VALUE;
+  private long targetSinceMillis;
   private final Set<ServerId> inFlight = new HashSet<>();
   private final Map<ServerId, Retry> retries = new HashMap<>();
 
@@ -30,14 +33,23 @@
   }
 
   /**
-   * Engines to order to {@code target} now: those furthest behind first. Counts them as in flight.
+   * Engines to order to {@code target} now: those furthest behind first, then the least loaded.
+   * Counts them as in flight. A swap pauses the batch, so engines in {@code awaited}, which run
+   * samples that a trainer waits for, come later, but not much later.
    */
-  public List<EngineView> plan(Collection<EngineView> engines, long target, long nowMillis) {
+  public List<EngineView> plan(
+      Collection<EngineView> engines, Set<ServerId> awaited, long target, long nowMillis) {
+    if (target > lastTarget) {
+      lastTarget = target;
+      targetSinceMillis = nowMillis;
+    }
+    boolean mayWait = nowMillis - targetSinceMillis < MOST_DEFERRED_MILLIS;
     List<EngineView> behind =
         engines.stream()
             .filter(
                 view -> view.usable() && view.version() < target && !inFlight.contains(view.id()))
             .filter(view -> isDue(view.id(), nowMillis))
+            .filter(view -> !mayWait || !awaited.contains(view.id()))
             .sorted(
                 Comparator.comparingLong(EngineView::version)
                     .thenComparing(EngineView::load)
--- a/node/src/main/java/org/passhaven/node/run/RunAgent.java
+++ b/node/src/main/java/org/passhaven/node/run/RunAgent.java
@@ -446,7 +446,8 @@
     engines.use(wholeGroup, this::isOwner);
     long target = coordinator.trainerVersion();
     String model = configuration.trainers().get(shard.trainer()).model();
-    for (EngineView engine : rollout.plan(engines.views(wholeGroup), target, now())) {
+    for (EngineView engine :
+        rollout.plan(engines.views(wholeGroup), coordinator.enginesOfPulledStep(), target, now())) {
       order(engine, new EngineService.VersionOrder(model, target, lease.epoch()));
     }
   }
