Leave a repeatable request time for a second server

Cause: a lookup on a server that hangs waited for its whole deadline and had no time left for another.

--- a/core/src/main/java/org/passhaven/core/request/RetryBudget.java
+++ b/core/src/main/java/org/passhaven/core/request/RetryBudget.java
@@ -30,6 +30,11 @@
     parts = Math.min(most, parts + earnedPerRequest);
   }
 
+  /** Whether a retry is left. */
+  public boolean hasRetry() {
+    return parts >= PARTS_PER_RETRY;
+  }
+
   /** Spends one retry if there is one. */
   public boolean trySpend() {
     if (parts < PARTS_PER_RETRY) {
--- a/node/src/main/java/org/passhaven/node/request/RequestService.java
+++ b/node/src/main/java/org/passhaven/node/request/RequestService.java
@@ -49,6 +49,8 @@
   private static final long OVERLOAD_RETRY_MILLIS = 1_000;
   private static final long INTENT_MARGIN_MILLIS = 50;
   private static final int MOST_CARRIED_REMEMBERED = 2_000;
+  private static final long LEAST_ATTEMPT_MILLIS = 100;
+  private static final long ATTEMPT_SHARE = 4;
   private static final long LEAST_FORWARD_MILLIS = 200;
   private static final long FORWARD_SHARE = 3;
   private static final long IDLE_CHECK_MILLIS = 10_000;
@@ -346,11 +348,12 @@
     ServerId id = server.get().id();
     call.tried.add(id);
     servers.onBegin(id);
+    long limit = attemptLimit(call, left);
     Uni<Response> sent =
-        context.platform().services().call(server.get().address(), call.caller.request(), left);
+        context.platform().services().call(server.get().address(), call.caller.request(), limit);
     context
         .timers()
-        .limit(sent, left, "request")
+        .limit(sent, limit, "request")
         .subscribe()
         .with(
             response -> {
@@ -360,6 +363,18 @@
             failure -> onFailure(call, emitter, id, PlatformException.from(failure)));
   }
 
+  /**
+   * Time for one attempt. A repeatable request leaves time for a retry elsewhere, so that a server
+   * that hangs does not cost its caller the whole deadline; without a retry to spend it waits to
+   * the end.
+   */
+  private long attemptLimit(Call call, long leftMillis) {
+    boolean mayRetry = call.requestClass == RequestClass.REPEATABLE && budget(call).hasRetry();
+    return mayRetry
+        ? Math.min(leftMillis, Math.max(LEAST_ATTEMPT_MILLIS, leftMillis / ATTEMPT_SHARE))
+        : leftMillis;
+  }
+
   private void onFailure(
       Call call,
       UniEmitter<? super RequestOutcome> emitter,
