--- a/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
+++ b/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
@@ -35,7 +35,7 @@
   private static final long SHORT_SWAP_PATIENCE_MILLIS = 4_000;
   private final RunState state;
   private final long epoch;
-  private final TrainerSettings settings;
+  private TrainerSettings settings;
   private final DispatchPolicy policy;
   private final Map<Long, StepWork> work = new TreeMap<>();
   private final Map<StepPrompt, ServerId> affinity = new HashMap<>();
@@ -71,6 +71,11 @@
     }
   }
 
+  /** A new configuration came into force; it holds for all that is not yet handed over. */
+  public void setSettings(TrainerSettings newSettings) {
+    settings = Objects.requireNonNull(newSettings, "newSettings");
+  }
+
   /** The trainer stated its version; never goes back. */
   public void onTrainerVersion(long version, long nowMillis) {
     if (version > trainerVersion) {
--- a/core/src/test/java/org/passhaven/core/run/RunCoordinatorTest.java
+++ b/core/src/test/java/org/passhaven/core/run/RunCoordinatorTest.java
@@ -199,4 +199,16 @@
     assertThat(coordinator.cancelOverAge(), equalTo(List.of(new RunAction.Cancel(attempt))));
     assertThat(coordinator.discardedTokens(), equalTo(1L));
   }
+
+  @Test
+  void lowerBoundHoldsForSamplesThatAreAlreadyCommitted() {
+    RunCoordinator coordinator = coordinator(TrainerSettings.Objective.IDLE_TIME, 1, 1);
+    finishOne(coordinator, engine("e", 0, 4, 0), 0);
+    commitAll(coordinator);
+    coordinator.onTrainerVersion(BOUND, now);
+    assertThat(coordinator.pull(0, 0, 10), hasSize(1));
+    coordinator.setSettings(
+        new TrainerSettings("m", 0, 1, 0, TrainerSettings.Objective.IDLE_TIME, ""));
+    assertThat(coordinator.pull(0, 0, 10), empty());
+  }
 }
--- a/node/src/main/java/org/passhaven/node/configuration/ConfigurationAgent.java
+++ b/node/src/main/java/org/passhaven/node/configuration/ConfigurationAgent.java
@@ -12,6 +12,7 @@
 import org.passhaven.core.configuration.ConfigurationImage;
 import org.passhaven.core.configuration.ConfigurationLog;
 import org.passhaven.core.configuration.ConfigurationParser;
+import org.passhaven.core.configuration.TrainerSettings;
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.stream.StreamClient;
 import org.passhaven.node.stream.StreamListener;
@@ -46,6 +47,13 @@
     /** The log can't be written; nothing was applied. */
     record LogDown() implements ApplyResult {}
 
+    /** The change itself is not allowed; nothing was applied. */
+    record NotAllowed(List<String> errors) implements ApplyResult {
+      public NotAllowed {
+        errors = List.copyOf(errors);
+      }
+    }
+
     /** Same as what is in force. */
     record Unchanged(long revision) implements ApplyResult {}
   }
@@ -107,6 +115,10 @@
     if (expected >= 0 && expected != log.revision()) {
       return Uni.createFrom().item(conflict());
     }
+    List<String> errors = forbiddenChanges(documents);
+    if (!errors.isEmpty()) {
+      return Uni.createFrom().item(new ApplyResult.NotAllowed(errors));
+    }
     LogRecord.ConfigurationApplied record = log.changeTo(documents, operator);
     if (record.changed().isEmpty() && record.removed().isEmpty()) {
       return Uni.createFrom().item(new ApplyResult.Unchanged(log.revision()));
@@ -116,6 +128,30 @@
         .map(effective -> effective ? new ApplyResult.Accepted(record.base() + 1) : conflict());
   }
 
+  /**
+   * A step is split by its trainer's number of shards, so that number can't change under open
+   * steps.
+   */
+  private List<String> forbiddenChanges(List<ConfigurationDocument> documents) {
+    List<String> errors = new ArrayList<>();
+    try {
+      ConfigurationImage wanted = parser.image(log.revision(), documents);
+      wanted
+          .trainers()
+          .forEach(
+              (name, settings) -> {
+                TrainerSettings now = inForce.trainers().get(name);
+                if (now != null && !now.shards().equals(settings.shards())) {
+                  errors.add(
+                      "trainer/" + name + ": shards: can't change; give the trainer a new name");
+                }
+              });
+    } catch (ConfigurationException e) {
+      errors.addAll(e.errors());
+    }
+    return errors;
+  }
+
   private ApplyResult conflict() {
     return new ApplyResult.Conflict(log.revision(), log.lastOperator());
   }
--- a/node/src/main/java/org/passhaven/node/http/OperatorHandler.java
+++ b/node/src/main/java/org/passhaven/node/http/OperatorHandler.java
@@ -86,6 +86,11 @@
       Answers.json(routing, Answers.OK, new ApplyAnswer(accepted.revision(), true));
     } else if (result instanceof ApplyResult.Unchanged unchanged) {
       Answers.json(routing, Answers.OK, new ApplyAnswer(unchanged.revision(), false));
+    } else if (result instanceof ApplyResult.NotAllowed notAllowed) {
+      Answers.problem(
+          routing,
+          Problem.notRun(Answers.UNPROCESSABLE, "the change is not allowed", notAllowed.errors()),
+          0);
     } else if (result instanceof ApplyResult.Conflict conflict) {
       String title =
           "revision "
--- a/node/src/main/java/org/passhaven/node/run/RunAgent.java
+++ b/node/src/main/java/org/passhaven/node/run/RunAgent.java
@@ -106,9 +106,19 @@
     rank = newRank;
   }
 
-  /** A new configuration came into force. */
+  /**
+   * A new configuration came into force; one without this trainer ends the agent by {@link
+   * #release}.
+   */
   public void setConfiguration(ConfigurationImage image) {
+    TrainerSettings settings = image.trainers().get(shard.trainer());
+    if (settings == null) {
+      return;
+    }
     configuration = image;
+    if (coordinator != null) {
+      coordinator.setSettings(settings);
+    }
   }
 
   /** Whether this node owns the shard. */
