--- a/core/src/main/java/org/passhaven/core/run/RunAction.java
+++ b/core/src/main/java/org/passhaven/core/run/RunAction.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.passhaven.core.routing.EngineView;
-import org.passhaven.protocol.LogRecord;
 import org.passhaven.protocol.Prompt;
 import org.passhaven.protocol.Sample;
 import org.passhaven.protocol.Segment;
@@ -29,7 +28,4 @@
 
   /** Have a sample scored. */
   record Score(AttemptId attempt, Sample sample) implements RunAction {}
-
-  /** Append a record to the shard's stream. */
-  record Append(LogRecord record) implements RunAction {}
 }
--- a/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
@@ -1,19 +1,31 @@
 package org.passhaven.emulator.model;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.passhaven.platform.MachineList.Listing;
 import org.passhaven.platform.MachineList.Machine;
 import org.passhaven.platform.MachineList.State;
 
-/** The platform's list of machines, seen with a lag. Not thread-safe. */
+/** The platform's list of machines, seen with a lag, given out as changes. Not thread-safe. */
 public final class MachineListModel {
+  private static final int CHANGES_KEPT = 1_000;
+
+  /** One change: the machine as it is since then, or null if it is gone. */
+  private record Change(long version, long atMillis, String id, Machine machine) {}
+
   private final long lagMillis;
   private final Map<String, Machine> machines = new TreeMap<>();
-  private Listing visible = new Listing(0, true, java.util.List.of());
+  private final Map<String, Machine> visible = new TreeMap<>();
+  private final Deque<Change> upcoming = new ArrayDeque<>();
+  private final Deque<Change> seen = new ArrayDeque<>();
   private long version;
-  private long changedAtMillis = Long.MIN_VALUE / 2;
+  private long visibleVersion;
 
   /** Creates an empty list whose changes are seen {@code lagMillis} later. */
   public MachineListModel(long lagMillis) {
@@ -22,44 +34,74 @@
 
   /** Adds or replaces machines. */
   public void put(Collection<Machine> added, long nowMillis) {
-    refresh(nowMillis);
-    added.forEach(machine -> machines.put(machine.id(), machine));
-    changed(nowMillis);
+    added.forEach(machine -> change(machine.id(), machine, nowMillis));
   }
 
   /** Marks a machine as leaving. */
   public void setLeaving(String id, long nowMillis) {
-    refresh(nowMillis);
-    machines.computeIfPresent(
-        id,
-        (ignored, m) ->
-            new Machine(m.id(), m.kind(), m.group(), m.address(), m.zone(), State.LEAVING));
-    changed(nowMillis);
+    Machine m = machines.get(id);
+    if (m != null) {
+      change(
+          id,
+          new Machine(m.id(), m.kind(), m.group(), m.address(), m.zone(), State.LEAVING),
+          nowMillis);
+    }
   }
 
   /** Removes a machine. */
   public void remove(String id, long nowMillis) {
-    refresh(nowMillis);
-    machines.remove(id);
-    changed(nowMillis);
+    change(id, null, nowMillis);
   }
 
-  private void changed(long nowMillis) {
+  private void change(String id, Machine machine, long nowMillis) {
+    if (machine == null) {
+      machines.remove(id);
+    } else {
+      machines.put(id, machine);
+    }
     version++;
-    changedAtMillis = nowMillis;
+    upcoming.add(new Change(version, nowMillis, id, machine));
   }
 
-  /** The list as seen now, without its machines if the version is the known one. */
+  /** What changed since a version, as seen now. */
   public Listing fetch(long knownVersion, long nowMillis) {
     refresh(nowMillis);
-    return visible.version() == knownVersion
-        ? new Listing(knownVersion, false, java.util.List.of())
-        : visible;
+    boolean tooOld =
+        seen.isEmpty()
+            ? knownVersion < visibleVersion
+            : knownVersion < seen.getFirst().version() - 1;
+    if (knownVersion < 0 || tooOld) {
+      return new Listing(visibleVersion, true, List.copyOf(visible.values()), List.of());
+    }
+    TreeSet<String> changed = new TreeSet<>();
+    seen.stream()
+        .filter(change -> change.version() > knownVersion)
+        .forEach(change -> changed.add(change.id()));
+    List<Machine> present = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    for (String id : changed) {
+      if (visible.containsKey(id)) {
+        present.add(visible.get(id));
+      } else {
+        removed.add(id);
+      }
+    }
+    return new Listing(visibleVersion, false, present, removed);
   }
 
   private void refresh(long nowMillis) {
-    if (visible.version() != version && nowMillis - changedAtMillis >= lagMillis) {
-      visible = new Listing(version, true, java.util.List.copyOf(machines.values()));
+    while (!upcoming.isEmpty() && nowMillis - upcoming.getFirst().atMillis() >= lagMillis) {
+      Change change = upcoming.poll();
+      visibleVersion = change.version();
+      if (change.machine() == null) {
+        visible.remove(change.id());
+      } else {
+        visible.put(change.id(), change.machine());
+      }
+      seen.add(change);
+      if (seen.size() > CHANGES_KEPT) {
+        seen.poll();
+      }
     }
   }
 }
--- a/node/src/main/java/org/passhaven/node/backend/MachineWatcher.java
+++ b/node/src/main/java/org/passhaven/node/backend/MachineWatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.passhaven.node.NodeContext;
@@ -24,6 +25,7 @@
   private final List<Runnable> waiting = new ArrayList<>();
   private Map<Kind, Map<String, List<Machine>>> machines = Map.of();
   private long version = NO_VERSION;
+  private final Map<String, Machine> byId = new TreeMap<>();
   private boolean fetching;
   private long askedAtMillis = Long.MIN_VALUE / 2;
 
@@ -87,17 +89,29 @@
   }
 
   private void onListing(Listing listing, long sentAtMillis) {
-    if (listing.changed() && listing.version() != version) {
-      version = listing.version();
-      machines =
-          listing.machines().stream()
-              .collect(Collectors.groupingBy(Machine::kind, Collectors.groupingBy(Machine::group)));
-      listeners.forEach(listener -> listener.accept(listing.machines()));
+    boolean changed =
+        listing.whole() || !listing.machines().isEmpty() || !listing.removed().isEmpty();
+    version = listing.version();
+    if (changed) {
+      take(listing);
     }
     // An answer that waited through a pause of this node is as old as its request.
     onAsked(sentAtMillis);
   }
 
+  private void take(Listing listing) {
+    if (listing.whole()) {
+      byId.clear();
+    }
+    listing.removed().forEach(byId::remove);
+    listing.machines().forEach(machine -> byId.put(machine.id(), machine));
+    List<Machine> all = List.copyOf(byId.values());
+    machines =
+        all.stream()
+            .collect(Collectors.groupingBy(Machine::kind, Collectors.groupingBy(Machine::group)));
+    listeners.forEach(listener -> listener.accept(all));
+  }
+
   private void onAsked(long atMillis) {
     fetching = false;
     askedAtMillis = atMillis;
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/run/VersionOrders.java
@@ -0,0 +1,53 @@
+package org.passhaven.node.run;
+
+import java.util.Collection;
+import java.util.Objects;
+import java.util.Set;
+import org.passhaven.core.routing.EngineView;
+import org.passhaven.core.weights.VersionRollout;
+import org.passhaven.node.NodeContext;
+import org.passhaven.node.backend.EngineDirectory;
+import org.passhaven.platform.EngineService.OrderOutcome;
+import org.passhaven.platform.EngineService.VersionOrder;
+import org.passhaven.protocol.ServerId;
+
+/**
+ * Orders the engines of one owner's part to the trainer's version. The version is also the fence:
+ * it only grows, so an owner that was succeeded without knowing it can order nothing older.
+ */
+final class VersionOrders {
+  private final NodeContext context;
+  private final EngineDirectory engines;
+  private final VersionRollout rollout;
+
+  VersionOrders(NodeContext context, EngineDirectory engines) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.engines = Objects.requireNonNull(engines, "engines");
+    this.rollout = new VersionRollout(context.settings().swapsAtOnce());
+  }
+
+  /** Sends the orders that are due; engines in {@code awaited} come later. */
+  void send(Collection<EngineView> part, Set<ServerId> awaited, String model, long version) {
+    for (EngineView engine : rollout.plan(part, awaited, version, context.timers().nowMillis())) {
+      order(engine, new VersionOrder(model, version, version));
+    }
+  }
+
+  private void order(EngineView engine, VersionOrder order) {
+    context
+        .platform()
+        .engines()
+        .order(engine.address(), order)
+        .subscribe()
+        .with(
+            outcome -> onOutcome(engine, order, outcome == OrderOutcome.DONE),
+            failure -> onOutcome(engine, order, false));
+  }
+
+  private void onOutcome(EngineView engine, VersionOrder order, boolean done) {
+    rollout.onAnswer(engine.id(), done, context.timers().nowMillis());
+    if (done) {
+      engines.onVersionSeen(engine.id(), engine.incarnation(), order.version());
+    }
+  }
+}
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedPlatform.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedPlatform.java
@@ -83,13 +83,7 @@
                       () -> {
                         MachineList.Listing listing =
                             model.fetch(knownVersion, self.timers().nowMillis());
-                        // The platform sends a list's changes; a full list goes out at the first
-                        // fetch only.
-                        long entries =
-                            knownVersion < 0
-                                ? listing.machines().size()
-                                : listing.changed() ? 1 : 0;
-                        meter.onControl(OVERHEAD_BYTES + entries * OVERHEAD_BYTES / 2);
+                        meter.onControl(OVERHEAD_BYTES + Codec.encode(listing).length);
                         emitter.complete(listing);
                       });
                 });
