Give each stand-in an event loop of its own

Cause: log, engines, servers and callers of the quickstart shared one event loop, so the emulator's own queue was measured. Ruled out by a trial with time stamps: garbage collection (longest pause 112 ms) and steady load; what is left of the tail falls into the first 2 s of the first step at the owner's node, a cold JVM that opens 192 streams at once.

--- a/emulator/src/main/java/org/passhaven/emulator/http/Emulator.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/Emulator.java
@@ -2,13 +2,14 @@
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.vertx.core.AbstractVerticle;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Function;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.passhaven.emulator.check.Checker;
@@ -33,8 +34,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The whole emulated platform with its load, in one verticle: log, machine list, engines, servers,
- * trainers, callers and the checker.
+ * The whole emulated platform with its load, each stand-in on an event loop of its own: log,
+ * machine list, engines, servers, trainers, callers and the checker.
  */
 public final class Emulator extends AbstractVerticle {
   private static final Logger LOG = LoggerFactory.getLogger(Emulator.class);
@@ -82,8 +83,10 @@
     machineList = new MachineListModel(site.machineListLagMillis());
     nextPort = settings.basePort() + 2;
     List<Uni<Void>> listening = new ArrayList<>();
-    listening.add(listen(settings.basePort(), new LogServer(log, timers).router(vertx)));
-    listening.add(listen(settings.basePort() + 1, machineListRouter()));
+    listening.add(
+        listen(
+            settings.basePort(), loop -> new LogServer(log, new VertxTimers(loop)).router(loop)));
+    listening.add(listen(settings.basePort() + 1, this::machineListRouter));
     listening.addAll(startEngines());
     listening.addAll(startServices());
     addNodes();
@@ -91,17 +94,12 @@
     return Uni.join().all(listening).andFailFast().replaceWithVoid();
   }
 
-  private Uni<Void> listen(int port, Router router) {
-    HttpServerOptions options = new HttpServerOptions().setReuseAddress(true);
-    return vertx
-        .createHttpServer(options)
-        .requestHandler(router)
-        .listen(port, settings.host())
-        .replaceWithVoid();
+  private Uni<Void> listen(int port, Function<Vertx, Router> router) {
+    return vertx.deployVerticle(new StandIn(settings.host(), port, router)).replaceWithVoid();
   }
 
-  private Router machineListRouter() {
-    Router router = Router.router(vertx);
+  private Router machineListRouter(Vertx loop) {
+    Router router = Router.router(loop);
     router
         .get("/machines")
         .handler(
@@ -125,7 +123,7 @@
         listening.add(
             listen(
                 addMachine(id.value(), Kind.ENGINE, group.name(), index),
-                new EngineServer(engine, timers).router(vertx)));
+                loop -> new EngineServer(engine, new VertxTimers(loop)).router(loop)));
       }
     }
     return listening;
@@ -138,7 +136,11 @@
         ServiceModel service = new ServiceModel(new ServerId(group.name() + "-" + index), checker);
         int port = addMachine(service.id().value(), Kind.SERVICE, group.name(), index);
         listening.add(
-            listen(port, new ServiceServer(service, timers, group.answerMillis()).router(vertx)));
+            listen(
+                port,
+                loop ->
+                    new ServiceServer(service, new VertxTimers(loop), group.answerMillis())
+                        .router(loop)));
       }
     }
     return listening;
--- a/emulator/src/main/java/org/passhaven/emulator/model/EngineModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/EngineModel.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.passhaven.platform.EngineService.GenerationRequest;
@@ -18,7 +19,8 @@
 /**
  * A model engine: continuous batching in steps, priorities, a prefix cache of limited memory, swaps
  * of weights in mid-generation that may fail, fenced orders, load reports with a lag. Its driver
- * calls {@link #step} as often as {@link #stepMillis} says. Not thread-safe.
+ * calls {@link #step} as often as {@link #stepMillis} says. Not thread-safe but for its count of
+ * tokens.
  */
 public final class EngineModel {
   private static final double IDLE_STEP_SHARE = 0.6;
@@ -50,7 +52,7 @@
   private boolean leaving;
   private Report report;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
-  private long generatedTokens;
+  private final AtomicLong generatedTokens = new AtomicLong();
   private long busySequenceSteps;
 
   /** Creates a running engine that serves {@code version} of {@code model}. */
@@ -89,7 +91,7 @@
 
   /** Tokens generated since the beginning, over all starts. */
   public long generatedTokens() {
-    return generatedTokens;
+    return generatedTokens.get();
   }
 
   /** Steps of single sequences since the beginning. */
@@ -180,7 +182,7 @@
               sequence.promptHash, sequence.request.seed(), version, sequence.done + i);
     }
     sequence.done += count;
-    generatedTokens += count;
+    generatedTokens.addAndGet(count);
     sequence.sink.onTokens(new Segment(version, id, incarnation, tokens));
   }
 
--- a/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
@@ -12,7 +12,7 @@
 import org.passhaven.platform.MachineList.Machine;
 import org.passhaven.platform.MachineList.State;
 
-/** The platform's list of machines, seen with a lag, given out as changes. Not thread-safe. */
+/** The platform's list of machines, seen with a lag, given out as changes. Thread-safe. */
 public final class MachineListModel {
   private static final int CHANGES_KEPT = 1_000;
 
@@ -33,12 +33,12 @@
   }
 
   /** Adds or replaces machines. */
-  public void put(Collection<Machine> added, long nowMillis) {
+  public synchronized void put(Collection<Machine> added, long nowMillis) {
     added.forEach(machine -> change(machine.id(), machine, nowMillis));
   }
 
   /** Marks a machine as leaving. */
-  public void setLeaving(String id, long nowMillis) {
+  public synchronized void setLeaving(String id, long nowMillis) {
     Machine m = machines.get(id);
     if (m != null) {
       change(
@@ -49,7 +49,7 @@
   }
 
   /** Removes a machine. */
-  public void remove(String id, long nowMillis) {
+  public synchronized void remove(String id, long nowMillis) {
     change(id, null, nowMillis);
   }
 
@@ -64,7 +64,7 @@
   }
 
   /** What changed since a version, as seen now. */
-  public Listing fetch(long knownVersion, long nowMillis) {
+  public synchronized Listing fetch(long knownVersion, long nowMillis) {
     refresh(nowMillis);
     boolean tooOld =
         seen.isEmpty()
--- a/emulator/src/main/java/org/passhaven/emulator/model/WeightStoreModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/WeightStoreModel.java
@@ -2,7 +2,7 @@
 
 /**
  * The rate-limited weight store: copies of a version go out one after the other at the store's
- * rate.
+ * rate. Thread-safe.
  */
 public final class WeightStoreModel {
   private final long copyMillis;
@@ -15,18 +15,18 @@
   }
 
   /** Begins to send a copy; gives the time at which it is whole. */
-  public long download(long nowMillis) {
+  public synchronized long download(long nowMillis) {
     busyUntilMillis = Math.max(busyUntilMillis, nowMillis) + copyMillis;
     return busyUntilMillis;
   }
 
   /** Whether it sends anything now. */
-  public boolean isDown() {
+  public synchronized boolean isDown() {
     return down;
   }
 
   /** Takes the store down or up. */
-  public void setDown(boolean isDown) {
+  public synchronized void setDown(boolean isDown) {
     down = isDown;
   }
 }
