Read typed YAML and judge late work in one place each

Cause: the checked reading of YAML stood three times, a back end's leaving and latency twice. Figures: simulator and command-line tests pass; no behaviour changed.

--- a/cli/src/main/java/org/passhaven/cli/ExperimentCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/ExperimentCommand.java
@@ -13,7 +13,7 @@
 import org.passhaven.core.configuration.ConfigurationException;
 import org.passhaven.core.routing.DispatchPolicy;
 import org.passhaven.emulator.check.Report;
-import org.passhaven.emulator.site.SiteLoader;
+import org.passhaven.emulator.site.CheckedYaml.InvalidFileException;
 import org.passhaven.node.NodeSettings;
 import org.passhaven.simulator.experiment.Shrinker;
 import org.passhaven.simulator.experiment.Simulation;
@@ -83,7 +83,7 @@
           scenario.faults(),
           scenario.randomFaults(),
           scenario.configurationPeriodMillis());
-    } catch (ScenarioLoader.ScenarioException e) {
+    } catch (InvalidFileException e) {
       throw new CommandException(ExitCode.INVALID, e.getMessage());
     }
   }
@@ -131,7 +131,7 @@
   }
 
   private static Report simulate(Scenario scenario, long seed, String policy)
-      throws SiteLoader.SiteException, ConfigurationException {
+      throws InvalidFileException, ConfigurationException {
     return new Simulation(scenario, seed, policy, nodeSettings(policy)).run();
   }
 
@@ -217,7 +217,7 @@
               + seed
               + " still fails with:\n"
               + ScenarioLoader.write(scenario.withFaults(shrunk)));
-    } catch (SiteLoader.SiteException | ConfigurationException e) {
+    } catch (InvalidFileException | ConfigurationException e) {
       throw new CommandException(ExitCode.INVALID, e.getMessage());
     }
   }
@@ -225,7 +225,7 @@
   private static boolean fails(Scenario scenario, long seed, String policy) {
     try {
       return simulate(scenario, seed, policy).violations() > 0;
-    } catch (SiteLoader.SiteException | ConfigurationException e) {
+    } catch (InvalidFileException | ConfigurationException e) {
       throw new IllegalStateException(e);
     }
   }
--- a/cli/src/main/java/org/passhaven/cli/Sites.java
+++ b/cli/src/main/java/org/passhaven/cli/Sites.java
@@ -1,5 +1,6 @@
 package org.passhaven.cli;
 
+import org.passhaven.emulator.site.CheckedYaml.InvalidFileException;
 import org.passhaven.emulator.site.Site;
 import org.passhaven.emulator.site.SiteLoader;
 
@@ -10,7 +11,7 @@
   static Site shipped(String name) throws CommandException {
     try {
       return SiteLoader.shipped(name);
-    } catch (SiteLoader.SiteException e) {
+    } catch (InvalidFileException e) {
       throw new CommandException(ExitCode.INVALID, e.getMessage());
     }
   }
@@ -18,7 +19,7 @@
   static String configuration(String name) throws CommandException {
     try {
       return SiteLoader.shippedConfiguration(name);
-    } catch (SiteLoader.SiteException e) {
+    } catch (InvalidFileException e) {
       throw new CommandException(ExitCode.INVALID, e.getMessage());
     }
   }
--- a/simulator/src/main/java/org/passhaven/simulator/experiment/Simulation.java
+++ b/simulator/src/main/java/org/passhaven/simulator/experiment/Simulation.java
@@ -8,6 +8,7 @@
 import org.passhaven.core.configuration.ConfigurationParser;
 import org.passhaven.emulator.check.Report;
 import org.passhaven.emulator.load.TrainerModel;
+import org.passhaven.emulator.site.CheckedYaml.InvalidFileException;
 import org.passhaven.emulator.site.Site;
 import org.passhaven.emulator.site.SiteLoader;
 import org.passhaven.node.NodeSettings;
@@ -38,7 +39,7 @@
   /** Prepares a run of a shipped site. */
   public Simulation(
       Scenario scenario, long seed, String policy, UnaryOperator<NodeSettings> nodeSettings)
-      throws SiteLoader.SiteException, ConfigurationException {
+      throws InvalidFileException, ConfigurationException {
     this.scenario = Objects.requireNonNull(scenario, "scenario");
     this.seed = seed;
     this.policy = Objects.requireNonNull(policy, "policy");
@@ -66,7 +67,7 @@
   }
 
   private static List<ConfigurationDocument> configurationOf(String site)
-      throws SiteLoader.SiteException, ConfigurationException {
+      throws InvalidFileException, ConfigurationException {
     return new ConfigurationParser()
         .parse(
             List.of(
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedEngine.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedEngine.java
@@ -19,14 +19,12 @@
 
 /** An engine in virtual time: its model, its process, and its manners on the network. */
 public final class SimulatedEngine {
-  private static final long LEAVE_LIMIT_MILLIS = 5_000;
   private final VirtualTime time;
   private final SimulatedNetwork network;
   private final SimulatedProcess process;
   private final EngineModel model;
-  private final Checker checker;
+  private final BackEndLink link;
   private boolean stepping;
-  private long leavingSinceMillis = Long.MAX_VALUE;
 
   /** Creates an engine. */
   public SimulatedEngine(
@@ -39,7 +37,7 @@
     this.network = Objects.requireNonNull(network, "network");
     this.process = Objects.requireNonNull(process, "process");
     this.model = Objects.requireNonNull(model, "model");
-    this.checker = Objects.requireNonNull(checker, "checker");
+    this.link = new BackEndLink(time, network, process, checker);
   }
 
   /** The engine's state. */
@@ -54,7 +52,7 @@
 
   /** The platform wants the engine to go. */
   public void setLeaving() {
-    leavingSinceMillis = time.nowMillis();
+    link.setLeaving();
     model.setLeaving();
   }
 
@@ -71,14 +69,11 @@
 
   private void open(
       SimulatedProcess caller, GenerationRequest request, MultiEmitter<? super Segment> emitter) {
-    if (!isOpen(caller)) {
+    if (!link.isOpen(caller)) {
       return;
     }
-    // Judged when it is sent: an engine that hangs may take it in much later.
-    if (time.nowMillis() - leavingSinceMillis > LEAVE_LIMIT_MILLIS && couldKnow(caller)) {
-      checker.onWorkAfterLeave();
-    }
-    long delay = oneWay(caller);
+    link.onWorkSent(caller);
+    long delay = link.oneWay(caller);
     if (!process.isAlive()) {
       network.deliver(
           caller,
@@ -101,14 +96,15 @@
     return Uni.createFrom()
         .emitter(
             emitter -> {
-              if (isOpen(caller) && process.isAlive()) {
+              if (link.isOpen(caller) && process.isAlive()) {
                 network.deliver(
                     process,
-                    oneWay(caller),
+                    link.oneWay(caller),
                     () -> {
                       Report report = model.report(time.nowMillis());
-                      if (isOpen(caller)) {
-                        network.deliver(caller, oneWay(caller), () -> emitter.complete(report));
+                      if (link.isOpen(caller)) {
+                        network.deliver(
+                            caller, link.oneWay(caller), () -> emitter.complete(report));
                       }
                     });
               }
@@ -119,18 +115,18 @@
     return Uni.createFrom()
         .emitter(
             emitter -> {
-              if (isOpen(caller) && process.isAlive()) {
+              if (link.isOpen(caller) && process.isAlive()) {
                 network.deliver(
                     process,
-                    oneWay(caller),
+                    link.oneWay(caller),
                     () -> {
                       model.order(
                           order,
                           time.nowMillis(),
                           outcome -> {
-                            if (isOpen(caller)) {
+                            if (link.isOpen(caller)) {
                               network.deliver(
-                                  caller, oneWay(caller), () -> emitter.complete(outcome));
+                                  caller, link.oneWay(caller), () -> emitter.complete(outcome));
                             }
                           });
                       keepStepping();
@@ -139,20 +135,6 @@
             });
   }
 
-  /** A node that is cut off from the platform can't know who leaves. */
-  private boolean couldKnow(SimulatedProcess caller) {
-    return network.hasReachedPlatformFor(
-        caller.zone(), LEAVE_LIMIT_MILLIS * VirtualTime.MICROS_PER_MILLI);
-  }
-
-  private boolean isOpen(SimulatedProcess caller) {
-    return network.isOpen(caller.zone(), process.zone());
-  }
-
-  private long oneWay(SimulatedProcess caller) {
-    return network.latencyMicros(caller.zone(), process.zone());
-  }
-
   private void keepStepping() {
     if (!stepping && model.isBusy()) {
       stepping = true;
@@ -195,11 +177,11 @@
 
     /** A stream keeps its order and has no gaps: after a cut it hangs. */
     private void send(Runnable task) {
-      broken |= !isOpen(caller);
+      broken |= !link.isOpen(caller);
       if (broken) {
         return;
       }
-      long arrival = Math.max(lastArrivalMicros, time.nowMicros() + oneWay(caller));
+      long arrival = Math.max(lastArrivalMicros, time.nowMicros() + link.oneWay(caller));
       lastArrivalMicros = arrival;
       network.deliver(caller, arrival - time.nowMicros(), task);
     }
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedServer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedServer.java
@@ -15,14 +15,11 @@
 
 /** A service server in virtual time. */
 public final class SimulatedServer {
-  private static final long LEAVE_LIMIT_MILLIS = 5_000;
-  private final VirtualTime time;
   private final SimulatedNetwork network;
   private final SimulatedProcess process;
   private final ServiceModel model;
-  private final Checker checker;
+  private final BackEndLink link;
   private final long answerMicros;
-  private long leavingSinceMillis = Long.MAX_VALUE;
   private boolean refuses;
 
   /** Creates a server that answers after {@code answerMicros}. */
@@ -33,11 +30,10 @@
       ServiceModel model,
       Checker checker,
       long answerMicros) {
-    this.time = Objects.requireNonNull(time, "time");
     this.network = Objects.requireNonNull(network, "network");
     this.process = Objects.requireNonNull(process, "process");
     this.model = Objects.requireNonNull(model, "model");
-    this.checker = Objects.requireNonNull(checker, "checker");
+    this.link = new BackEndLink(time, network, process, checker);
     this.answerMicros = answerMicros;
   }
 
@@ -48,7 +44,7 @@
 
   /** The platform wants the server to go; it says so itself only if {@code refusing}. */
   public void setLeaving(boolean refusing) {
-    leavingSinceMillis = time.nowMillis();
+    link.setLeaving();
     refuses = refusing;
   }
 
@@ -56,16 +52,13 @@
     return Uni.createFrom()
         .emitter(
             emitter -> {
-              if (!isOpen(caller)) {
+              if (!link.isOpen(caller)) {
                 return;
               }
-              // Judged when it is sent: a server that hangs may take it in much later.
-              if (!refuses
-                  && time.nowMillis() - leavingSinceMillis > LEAVE_LIMIT_MILLIS
-                  && couldKnow(caller)) {
-                checker.onWorkAfterLeave();
+              if (!refuses) {
+                link.onWorkSent(caller);
               }
-              long delay = oneWay(caller);
+              long delay = link.oneWay(caller);
               if (!process.isAlive()) {
                 network.deliver(
                     caller,
@@ -87,7 +80,7 @@
     if (refuses) {
       network.deliver(
           caller,
-          oneWay(caller),
+          link.oneWay(caller),
           () -> emitter.fail(new PlatformException(Kind.NOT_RUN, "leaving")));
       return;
     }
@@ -96,23 +89,9 @@
         process,
         answerMicros,
         () -> {
-          if (isOpen(caller)) {
-            network.deliver(caller, oneWay(caller), () -> emitter.complete(response));
+          if (link.isOpen(caller)) {
+            network.deliver(caller, link.oneWay(caller), () -> emitter.complete(response));
           }
         });
   }
-
-  /** A node that is cut off from the platform can't know who leaves. */
-  private boolean couldKnow(SimulatedProcess caller) {
-    return network.hasReachedPlatformFor(
-        caller.zone(), LEAVE_LIMIT_MILLIS * VirtualTime.MICROS_PER_MILLI);
-  }
-
-  private boolean isOpen(SimulatedProcess caller) {
-    return network.isOpen(caller.zone(), process.zone());
-  }
-
-  private long oneWay(SimulatedProcess caller) {
-    return network.latencyMicros(caller.zone(), process.zone());
-  }
 }
