--- a/node/src/main/java/org/passhaven/node/request/RequestService.java
+++ b/node/src/main/java/org/passhaven/node/request/RequestService.java
@@ -3,23 +3,17 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 import org.passhaven.core.configuration.CallerSettings;
 import org.passhaven.core.configuration.ConfigurationImage;
 import org.passhaven.core.configuration.ServiceSettings;
 import org.passhaven.core.configuration.ServiceSettings.RequestClass;
-import org.passhaven.core.placement.Member;
-import org.passhaven.core.placement.Rendezvous;
-import org.passhaven.core.request.IntentTable;
 import org.passhaven.core.request.RateLimiter;
-import org.passhaven.core.request.RequestDigest;
 import org.passhaven.core.request.RetryBudget;
 import org.passhaven.core.routing.ServicePicker;
 import org.passhaven.core.routing.ServiceView;
@@ -44,15 +38,11 @@
 public final class RequestService {
   private static final int RETRY_PARTS_PER_REQUEST = 100;
   private static final int MOST_RETRIES_SAVED = 20;
-  private static final long LOG_DOWN_RETRY_MILLIS = 2_000;
   private static final long NO_SERVER_RETRY_MILLIS = 500;
   private static final long OVERLOAD_RETRY_MILLIS = 1_000;
-  private static final long INTENT_MARGIN_MILLIS = 50;
   private static final int MOST_CARRIED_REMEMBERED = 2_000;
   private static final long LEAST_ATTEMPT_MILLIS = 100;
   private static final long ATTEMPT_SHARE = 4;
-  private static final long LEAST_FORWARD_MILLIS = 200;
-  private static final long FORWARD_SHARE = 3;
   private static final long IDLE_CHECK_MILLIS = 10_000;
   private static final int MOST_OUTSTANDING_PER_SERVER = 256;
 
@@ -68,9 +58,8 @@
   private final NodeContext context;
   private final ServiceDirectory servers;
   private final Supplier<ConfigurationImage> configuration;
-  private final Supplier<List<MemberState>> alive;
+  private final KeyedRequests keyed;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
-  private final Map<String, IntentAgent> intents = new HashMap<>();
   private final Map<String, Limit> limits = new HashMap<>();
   private final Map<String, Uni<PeerResponse>> carried =
       new LinkedHashMap<>() {
@@ -81,7 +70,6 @@
           return size() > MOST_CARRIED_REMEMBERED;
         }
       };
-  private long nextCallId;
   private int inProgress;
   private boolean stopping;
 
@@ -91,15 +79,15 @@
       ServiceDirectory servers,
       Supplier<ConfigurationImage> configuration,
       Supplier<List<MemberState>> alive) {
-    this.alive = Objects.requireNonNull(alive, "alive");
     this.context = Objects.requireNonNull(context, "context");
     this.servers = Objects.requireNonNull(servers, "servers");
     this.configuration = Objects.requireNonNull(configuration, "configuration");
+    this.keyed = new KeyedRequests(context, alive, this::attempt);
   }
 
   /** Begins to look after the streams of intents. */
   public void start() {
-    context.timers().every(IDLE_CHECK_MILLIS, this::closeIdleIntents);
+    context.timers().every(IDLE_CHECK_MILLIS, keyed::closeIdle);
   }
 
   /** Takes no new requests from now on. */
@@ -124,8 +112,9 @@
         caller.deadlineMillis() <= 0
             ? settings.deadlineMillis()
             : Math.min(caller.deadlineMillis(), settings.deadlineMillis());
-    Call call = new Call(caller, settings, context.timers().nowMillis() + limit, false);
-    Uni<RequestOutcome> outcome = call.needsIntent() ? callOnce(call) : attempt(call);
+    RequestCall call =
+        new RequestCall(caller, settings, context.timers().nowMillis() + limit, false);
+    Uni<RequestOutcome> outcome = call.needsIntent() ? keyed.carry(call) : attempt(call);
     return outcome.invoke(
         result -> {
           inProgress--;
@@ -181,74 +170,6 @@
     return Optional.of(new RequestOutcome.RefusedNotRun(reason, retryAfterMillis));
   }
 
-  /**
-   * Carries a request under its key. The node that keeps the key's stream does it, so that each
-   * stream is followed by one node; if that node can't, this one does: the log decides who may
-   * send, whoever tries.
-   */
-  private Uni<RequestOutcome> callOnce(Call call) {
-    String stream = IntentTable.streamOf(call.key(), context.settings().intentStreams());
-    Optional<MemberState> keeper = keeperOf(stream);
-    if (call.forwarded
-        || keeper.isEmpty()
-        || keeper.get().node().equals(context.settings().node())) {
-      return carryHere(call, stream);
-    }
-    return forward(call, keeper.get().address())
-        .chain(
-            answer ->
-                answer instanceof PeerResponse.Carried carried
-                    ? Uni.createFrom().item(CarriedOutcome.toOutcome(carried))
-                    : carryHere(call, stream)
-                        .map(outcome -> call.mayHaveRun ? withoutRefusal(outcome) : outcome));
-  }
-
-  private Uni<PeerResponse> forward(Call call, String address) {
-    ServiceBackEnd.Request request = call.caller.request();
-    PeerRequest.CarryRequest message =
-        new PeerRequest.CarryRequest(
-            context.settings().node() + "/" + context.incarnation() + "/" + nextCallId++,
-            call.caller.service(),
-            request.method(),
-            request.path(),
-            request.contentType(),
-            request.body(),
-            request.idempotencyKey(),
-            call.left(context));
-    long limit = Math.max(LEAST_FORWARD_MILLIS, call.left(context) / FORWARD_SHARE);
-    return context
-        .timers()
-        .limit(context.platform().peers().call(address, message, limit), limit, "keeper")
-        .onFailure()
-        .recoverWithItem(
-            failure -> {
-              // The keeper may still run it: from here on nobody can say that it was not run.
-              call.mayHaveRun |=
-                  PlatformException.from(failure).kind() != PlatformException.Kind.NOT_RUN;
-              return new PeerResponse.Refused("the keeper did not answer");
-            });
-  }
-
-  private static RequestOutcome withoutRefusal(RequestOutcome outcome) {
-    return outcome instanceof RequestOutcome.RefusedNotRun refused
-        ? new RequestOutcome.OutcomeUnknown(refused.reason())
-        : outcome;
-  }
-
-  private Optional<MemberState> keeperOf(String stream) {
-    List<MemberState> members = alive.get();
-    List<Member> ranked =
-        Rendezvous.rank(
-            stream,
-            members.stream().map(state -> new Member(state.node().value(), state.zone())).toList(),
-            1);
-    return ranked.isEmpty()
-        ? Optional.empty()
-        : members.stream()
-            .filter(state -> state.node().value().equals(ranked.get(0).name()))
-            .findFirst();
-  }
-
   /**
    * Carries a request for a node that took it from its caller; a copy gets the answer of the first.
    */
@@ -265,14 +186,15 @@
     ServiceBackEnd.Request request =
         new ServiceBackEnd.Request(
             message.method(), message.path(), message.contentType(), message.body(), message.key());
-    Call call =
-        new Call(
+    RequestCall call =
+        new RequestCall(
             new CallerRequest(message.service(), request, "", 0),
             settings,
             context.timers().nowMillis() + message.deadlineMillis(),
             true);
     inProgress++;
-    return callOnce(call)
+    return keyed
+        .carry(call)
         .map(
             outcome -> {
               inProgress--;
@@ -280,59 +202,12 @@
             });
   }
 
-  private Uni<RequestOutcome> carryHere(Call call, String stream) {
-    IntentAgent agent = intents.computeIfAbsent(stream, name -> new IntentAgent(context, name));
-    if (agent.isDown()) {
-      return Uni.createFrom().item(refuse("the log is down", LOG_DOWN_RETRY_MILLIS).orElseThrow());
-    }
-    ServiceBackEnd.Request request = call.caller.request();
-    long limit = Math.max(1, call.left(context) - INTENT_MARGIN_MILLIS);
-    return agent
-        .begin(
-            call.key(), RequestDigest.of(request.method(), request.path(), request.body()), limit)
-        .chain(decision -> onDecision(call, call.key(), agent, decision));
-  }
-
-  /** Stops following streams that were not used for a while. */
-  private void closeIdleIntents() {
-    intents.values().removeIf(IntentAgent::closeIfIdle);
-  }
-
-  private Uni<RequestOutcome> onDecision(
-      Call call, String key, IntentAgent agent, IntentAgent.Decision decision) {
-    if (decision instanceof IntentAgent.Decision.Run) {
-      return attempt(call).invoke(outcome -> onOwnOutcome(key, agent, outcome));
-    }
-    RequestOutcome outcome;
-    if (decision instanceof IntentAgent.Decision.Answered answered) {
-      outcome = new RequestOutcome.Answered(answered.response());
-    } else if (decision instanceof IntentAgent.Decision.KeyReused) {
-      outcome =
-          new RequestOutcome.RefusedNotRun("the idempotency key was used for another request", 0);
-    } else if (decision instanceof IntentAgent.Decision.NotDurable) {
-      outcome =
-          new RequestOutcome.RefusedNotRun(
-              "the intent could not be made durable", LOG_DOWN_RETRY_MILLIS);
-    } else {
-      outcome = new RequestOutcome.OutcomeUnknown("an earlier try of this key has no known answer");
-    }
-    return Uni.createFrom().item(outcome);
-  }
-
-  private static void onOwnOutcome(String key, IntentAgent agent, RequestOutcome outcome) {
-    if (outcome instanceof RequestOutcome.Answered answered) {
-      agent.answered(key, answered.response());
-    } else if (outcome instanceof RequestOutcome.RefusedNotRun) {
-      agent.withdraw(key);
-    }
-  }
-
-  private Uni<RequestOutcome> attempt(Call call) {
+  private Uni<RequestOutcome> attempt(RequestCall call) {
     budget(call).onRequest();
     return Uni.createFrom().emitter(emitter -> servers.whenCurrent(() -> attempt(call, emitter)));
   }
 
-  private void attempt(Call call, UniEmitter<? super RequestOutcome> emitter) {
+  private void attempt(RequestCall call, UniEmitter<? super RequestOutcome> emitter) {
     long left = call.left(context);
     if (left <= 0) {
       emitter.complete(call.unsent());
@@ -368,7 +243,7 @@
    * that hangs does not cost its caller the whole deadline; without a retry to spend it waits to
    * the end.
    */
-  private long attemptLimit(Call call, long leftMillis) {
+  private long attemptLimit(RequestCall call, long leftMillis) {
     boolean mayRetry = call.requestClass == RequestClass.REPEATABLE && budget(call).hasRetry();
     return mayRetry
         ? Math.min(leftMillis, Math.max(LEAST_ATTEMPT_MILLIS, leftMillis / ATTEMPT_SHARE))
@@ -376,7 +251,7 @@
   }
 
   private void onFailure(
-      Call call,
+      RequestCall call,
       UniEmitter<? super RequestOutcome> emitter,
       ServerId server,
       PlatformException failure) {
@@ -398,50 +273,11 @@
     emitter.complete(call.unsent());
   }
 
-  private RetryBudget budget(Call call) {
+  private RetryBudget budget(RequestCall call) {
     return budgets.computeIfAbsent(
         call.caller.service(),
         ignored -> new RetryBudget(RETRY_PARTS_PER_REQUEST, MOST_RETRIES_SAVED));
   }
 
   private record Limit(CallerSettings settings, RateLimiter limiter) {}
-
-  private static final class Call {
-    final CallerRequest caller;
-    final ServiceSettings settings;
-    final RequestClass requestClass;
-    final long deadlineMillis;
-    final boolean forwarded;
-    final Set<ServerId> tried = new HashSet<>();
-    boolean mayHaveRun;
-
-    Call(CallerRequest caller, ServiceSettings settings, long deadlineMillis, boolean forwarded) {
-      this.forwarded = forwarded;
-      this.caller = caller;
-      this.settings = settings;
-      this.deadlineMillis = deadlineMillis;
-      this.requestClass = settings.classOf(caller.request().method(), caller.request().path());
-    }
-
-    String key() {
-      return caller.service() + ":" + caller.request().idempotencyKey();
-    }
-
-    boolean needsIntent() {
-      return requestClass == RequestClass.AT_MOST_ONCE
-          && !caller.request().idempotencyKey().isEmpty();
-    }
-
-    long left(NodeContext context) {
-      return deadlineMillis - context.timers().nowMillis();
-    }
-
-    /** The final outcome of a request that no server answered. */
-    RequestOutcome unsent() {
-      return mayHaveRun
-          ? new RequestOutcome.OutcomeUnknown(
-              "no answer came from a server that may have run the request")
-          : new RequestOutcome.RefusedNotRun("no server took the request", NO_SERVER_RETRY_MILLIS);
-    }
-  }
 }
