--- a/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
+++ b/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
@@ -37,7 +37,11 @@
         Arguments.of("Delivery", "Delivery", DELIVERY_INVARIANTS, ""),
         Arguments.of("Delivery", "Delivery-versions", DELIVERY_INVARIANTS, ""),
         Arguments.of("Requests", "Requests", "AtMostOnce NotRunMeansNotRun", ""),
-        Arguments.of("Configuration", "Configuration", "RevisionMonotonic AcceptedStands", "ReachesEveryNode"),
+        Arguments.of(
+            "Configuration",
+            "Configuration",
+            "RevisionMonotonic AcceptedStands",
+            "ReachesEveryNode"),
         Arguments.of("Leaving", "Leaving", "NoNewWorkAfterLeave", ""));
   }
 
@@ -45,7 +49,8 @@
     return Stream.of(
         Arguments.of("Delivery", "Delivery", "rebind", "ExactlyOnce"),
         Arguments.of("Delivery", "Delivery", "before-read-back", "ExactlyOnce"),
-        Arguments.of("Delivery", "Delivery-versions", "no-check-at-hand-over", "WithinStalenessBound"),
+        Arguments.of(
+            "Delivery", "Delivery-versions", "no-check-at-hand-over", "WithinStalenessBound"),
         Arguments.of("Delivery", "Delivery-versions", "version-at-begin", "VersionsTruthful"),
         Arguments.of("Delivery", "Delivery", "no-fence", "SingleEffectiveOwner"),
         Arguments.of("Requests", "Requests", "send-before-read-back", "AtMostOnce"),
@@ -58,7 +63,8 @@
 
   @ParameterizedTest
   @MethodSource("modules")
-  void holds(String module, String constants, String invariants, String properties) throws Exception {
+  void holds(String module, String constants, String invariants, String properties)
+      throws Exception {
     Run run = check(module, constants, invariants, properties, NONE);
     assertThat(run.output(), run.exitCode(), equalTo(0));
     assertThat(run.output(), containsString("No error has been found"));
@@ -71,14 +77,16 @@
 
   @ParameterizedTest
   @MethodSource("mutations")
-  void mutationIsSeen(String module, String constants, String mutation, String invariant) throws Exception {
+  void mutationIsSeen(String module, String constants, String mutation, String invariant)
+      throws Exception {
     Run run = check(module, constants, invariant, "", mutation);
     assertThat(run.output(), run.exitCode(), equalTo(TLC_VIOLATION));
     assertThat(run.output(), containsString("Invariant " + invariant + " is violated"));
     assertThat(run.output(), not(containsString("No error has been found")));
   }
 
-  private Run check(String module, String constantsFile, String invariants, String properties, String mutation)
+  private Run check(
+      String module, String constantsFile, String invariants, String properties, String mutation)
       throws IOException, InterruptedException {
     Path source = work.resolve(module + ".tla");
     Files.copy(SOURCES.resolve(module + ".tla"), source);
