Remove what nothing calls

Cause: the list of running attempts, the engine's start and version kept with a slot, and the resized site were written for uses that came out otherwise. Conclusion: behaviour unchanged.

--- a/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
+++ b/core/src/main/java/org/passhaven/core/run/RunCoordinator.java
@@ -178,7 +178,7 @@
     if (isOverAge(step, oldestVersion(slot))) {
       discard(slot);
     }
-    slot.begin(engine.id(), engine.incarnation(), engine.version());
+    slot.begin(engine.id());
     return new RunAction.Generate(
         slot.attemptId(epoch, step.number()),
         engine,
@@ -385,17 +385,6 @@
     return Math.max(trainerVersion, expected);
   }
 
-  /** Attempts that run now. */
-  public List<AttemptId> runningAttempts() {
-    List<AttemptId> attempts = new ArrayList<>();
-    for (StepWork step : work.values()) {
-      step.slots.stream()
-          .filter(slot -> slot.phase == SlotWork.Phase.GENERATING)
-          .forEach(slot -> attempts.add(slot.attemptId(epoch, step.number())));
-    }
-    return attempts;
-  }
-
   private boolean isOverAge(StepWork step, long oldestVersion) {
     long expected = expectedVersionAt(step.number());
     return oldestVersion != Long.MAX_VALUE && expected - oldestVersion > settings.stalenessBound();
--- a/core/src/main/java/org/passhaven/core/run/SlotWork.java
+++ b/core/src/main/java/org/passhaven/core/run/SlotWork.java
@@ -36,8 +36,6 @@
   int attempt;
   int position = -1;
   ServerId engine;
-  long engineIncarnation;
-  long engineVersion;
   final List<Segment> segments = new ArrayList<>();
   Sample sample;
 
@@ -49,11 +47,9 @@
     return new AttemptId(epoch, step, slot, attempt);
   }
 
-  void begin(ServerId chosen, long incarnation, long version) {
+  void begin(ServerId chosen) {
     attempt++;
     engine = chosen;
-    engineIncarnation = incarnation;
-    engineVersion = version;
     phase = Phase.GENERATING;
   }
 
--- a/emulator/src/main/java/org/passhaven/emulator/site/Site.java
+++ b/emulator/src/main/java/org/passhaven/emulator/site/Site.java
@@ -61,32 +61,4 @@
   public String zoneOf(int index) {
     return zones.get(index % zones.size());
   }
-
-  /**
-   * The same site with other numbers of nodes, engines and steps' sizes; for experiments at other
-   * sizes.
-   */
-  public Site resized(int nodes, int engines) {
-    int perZone = Math.max(1, (nodes + zones.size() - 1) / zones.size());
-    List<EngineGroup> groups =
-        engineGroups.stream()
-            .map(
-                group ->
-                    new EngineGroup(
-                        group.name(), group.model(), Math.max(1, engines / engineGroups.size())))
-            .toList();
-    return new Site(
-        name,
-        zones,
-        zoneLatencyMicros,
-        clientLatencyMicros,
-        perZone,
-        weightCopyMillis,
-        machineListLagMillis,
-        engine,
-        groups,
-        services,
-        trainers,
-        callers);
-  }
 }
