--- a/cli/src/main/java/org/passhaven/cli/NodeCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/NodeCommand.java
@@ -7,8 +7,8 @@
 import org.apache.commons.cli.Options;
 import org.passhaven.node.NodeSettings;
 import org.passhaven.node.http.NodeServer;
-import org.passhaven.platform.http.Address;
 import org.passhaven.protocol.NodeId;
+import org.passhaven.standin.Address;
 
 /** Runs one node until it is told to stop. */
 final class NodeCommand implements Command {
--- a/cli/src/main/java/org/passhaven/cli/OperatorClient.java
+++ b/cli/src/main/java/org/passhaven/cli/OperatorClient.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.passhaven.core.configuration.ConfigurationParser.SourceFile;
-import org.passhaven.platform.http.Address;
+import org.passhaven.standin.Address;
 
 /** Calls a node's operators' interface. */
 final class OperatorClient implements AutoCloseable {
--- a/emulator/src/main/java/org/passhaven/emulator/http/Emulator.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/Emulator.java
@@ -24,12 +24,12 @@
 import org.passhaven.emulator.model.ServiceModel;
 import org.passhaven.emulator.model.WeightStoreModel;
 import org.passhaven.emulator.site.Site;
-import org.passhaven.platform.MachineList.Kind;
-import org.passhaven.platform.MachineList.Machine;
-import org.passhaven.platform.MachineList.State;
-import org.passhaven.platform.Timers;
-import org.passhaven.platform.http.VertxTimers;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.MachineList.Kind;
+import org.passhaven.spi.MachineList.Machine;
+import org.passhaven.spi.MachineList.State;
+import org.passhaven.spi.Timers;
+import org.passhaven.standin.VertxTimers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/emulator/src/main/java/org/passhaven/emulator/http/EngineServer.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/EngineServer.java
@@ -8,12 +8,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import org.passhaven.emulator.model.EngineModel;
-import org.passhaven.platform.EngineService.GenerationRequest;
-import org.passhaven.platform.EngineService.OrderOutcome;
-import org.passhaven.platform.EngineService.VersionOrder;
-import org.passhaven.platform.Timers;
-import org.passhaven.platform.http.HttpEngineService;
 import org.passhaven.protocol.Segment;
+import org.passhaven.spi.EngineService.GenerationRequest;
+import org.passhaven.spi.EngineService.OrderOutcome;
+import org.passhaven.spi.EngineService.VersionOrder;
+import org.passhaven.spi.Timers;
+import org.passhaven.standin.HttpEngineService;
 
 /** An engine stand-in behind HTTP. */
 final class EngineServer {
--- a/emulator/src/main/java/org/passhaven/emulator/http/Exchange.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/Exchange.java
@@ -7,7 +7,7 @@
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.ext.web.RoutingContext;
 import java.io.IOException;
-import org.passhaven.platform.http.Headers;
+import org.passhaven.standin.Headers;
 
 /** Reads and writes the JSON of stand-ins. */
 final class Exchange {
--- a/emulator/src/main/java/org/passhaven/emulator/http/HttpCallerApi.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/HttpCallerApi.java
@@ -9,8 +9,8 @@
 import java.util.Objects;
 import org.passhaven.emulator.check.Checker.Told;
 import org.passhaven.emulator.load.CallerApi;
-import org.passhaven.platform.http.Address;
-import org.passhaven.platform.http.Headers;
+import org.passhaven.standin.Address;
+import org.passhaven.standin.Headers;
 
 /** A caller's requests over HTTP to one node. */
 final class HttpCallerApi implements CallerApi {
--- a/emulator/src/main/java/org/passhaven/emulator/http/HttpTrainerApi.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/HttpTrainerApi.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Objects;
 import org.passhaven.emulator.load.TrainerApi;
-import org.passhaven.platform.http.Address;
 import org.passhaven.protocol.Prompt;
 import org.passhaven.protocol.Sample;
+import org.passhaven.standin.Address;
 
 /** A trainer's calls over HTTP; a failed call goes to the next node. */
 final class HttpTrainerApi implements TrainerApi {
--- a/emulator/src/main/java/org/passhaven/emulator/http/LogServer.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/LogServer.java
@@ -5,8 +5,8 @@
 import io.vertx.mutiny.ext.web.RoutingContext;
 import java.util.Objects;
 import org.passhaven.emulator.model.LogModel;
-import org.passhaven.platform.Timers;
-import org.passhaven.platform.http.HttpLogService;
+import org.passhaven.spi.Timers;
+import org.passhaven.standin.HttpLogService;
 
 /** The log stand-in behind HTTP. */
 final class LogServer {
--- a/emulator/src/main/java/org/passhaven/emulator/http/ServiceServer.java
+++ b/emulator/src/main/java/org/passhaven/emulator/http/ServiceServer.java
@@ -6,9 +6,9 @@
 import io.vertx.mutiny.ext.web.RoutingContext;
 import java.util.Objects;
 import org.passhaven.emulator.model.ServiceModel;
-import org.passhaven.platform.ServiceBackEnd.Request;
-import org.passhaven.platform.ServiceBackEnd.Response;
-import org.passhaven.platform.Timers;
+import org.passhaven.spi.ServiceBackEnd.Request;
+import org.passhaven.spi.ServiceBackEnd.Response;
+import org.passhaven.spi.Timers;
 
 /** A service stand-in behind HTTP. */
 final class ServiceServer {
--- a/emulator/src/main/java/org/passhaven/emulator/load/CallerModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/load/CallerModel.java
@@ -9,7 +9,7 @@
 import org.passhaven.emulator.check.Checker;
 import org.passhaven.emulator.check.Checker.Told;
 import org.passhaven.emulator.model.ServiceModel;
-import org.passhaven.platform.Timers;
+import org.passhaven.spi.Timers;
 
 /**
  * A portal or a terminal: lookups at a steady pace, and now and then a request that must not run
--- a/emulator/src/main/java/org/passhaven/emulator/load/TrainerModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/load/TrainerModel.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 import java.util.Objects;
 import org.passhaven.emulator.check.Checker;
-import org.passhaven.platform.Timers;
 import org.passhaven.protocol.Prompt;
 import org.passhaven.protocol.Sample;
+import org.passhaven.spi.Timers;
 
 /**
  * A trainer: submits steps one ahead, pulls a step's samples until they are whole, trains on them,
--- a/emulator/src/main/java/org/passhaven/emulator/model/EngineModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/EngineModel.java
@@ -9,12 +9,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.passhaven.platform.EngineService.GenerationRequest;
-import org.passhaven.platform.EngineService.OrderOutcome;
-import org.passhaven.platform.EngineService.Report;
-import org.passhaven.platform.EngineService.VersionOrder;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService.GenerationRequest;
+import org.passhaven.spi.EngineService.OrderOutcome;
+import org.passhaven.spi.EngineService.Report;
+import org.passhaven.spi.EngineService.VersionOrder;
 
 /**
  * A model engine: continuous batching in steps, priorities, a prefix cache of limited memory, swaps
--- a/emulator/src/main/java/org/passhaven/emulator/model/LogModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/LogModel.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.passhaven.platform.LogService.Batch;
+import org.passhaven.spi.LogService.Batch;
 
 /** The platform's append-only log: streams of records with offsets. Not thread-safe. */
 public final class LogModel {
--- a/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/MachineListModel.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.passhaven.platform.MachineList.Listing;
-import org.passhaven.platform.MachineList.Machine;
-import org.passhaven.platform.MachineList.State;
+import org.passhaven.spi.MachineList.Listing;
+import org.passhaven.spi.MachineList.Machine;
+import org.passhaven.spi.MachineList.State;
 
 /** The platform's list of machines, seen with a lag, given out as changes. Thread-safe. */
 public final class MachineListModel {
--- a/emulator/src/main/java/org/passhaven/emulator/model/ServiceModel.java
+++ b/emulator/src/main/java/org/passhaven/emulator/model/ServiceModel.java
@@ -5,9 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import org.passhaven.emulator.check.Checker;
-import org.passhaven.platform.ServiceBackEnd.Request;
-import org.passhaven.platform.ServiceBackEnd.Response;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.ServiceBackEnd.Request;
+import org.passhaven.spi.ServiceBackEnd.Response;
 
 /**
  * A service server: claim lookups, flags, price queries, sales, scores. Answers name the request
--- a/emulator/src/test/java/org/passhaven/emulator/model/EngineModelTest.java
+++ b/emulator/src/test/java/org/passhaven/emulator/model/EngineModelTest.java
@@ -7,11 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.passhaven.platform.EngineService.GenerationRequest;
-import org.passhaven.platform.EngineService.OrderOutcome;
-import org.passhaven.platform.EngineService.VersionOrder;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService.GenerationRequest;
+import org.passhaven.spi.EngineService.OrderOutcome;
+import org.passhaven.spi.EngineService.VersionOrder;
 
 class EngineModelTest {
   private static final EngineSettings SETTINGS =
--- a/emulator/src/test/java/org/passhaven/emulator/model/LogModelTest.java
+++ b/emulator/src/test/java/org/passhaven/emulator/model/LogModelTest.java
@@ -5,7 +5,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.passhaven.platform.LogService;
+import org.passhaven.spi.LogService;
 
 class LogModelTest {
   private final LogModel log = new LogModel();
--- a/emulator/src/test/java/org/passhaven/emulator/model/MachineListModelTest.java
+++ b/emulator/src/test/java/org/passhaven/emulator/model/MachineListModelTest.java
@@ -6,10 +6,10 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.passhaven.platform.MachineList.Kind;
-import org.passhaven.platform.MachineList.Listing;
-import org.passhaven.platform.MachineList.Machine;
-import org.passhaven.platform.MachineList.State;
+import org.passhaven.spi.MachineList.Kind;
+import org.passhaven.spi.MachineList.Listing;
+import org.passhaven.spi.MachineList.Machine;
+import org.passhaven.spi.MachineList.State;
 
 class MachineListModelTest {
   private static final long LAG = 1_000;
--- a/node/src/main/java/org/passhaven/node/NodeContext.java
+++ b/node/src/main/java/org/passhaven/node/NodeContext.java
@@ -3,8 +3,8 @@
 import java.util.Objects;
 import java.util.function.IntUnaryOperator;
 import org.passhaven.node.stream.RecordSequence;
-import org.passhaven.platform.Platform;
-import org.passhaven.platform.Timers;
+import org.passhaven.spi.Platform;
+import org.passhaven.spi.Timers;
 
 /**
  * What every part of a node is given.
--- a/node/src/main/java/org/passhaven/node/backend/EngineDirectory.java
+++ b/node/src/main/java/org/passhaven/node/backend/EngineDirectory.java
@@ -16,10 +16,10 @@
 import org.passhaven.core.routing.BackEndHealth;
 import org.passhaven.core.routing.EngineView;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.EngineService.Report;
-import org.passhaven.platform.MachineList;
-import org.passhaven.platform.MachineList.Machine;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService.Report;
+import org.passhaven.spi.MachineList;
+import org.passhaven.spi.MachineList.Machine;
 
 /**
  * What this node knows of the engines that it uses. Only engines in use are asked for reports, and
--- a/node/src/main/java/org/passhaven/node/backend/MachineWatcher.java
+++ b/node/src/main/java/org/passhaven/node/backend/MachineWatcher.java
@@ -8,9 +8,9 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.MachineList.Kind;
-import org.passhaven.platform.MachineList.Listing;
-import org.passhaven.platform.MachineList.Machine;
+import org.passhaven.spi.MachineList.Kind;
+import org.passhaven.spi.MachineList.Listing;
+import org.passhaven.spi.MachineList.Machine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/node/src/main/java/org/passhaven/node/backend/ServiceDirectory.java
+++ b/node/src/main/java/org/passhaven/node/backend/ServiceDirectory.java
@@ -7,9 +7,9 @@
 import org.passhaven.core.routing.BackEndHealth;
 import org.passhaven.core.routing.ServiceView;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.MachineList;
-import org.passhaven.platform.MachineList.Machine;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.MachineList;
+import org.passhaven.spi.MachineList.Machine;
 
 /** What this node knows of service servers: own requests on them and their health. */
 public final class ServiceDirectory {
--- a/node/src/main/java/org/passhaven/node/http/Answers.java
+++ b/node/src/main/java/org/passhaven/node/http/Answers.java
@@ -8,7 +8,7 @@
 import io.vertx.mutiny.ext.web.RoutingContext;
 import java.io.IOException;
 import org.passhaven.node.run.RolloutService.RolloutException;
-import org.passhaven.platform.PlatformException;
+import org.passhaven.spi.PlatformException;
 
 /** Reads bodies and writes answers. */
 final class Answers {
--- a/node/src/main/java/org/passhaven/node/http/CompletionHandler.java
+++ b/node/src/main/java/org/passhaven/node/http/CompletionHandler.java
@@ -14,9 +14,9 @@
 import org.passhaven.core.routing.LeastLoadedPicker;
 import org.passhaven.node.Node;
 import org.passhaven.node.backend.EngineUse;
-import org.passhaven.platform.EngineService.GenerationRequest;
-import org.passhaven.platform.http.HttpEngineService;
 import org.passhaven.protocol.Segment;
+import org.passhaven.spi.EngineService.GenerationRequest;
+import org.passhaven.standin.HttpEngineService;
 
 /**
  * Interactive completions in the shape that client libraries speak: JSON, or server-sent events.
--- a/node/src/main/java/org/passhaven/node/http/ServiceHandler.java
+++ b/node/src/main/java/org/passhaven/node/http/ServiceHandler.java
@@ -7,8 +7,8 @@
 import org.passhaven.node.request.RequestOutcome;
 import org.passhaven.node.request.RequestService;
 import org.passhaven.node.request.RequestService.CallerRequest;
-import org.passhaven.platform.ServiceBackEnd;
-import org.passhaven.platform.http.Headers;
+import org.passhaven.spi.ServiceBackEnd;
+import org.passhaven.standin.Headers;
 
 /** Callers' ordinary requests: {@code /services/NAME/PATH}. */
 final class ServiceHandler {
--- a/node/src/main/java/org/passhaven/node/membership/MembershipAgent.java
+++ b/node/src/main/java/org/passhaven/node/membership/MembershipAgent.java
@@ -7,13 +7,13 @@
 import org.passhaven.core.membership.MembershipTable;
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.backend.MachineWatcher;
-import org.passhaven.platform.MachineList;
-import org.passhaven.platform.MachineList.Machine;
 import org.passhaven.protocol.MemberState;
 import org.passhaven.protocol.MemberState.Status;
 import org.passhaven.protocol.NodeId;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
+import org.passhaven.spi.MachineList;
+import org.passhaven.spi.MachineList.Machine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/node/src/main/java/org/passhaven/node/request/CarriedOutcome.java
+++ b/node/src/main/java/org/passhaven/node/request/CarriedOutcome.java
@@ -1,8 +1,8 @@
 package org.passhaven.node.request;
 
-import org.passhaven.platform.ServiceBackEnd.Response;
 import org.passhaven.protocol.PeerResponse;
 import org.passhaven.protocol.PeerResponse.Carried;
+import org.passhaven.spi.ServiceBackEnd.Response;
 
 /** Turns outcomes into messages between nodes and back. */
 final class CarriedOutcome {
--- a/node/src/main/java/org/passhaven/node/request/IntentAgent.java
+++ b/node/src/main/java/org/passhaven/node/request/IntentAgent.java
@@ -12,11 +12,11 @@
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.stream.StreamClient;
 import org.passhaven.node.stream.StreamListener;
-import org.passhaven.platform.ServiceBackEnd.Response;
-import org.passhaven.platform.Timers;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.LogEntry;
 import org.passhaven.protocol.LogRecord;
+import org.passhaven.spi.ServiceBackEnd.Response;
+import org.passhaven.spi.Timers;
 
 /** Durable intents of one stream: decides whether this node may send the request of a key. */
 final class IntentAgent implements StreamListener {
--- a/node/src/main/java/org/passhaven/node/request/KeyedRequests.java
+++ b/node/src/main/java/org/passhaven/node/request/KeyedRequests.java
@@ -13,11 +13,11 @@
 import org.passhaven.core.request.IntentTable;
 import org.passhaven.core.request.RequestDigest;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.ServiceBackEnd;
 import org.passhaven.protocol.MemberState;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.ServiceBackEnd;
 
 /**
  * Requests under an idempotency key: decides by the log which try may send, and where it is
--- a/node/src/main/java/org/passhaven/node/request/RequestOutcome.java
+++ b/node/src/main/java/org/passhaven/node/request/RequestOutcome.java
@@ -1,6 +1,6 @@
 package org.passhaven.node.request;
 
-import org.passhaven.platform.ServiceBackEnd.Response;
+import org.passhaven.spi.ServiceBackEnd.Response;
 
 /** What a caller is told; exactly one of three. */
 public sealed interface RequestOutcome {
--- a/node/src/main/java/org/passhaven/node/request/RequestService.java
+++ b/node/src/main/java/org/passhaven/node/request/RequestService.java
@@ -19,13 +19,13 @@
 import org.passhaven.core.routing.ServiceView;
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.backend.ServiceDirectory;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.ServiceBackEnd;
-import org.passhaven.platform.ServiceBackEnd.Response;
 import org.passhaven.protocol.MemberState;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.ServiceBackEnd;
+import org.passhaven.spi.ServiceBackEnd.Response;
 
 /**
  * Carries callers' requests to service servers.
--- a/node/src/main/java/org/passhaven/node/run/GenerationRunner.java
+++ b/node/src/main/java/org/passhaven/node/run/GenerationRunner.java
@@ -10,9 +10,9 @@
 import org.passhaven.core.run.RunAction;
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.backend.EngineDirectory;
-import org.passhaven.platform.EngineService;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService;
 
 /**
  * Runs generations on engines and tells what becomes of them. After {@link #cancelAll} or a cancel
--- a/node/src/main/java/org/passhaven/node/run/OwnerClient.java
+++ b/node/src/main/java/org/passhaven/node/run/OwnerClient.java
@@ -9,11 +9,11 @@
 import java.util.Objects;
 import java.util.function.Supplier;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.PlatformException;
 import org.passhaven.protocol.MemberState;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
 import org.passhaven.protocol.ShardId;
+import org.passhaven.spi.PlatformException;
 
 /**
  * Finds the owner of a shard and sends it requests. All of them may be repeated: a step is
--- a/node/src/main/java/org/passhaven/node/run/PullQueue.java
+++ b/node/src/main/java/org/passhaven/node/run/PullQueue.java
@@ -7,9 +7,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
-import org.passhaven.platform.Timers;
 import org.passhaven.protocol.PeerRequest.PullSamples;
 import org.passhaven.protocol.PeerResponse;
+import org.passhaven.spi.Timers;
 
 /** Pulls that wait for samples. */
 final class PullQueue {
--- a/node/src/main/java/org/passhaven/node/run/RolloutService.java
+++ b/node/src/main/java/org/passhaven/node/run/RolloutService.java
@@ -7,12 +7,12 @@
 import java.util.function.Supplier;
 import org.passhaven.core.configuration.ConfigurationImage;
 import org.passhaven.core.configuration.TrainerSettings;
-import org.passhaven.platform.PlatformException;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
 import org.passhaven.protocol.Prompt;
 import org.passhaven.protocol.Sample;
 import org.passhaven.protocol.ShardId;
+import org.passhaven.spi.PlatformException;
 
 /** What trainers ask for, over all shards of their run. */
 public final class RolloutService {
--- a/node/src/main/java/org/passhaven/node/run/RunAgent.java
+++ b/node/src/main/java/org/passhaven/node/run/RunAgent.java
@@ -20,7 +20,6 @@
 import org.passhaven.node.backend.EngineUse;
 import org.passhaven.node.stream.StreamClient;
 import org.passhaven.node.stream.StreamListener;
-import org.passhaven.platform.Timers;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.LogEntry;
 import org.passhaven.protocol.LogRecord;
@@ -29,6 +28,7 @@
 import org.passhaven.protocol.Sample;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ShardId;
+import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/node/src/main/java/org/passhaven/node/run/ServiceSampleScorer.java
+++ b/node/src/main/java/org/passhaven/node/run/ServiceSampleScorer.java
@@ -10,8 +10,8 @@
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.request.RequestOutcome;
 import org.passhaven.node.request.RequestService;
-import org.passhaven.platform.ServiceBackEnd;
 import org.passhaven.protocol.Sample;
+import org.passhaven.spi.ServiceBackEnd;
 
 /**
  * Scores samples by a configured service: {@code POST /score} with the tokens, answered by a score.
--- a/node/src/main/java/org/passhaven/node/run/VersionOrders.java
+++ b/node/src/main/java/org/passhaven/node/run/VersionOrders.java
@@ -7,9 +7,9 @@
 import org.passhaven.core.weights.VersionRollout;
 import org.passhaven.node.NodeContext;
 import org.passhaven.node.backend.EngineDirectory;
-import org.passhaven.platform.EngineService.OrderOutcome;
-import org.passhaven.platform.EngineService.VersionOrder;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService.OrderOutcome;
+import org.passhaven.spi.EngineService.VersionOrder;
 
 /**
  * Orders the engines of one owner's part to the trainer's version. The version is also the fence:
--- a/node/src/main/java/org/passhaven/node/stream/StreamClient.java
+++ b/node/src/main/java/org/passhaven/node/stream/StreamClient.java
@@ -8,12 +8,12 @@
 import java.util.List;
 import java.util.Objects;
 import org.passhaven.node.NodeContext;
-import org.passhaven.platform.LogService;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.LogEntry;
 import org.passhaven.protocol.LogRecord;
 import org.passhaven.protocol.RecordId;
+import org.passhaven.spi.LogService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/simulator/src/main/java/org/passhaven/simulator/network/SimulatedPeerTransport.java
+++ b/simulator/src/main/java/org/passhaven/simulator/network/SimulatedPeerTransport.java
@@ -5,13 +5,13 @@
 import java.util.Objects;
 import java.util.function.Function;
 import org.passhaven.node.Node;
-import org.passhaven.platform.PeerTransport;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
 import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.spi.PeerTransport;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** Messages between simulated nodes, through the real codec. */
 public final class SimulatedPeerTransport implements PeerTransport {
--- a/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
+++ b/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
-import org.passhaven.platform.Timers;
+import org.passhaven.spi.Timers;
 
 /**
  * A process in virtual time. Killed, all that it was to do is dropped; paused, it happens after the
--- a/simulator/src/main/java/org/passhaven/simulator/world/NodeHost.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/NodeHost.java
@@ -9,9 +9,9 @@
 import org.passhaven.node.NodeMetrics;
 import org.passhaven.node.NodeSettings;
 import org.passhaven.node.stream.RecordSequence;
-import org.passhaven.platform.Platform;
 import org.passhaven.simulator.network.TrafficMeter;
 import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.spi.Platform;
 
 /** A simulated machine that runs a node; each start is a new node with nothing in memory. */
 public final class NodeHost {
--- a/simulator/src/main/java/org/passhaven/simulator/world/Operators.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/Operators.java
@@ -7,8 +7,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.emulator.check.Checker;
 import org.passhaven.node.configuration.ConfigurationAgent.ApplyResult;
-import org.passhaven.platform.Timers;
 import org.passhaven.protocol.ConfigurationDocument;
+import org.passhaven.spi.Timers;
 
 /**
  * Operators who apply configurations, at times two at once, and watch that each accepted revision
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedCallerApi.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedCallerApi.java
@@ -6,9 +6,9 @@
 import org.passhaven.emulator.load.CallerApi;
 import org.passhaven.node.request.RequestOutcome;
 import org.passhaven.node.request.RequestService.CallerRequest;
-import org.passhaven.platform.ServiceBackEnd.Request;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.spi.ServiceBackEnd.Request;
 
 /** A caller's requests to one node. */
 final class SimulatedCallerApi implements CallerApi {
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedEngine.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedEngine.java
@@ -6,16 +6,16 @@
 import java.util.Objects;
 import org.passhaven.emulator.check.Checker;
 import org.passhaven.emulator.model.EngineModel;
-import org.passhaven.platform.EngineService.GenerationRequest;
-import org.passhaven.platform.EngineService.OrderOutcome;
-import org.passhaven.platform.EngineService.Report;
-import org.passhaven.platform.EngineService.VersionOrder;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.protocol.Segment;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.EngineService.GenerationRequest;
+import org.passhaven.spi.EngineService.OrderOutcome;
+import org.passhaven.spi.EngineService.Report;
+import org.passhaven.spi.EngineService.VersionOrder;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** An engine in virtual time: its model, its process, and its manners on the network. */
 public final class SimulatedEngine {
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedLog.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedLog.java
@@ -7,13 +7,13 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.core.request.IntentTable;
 import org.passhaven.emulator.model.LogModel;
-import org.passhaven.platform.LogService;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.network.TrafficMeter;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.LogService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /**
  * The platform's log in virtual time; may be down, slow, or lose answers after the write took
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedPlatform.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedPlatform.java
@@ -5,16 +5,16 @@
 import java.util.Map;
 import java.util.Objects;
 import org.passhaven.emulator.model.MachineListModel;
-import org.passhaven.platform.EngineService;
-import org.passhaven.platform.MachineList;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
-import org.passhaven.platform.ServiceBackEnd;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.Segment;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.network.TrafficMeter;
 import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.spi.EngineService;
+import org.passhaven.spi.MachineList;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
+import org.passhaven.spi.ServiceBackEnd;
 
 /** Engines, servers and the machine list as one simulated node reaches them. */
 final class SimulatedPlatform {
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedServer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedServer.java
@@ -5,13 +5,13 @@
 import java.util.Objects;
 import org.passhaven.emulator.check.Checker;
 import org.passhaven.emulator.model.ServiceModel;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
-import org.passhaven.platform.ServiceBackEnd.Request;
-import org.passhaven.platform.ServiceBackEnd.Response;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
+import org.passhaven.spi.ServiceBackEnd.Request;
+import org.passhaven.spi.ServiceBackEnd.Response;
 
 /** A service server in virtual time. */
 public final class SimulatedServer {
--- a/simulator/src/main/java/org/passhaven/simulator/world/SimulatedTrainerApi.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/SimulatedTrainerApi.java
@@ -6,11 +6,11 @@
 import java.util.function.Function;
 import org.passhaven.emulator.load.TrainerApi;
 import org.passhaven.node.Node;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.protocol.Prompt;
 import org.passhaven.simulator.network.SimulatedNetwork;
 import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** A trainer's calls to the node beside it; a failed call goes to the next node. */
 final class SimulatedTrainerApi implements TrainerApi {
--- a/simulator/src/main/java/org/passhaven/simulator/world/World.java
+++ b/simulator/src/main/java/org/passhaven/simulator/world/World.java
@@ -17,10 +17,6 @@
 import org.passhaven.emulator.model.WeightStoreModel;
 import org.passhaven.emulator.site.Site;
 import org.passhaven.node.NodeSettings;
-import org.passhaven.platform.MachineList.Kind;
-import org.passhaven.platform.MachineList.Machine;
-import org.passhaven.platform.MachineList.State;
-import org.passhaven.platform.Platform;
 import org.passhaven.protocol.NodeId;
 import org.passhaven.protocol.ServerId;
 import org.passhaven.simulator.network.SimulatedNetwork;
@@ -28,6 +24,10 @@
 import org.passhaven.simulator.network.TrafficMeter;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.MachineList.Kind;
+import org.passhaven.spi.MachineList.Machine;
+import org.passhaven.spi.MachineList.State;
+import org.passhaven.spi.Platform;
 
 /** A whole simulated site: platform, nodes, load and checker. Everything follows from the seed. */
 public final class World {
--- a/platform/src/main/java/org/passhaven/platform/Timers.java
+++ b/spi/src/main/java/org/passhaven/spi/Timers.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform;
+package org.passhaven.spi;
 
 import io.smallrye.mutiny.Uni;
 import java.util.concurrent.atomic.AtomicBoolean;
--- a/platform/src/main/java/org/passhaven/platform/package-info.java
+++ b/spi/src/main/java/org/passhaven/spi/package-info.java
@@ -2,4 +2,4 @@
  * Narrow interfaces to everything outside passhaven's own processes. One implementation a site's
  * dialect.
  */
-package org.passhaven.platform;
+package org.passhaven.spi;
--- a/platform/src/main/java/org/passhaven/platform/http/Address.java
+++ b/standin/src/main/java/org/passhaven/standin/Address.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 /** Host and port of a process. */
 public record Address(String host, int port) {
--- a/platform/src/main/java/org/passhaven/platform/http/Headers.java
+++ b/standin/src/main/java/org/passhaven/standin/Headers.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 /** HTTP headers that passhaven and back ends share. */
 public final class Headers {
--- a/platform/src/main/java/org/passhaven/platform/http/HttpEngineService.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpEngineService.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
@@ -14,11 +14,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.passhaven.platform.EngineService;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ServerId;
+import org.passhaven.spi.EngineService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** Engines over HTTP: completions as server-sent events, orders and reports as JSON. */
 public final class HttpEngineService implements EngineService {
--- a/platform/src/main/java/org/passhaven/platform/http/HttpLogService.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpLogService.java
@@ -1,10 +1,10 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.List;
 import java.util.Objects;
-import org.passhaven.platform.LogService;
+import org.passhaven.spi.LogService;
 
 /** The platform's log over HTTP. */
 public final class HttpLogService implements LogService {
--- a/platform/src/main/java/org/passhaven/platform/http/HttpMachineList.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpMachineList.java
@@ -1,9 +1,9 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.Objects;
-import org.passhaven.platform.MachineList;
+import org.passhaven.spi.MachineList;
 
 /** The platform's machine list over HTTP. */
 public final class HttpMachineList implements MachineList {
--- a/platform/src/main/java/org/passhaven/platform/http/HttpPeerTransport.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpPeerTransport.java
@@ -1,17 +1,17 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.Objects;
-import org.passhaven.platform.PeerTransport;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.PeerRequest;
 import org.passhaven.protocol.PeerResponse;
+import org.passhaven.spi.PeerTransport;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** MessagePack over HTTP between nodes. */
 public final class HttpPeerTransport implements PeerTransport {
--- a/platform/src/main/java/org/passhaven/platform/http/HttpServiceBackEnd.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpServiceBackEnd.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
@@ -6,9 +6,9 @@
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.util.Objects;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
-import org.passhaven.platform.ServiceBackEnd;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
+import org.passhaven.spi.ServiceBackEnd;
 
 /** Service servers over HTTP. */
 public final class HttpServiceBackEnd implements ServiceBackEnd {
--- a/platform/src/main/java/org/passhaven/platform/http/JsonHttp.java
+++ b/standin/src/main/java/org/passhaven/standin/JsonHttp.java
@@ -1,4 +1,4 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -12,8 +12,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.Objects;
-import org.passhaven.platform.PlatformException;
-import org.passhaven.platform.PlatformException.Kind;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
 
 /** JSON over HTTP with this layer's errors. Used on the thread that owns the client. */
 final class JsonHttp {
--- a/platform/src/main/java/org/passhaven/platform/http/VertxTimers.java
+++ b/standin/src/main/java/org/passhaven/standin/VertxTimers.java
@@ -1,9 +1,9 @@
-package org.passhaven.platform.http;
+package org.passhaven.standin;
 
 import io.vertx.mutiny.core.Vertx;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import org.passhaven.platform.Timers;
+import org.passhaven.spi.Timers;
 
 /** Timers of the event loop that sets them. */
 public final class VertxTimers implements Timers {
--- /dev/null
+++ b/standin/src/main/java/org/passhaven/standin/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients for the interfaces in {@link org.passhaven.spi}. */
+package org.passhaven.standin;
