--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
@@ -0,0 +1,34 @@
+package org.passhaven.core.backend;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * One start of a server, as it lists itself.
+ *
+ * @param instance name of this start
+ * @param slots requests that it works on at once
+ * @param ready whether it takes new work
+ * @param versions weight version by model; empty for servers without models
+ */
+public record ServerEntry(
+    String instance,
+    String service,
+    String address,
+    String zone,
+    int slots,
+    boolean ready,
+    Map<String, Long> versions) {
+  public ServerEntry {
+    Objects.requireNonNull(instance, "instance");
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(zone, "zone");
+    versions = Map.copyOf(versions);
+  }
+
+  /** Weight version of a model; zero if the server does not say that it serves it. */
+  public long versionOf(String model) {
+    return versions.getOrDefault(model, 0L);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/backend/ServerTable.java
@@ -0,0 +1,50 @@
+package org.passhaven.core.backend;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Servers as the platform lists them now. Not thread-safe. */
+public final class ServerTable {
+  private final Map<String, ServerEntry> servers = new TreeMap<>();
+
+  /** A server listed itself or changed its entry. */
+  public void put(ServerEntry entry) {
+    servers.put(entry.instance(), entry);
+  }
+
+  /** A server's entry is gone. */
+  public void remove(String instance) {
+    servers.remove(instance);
+  }
+
+  /** Keeps only the named servers: the table was listed anew. */
+  public void retain(Set<String> instances) {
+    servers.keySet().retainAll(instances);
+  }
+
+  /** The entry of a server; null if there is none. */
+  public ServerEntry get(String instance) {
+    return servers.get(instance);
+  }
+
+  /** Whether new work may go to this start of a server. */
+  public boolean isReady(String instance) {
+    ServerEntry entry = servers.get(instance);
+    return entry != null && entry.ready();
+  }
+
+  /** Servers of a service that take new work. */
+  public List<ServerEntry> readyOf(String service) {
+    return servers.values().stream()
+        .filter(entry -> entry.ready() && entry.service().equals(service))
+        .toList();
+  }
+
+  /** All entries. */
+  public Collection<ServerEntry> all() {
+    return List.copyOf(servers.values());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/ItemRun.java
@@ -0,0 +1,38 @@
+package org.passhaven.core.job;
+
+import org.passhaven.protocol.job.JobItem;
+
+/** How far the runner is with one item. Not thread-safe. */
+final class ItemRun {
+  enum Phase {
+    WAITING,
+    GENERATING,
+    WAITING_FOR_SCORE,
+    SCORING,
+    FINISHING,
+    DONE
+  }
+
+  final JobWork job;
+  final JobItem item;
+  Phase phase = Phase.WAITING;
+  ItemText text = new ItemText();
+  long attempt;
+  String server = "";
+  long version;
+  long startedAt;
+  long progressAt;
+  long notBefore = Long.MIN_VALUE;
+  int serverErrors;
+  int scoreErrors;
+  int moves;
+
+  ItemRun(JobWork job, JobItem item) {
+    this.job = job;
+    this.item = item;
+  }
+
+  void restartText() {
+    text = new ItemText();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/JobPolicy.java
@@ -0,0 +1,18 @@
+package org.passhaven.core.job;
+
+import java.util.Objects;
+
+/**
+ * What the configuration says of a job's route.
+ *
+ * @param service service that generates
+ * @param mostServerErrors answers of 500 after which an item is given up
+ * @param singleVersion whether a text must come from one weight version
+ * @param giveUpMillis age of a job at which its items are given up; zero for never
+ */
+public record JobPolicy(
+    String service, int mostServerErrors, boolean singleVersion, long giveUpMillis) {
+  public JobPolicy {
+    Objects.requireNonNull(service, "service");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -0,0 +1,468 @@
+package org.passhaven.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.protocol.job.JobRecord;
+
+/**
+ * Decisions of the node that runs jobs: which item generates where, when it moves on to another
+ * server, when its text is scored, what its result is. Text lives here only until its result is in
+ * the log; a successor generates it anew. Times in monotonic milliseconds. Not thread-safe.
+ */
+public final class JobScheduler {
+  private static final int AWAITED_PRIORITY = 3;
+  private static final int LATER_PRIORITY = 6;
+  private static final double AFFINITY_GAIN = 0.3;
+  private static final double OTHER_ZONE_COST = 0.05;
+  private static final double SLOW_RATIO = 1.8;
+  private static final int MOST_MOVES = 6;
+  private static final long MOVE_AFTER_MILLIS = 250;
+  private static final long FIRST_EVENT_MILLIS = 1_200;
+  private static final long NEXT_EVENT_MILLIS = 700;
+  private static final long STALL_AVOIDED_MILLIS = 600;
+  private static final long REFUSED_AVOIDED_MILLIS = 80;
+  private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 40;
+  private static final long SCORE_RETRY_MILLIS = 100;
+  private static final int MOST_KEPT_TEXTS = 512;
+
+  /** What is known of a generation that ended without its whole text. */
+  public enum Failure {
+    /** The server did not take it. */
+    REFUSED,
+    /** Not the server or version that was meant. */
+    MISDIRECTED,
+    /** The server failed on it. */
+    SERVER_ERROR,
+    /** It can never be done. */
+    IMPOSSIBLE,
+    /** The server was not reached, or the stream broke off. */
+    CUT
+  }
+
+  private final String zone;
+  private final Map<String, JobWork> jobs = new LinkedHashMap<>();
+  private final Map<Long, ItemRun> generating = new HashMap<>();
+  private final Map<String, ItemText> kept = new LinkedHashMap<>();
+  private final Map<String, String> serverByGroup = new HashMap<>();
+  private final ServerHealth health = new ServerHealth();
+  private final ServerPace pace = new ServerPace();
+  private long nextAttempt = 1;
+
+  /** Creates the scheduler of a node in {@code zone}. */
+  public JobScheduler(String zone) {
+    this.zone = Objects.requireNonNull(zone, "zone");
+  }
+
+  /** Whether this node runs a job. */
+  public boolean isRunning(String job) {
+    return jobs.containsKey(job);
+  }
+
+  /** Names of the jobs that this node runs. */
+  public List<String> running() {
+    return List.copyOf(jobs.keySet());
+  }
+
+  /** Begins to run a job, or takes in what the configuration now says of it. */
+  public void take(Job job, JobPolicy policy) {
+    JobWork known = jobs.get(job.id());
+    if (known != null) {
+      known.policy = policy;
+      return;
+    }
+    JobWork work = new JobWork(job, policy);
+    jobs.put(job.id(), work);
+    work.runs.values().forEach(this::useKeptText);
+  }
+
+  private void useKeptText(ItemRun run) {
+    ItemText text = kept.remove(run.item.id());
+    boolean fits =
+        text != null
+            && text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
+    if (fits && run.phase == ItemRun.Phase.WAITING) {
+      run.text = text;
+    }
+  }
+
+  /** Runs a job no longer: it was ended, or another node runs it. Its text so far is kept. */
+  public List<JobAction> drop(String job, String why) {
+    List<JobAction> actions = new ArrayList<>();
+    JobWork work = jobs.remove(job);
+    if (work == null) {
+      return actions;
+    }
+    for (ItemRun run : work.runs.values()) {
+      stop(run, why, actions);
+      if (!run.text.isEmpty() && run.phase != ItemRun.Phase.DONE) {
+        keep(run);
+      }
+      run.phase = ItemRun.Phase.DONE;
+    }
+    return actions;
+  }
+
+  private void keep(ItemRun run) {
+    kept.put(run.item.id(), run.text);
+    if (kept.size() > MOST_KEPT_TEXTS) {
+      kept.remove(kept.keySet().iterator().next());
+    }
+  }
+
+  /** An item's result was read from the log, whoever wrote it. */
+  public List<JobAction> onListed(String job, String item) {
+    List<JobAction> actions = new ArrayList<>();
+    JobWork work = jobs.get(job);
+    ItemRun run = work == null ? null : work.runs.get(item);
+    if (run != null) {
+      stop(run, "listed", actions);
+      run.phase = ItemRun.Phase.DONE;
+      if (work.isDone()) {
+        jobs.remove(job);
+      }
+    }
+    return actions;
+  }
+
+  private void stop(ItemRun run, String why, List<JobAction> actions) {
+    if (run.phase == ItemRun.Phase.GENERATING) {
+      actions.add(new JobAction.Stop(run.attempt, why));
+      leaveServer(run);
+    }
+  }
+
+  private void leaveServer(ItemRun run) {
+    generating.remove(run.attempt);
+    health.onEnded(run.server);
+    run.phase = ItemRun.Phase.WAITING;
+  }
+
+  /** All that is due now: items given up, generations moved, generations and scores begun. */
+  public List<JobAction> decide(Collection<ServerEntry> servers, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    Map<String, ServerEntry> ready =
+        servers.stream()
+            .filter(ServerEntry::ready)
+            .collect(Collectors.toMap(ServerEntry::instance, server -> server));
+    pace.retain(ready.keySet());
+    health.retain(ready.keySet());
+    for (JobWork work : byUrgency()) {
+      giveUpOld(work, nowMillis, actions);
+      work.runs.values().stream()
+          .filter(run -> run.phase == ItemRun.Phase.WAITING_FOR_SCORE)
+          .filter(run -> run.notBefore <= nowMillis)
+          .forEach(run -> score(run, actions));
+      for (ItemRun run : work.waiting(nowMillis)) {
+        start(run, ready.values(), priorityOf(work), nowMillis, actions);
+      }
+    }
+    for (ItemRun run : List.copyOf(generating.values())) {
+      moveIfHeldUp(run, ready, nowMillis, actions);
+    }
+    return actions;
+  }
+
+  /** Jobs that a trainer waits for first: the lowest step of each run before later ones. */
+  private List<JobWork> byUrgency() {
+    return jobs.values().stream()
+        .sorted(Comparator.comparingLong((JobWork work) -> work.job.submission().step()))
+        .toList();
+  }
+
+  private int priorityOf(JobWork work) {
+    String run = work.job.submission().run();
+    long step = work.job.submission().step();
+    boolean earlier =
+        jobs.values().stream()
+            .anyMatch(
+                other ->
+                    other.job.submission().run().equals(run)
+                        && other.job.submission().step() < step);
+    return earlier ? LATER_PRIORITY : AWAITED_PRIORITY;
+  }
+
+  private void giveUpOld(JobWork work, long nowMillis, List<JobAction> actions) {
+    long limit = work.policy.giveUpMillis();
+    if (limit <= 0 || nowMillis - work.job.acceptedAtMillis() < limit) {
+      return;
+    }
+    for (ItemRun run : work.runs.values()) {
+      if (run.phase == ItemRun.Phase.WAITING || run.phase == ItemRun.Phase.GENERATING) {
+        stop(run, "too old", actions);
+        finish(run, false, "", actions);
+      }
+    }
+  }
+
+  private void start(
+      ItemRun run,
+      Collection<ServerEntry> ready,
+      int priority,
+      long nowMillis,
+      List<JobAction> actions) {
+    Optional<ServerEntry> chosen = choose(run, ready, nowMillis);
+    if (chosen.isEmpty()) {
+      return;
+    }
+    begin(run, chosen.get(), priority, nowMillis, actions);
+  }
+
+  private void begin(
+      ItemRun run, ServerEntry server, int priority, long nowMillis, List<JobAction> actions) {
+    run.phase = ItemRun.Phase.GENERATING;
+    run.attempt = nextAttempt++;
+    run.server = server.instance();
+    run.version = 0;
+    run.startedAt = nowMillis;
+    run.progressAt = nowMillis;
+    generating.put(run.attempt, run);
+    health.onSent(server.instance());
+    serverByGroup.put(run.item.group(), server.instance());
+    actions.add(
+        new JobAction.Start(
+            run.attempt,
+            server,
+            run.job.job.submission(),
+            run.item,
+            run.text.lastEvent(),
+            priority));
+  }
+
+  private Optional<ServerEntry> choose(ItemRun run, Collection<ServerEntry> ready, long nowMillis) {
+    List<String> service =
+        ready.stream()
+            .filter(server -> server.service().equals(run.job.policy.service()))
+            .map(ServerEntry::instance)
+            .toList();
+    return ready.stream()
+        .filter(server -> mayServe(run, server, nowMillis))
+        .min(
+            Comparator.comparingDouble(
+                    (ServerEntry server) -> cost(run, server, service, nowMillis))
+                .thenComparing(ServerEntry::instance));
+  }
+
+  private boolean mayServe(ItemRun run, ServerEntry server, long nowMillis) {
+    String model = run.job.job.submission().model();
+    boolean versionFits =
+        model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
+    return server.service().equals(run.job.policy.service())
+        && versionFits
+        && !health.isAvoided(server.instance(), nowMillis)
+        && health.inProgress(server.instance()) < Math.max(1, server.slots());
+  }
+
+  private double cost(ItemRun run, ServerEntry server, Collection<String> service, long nowMillis) {
+    double load = health.inProgress(server.instance()) / (double) Math.max(1, server.slots());
+    double cost = pace.ratio(server.instance(), service, nowMillis) * (1 + load);
+    if (server.instance().equals(serverByGroup.get(run.item.group()))) {
+      cost -= AFFINITY_GAIN;
+    }
+    return server.zone().equals(zone) ? cost : cost + OTHER_ZONE_COST;
+  }
+
+  /** Moves a generation that has stalled, or whose server is slow or leaves, if there is room. */
+  private void moveIfHeldUp(
+      ItemRun run, Map<String, ServerEntry> ready, long nowMillis, List<JobAction> actions) {
+    long patience = run.version == 0 ? FIRST_EVENT_MILLIS : NEXT_EVENT_MILLIS;
+    if (nowMillis - run.progressAt >= patience) {
+      health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
+      stop(run, "stalled", actions);
+      run.moves++;
+      return;
+    }
+    boolean settled = nowMillis - run.startedAt >= MOVE_AFTER_MILLIS;
+    if (!settled || run.moves >= MOST_MOVES || !isSlow(run.server, ready, nowMillis)) {
+      return;
+    }
+    Optional<ServerEntry> better =
+        choose(run, ready.values(), nowMillis)
+            .filter(server -> !server.instance().equals(run.server))
+            .filter(server -> !isSlow(server.instance(), ready, nowMillis));
+    if (better.isPresent()) {
+      stop(run, "slow server", actions);
+      run.moves++;
+      begin(run, better.get(), priorityOf(run.job), nowMillis, actions);
+    }
+  }
+
+  private boolean isSlow(String server, Map<String, ServerEntry> ready, long nowMillis) {
+    ServerEntry entry = ready.get(server);
+    if (entry == null) {
+      return false;
+    }
+    List<String> service =
+        ready.values().stream()
+            .filter(other -> other.service().equals(entry.service()))
+            .map(ServerEntry::instance)
+            .toList();
+    return pace.ratio(server, service, nowMillis) >= SLOW_RATIO;
+  }
+
+  /** A server began a generation under a weight version; zero if it names none. */
+  public List<JobAction> onBegan(long attempt, long version, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = generating.get(attempt);
+    if (run != null) {
+      onVersion(run, version, nowMillis, actions);
+    }
+    return actions;
+  }
+
+  private boolean onVersion(ItemRun run, long version, long nowMillis, List<JobAction> actions) {
+    run.version = version;
+    boolean tooOld = version < run.job.job.submission().oldestVersion();
+    List<Long> made = run.text.versions();
+    boolean mixed = run.job.policy.singleVersion() && !made.isEmpty() && made.get(0) != version;
+    if (!tooOld && !mixed) {
+      return true;
+    }
+    stop(run, tooOld ? "version too old" : "version changed", actions);
+    if (mixed) {
+      run.restartText();
+    } else {
+      health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
+    }
+    return false;
+  }
+
+  /** An event came; {@code version} is zero if it is the same as before. */
+  public List<JobAction> onEvent(
+      long attempt, long event, long version, String data, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = generating.get(attempt);
+    if (run == null) {
+      return actions;
+    }
+    if (version != 0 && !onVersion(run, version, nowMillis, actions)) {
+      return actions;
+    }
+    boolean first = run.progressAt == run.startedAt;
+    if (!first) {
+      pace.onPause(run.server, nowMillis - run.progressAt, nowMillis);
+    }
+    run.progressAt = nowMillis;
+    if (!run.text.append(event, run.version, data)) {
+      stop(run, "event out of order", actions);
+      health.onFailure(run.server, nowMillis);
+    }
+    return actions;
+  }
+
+  /** A generation has ended with its whole text. */
+  public List<JobAction> onWhole(long attempt, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = generating.get(attempt);
+    if (run == null) {
+      return actions;
+    }
+    health.onSuccess(run.server, nowMillis - run.startedAt, nowMillis);
+    leaveServer(run);
+    if (run.item.score() == null) {
+      finish(run, true, "", actions);
+    } else {
+      score(run, actions);
+    }
+    return actions;
+  }
+
+  private void score(ItemRun run, List<JobAction> actions) {
+    run.phase = ItemRun.Phase.SCORING;
+    actions.add(new JobAction.Score(run.job.job.submission(), run.item));
+  }
+
+  /** A generation has ended without its whole text. */
+  public List<JobAction> onFailed(long attempt, Failure failure, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = generating.get(attempt);
+    if (run == null) {
+      return actions;
+    }
+    leaveServer(run);
+    run.notBefore = nowMillis + RETRY_MILLIS;
+    switch (failure) {
+      case REFUSED -> health.avoid(run.server, REFUSED_AVOIDED_MILLIS, nowMillis);
+      case MISDIRECTED -> health.avoid(run.server, MISDIRECTED_AVOIDED_MILLIS, nowMillis);
+      case CUT -> health.onFailure(run.server, nowMillis);
+      case SERVER_ERROR -> run.serverErrors++;
+      case IMPOSSIBLE -> finish(run, false, "", actions);
+    }
+    if (run.serverErrors >= run.job.policy.mostServerErrors()
+        && run.phase == ItemRun.Phase.WAITING) {
+      finish(run, false, "", actions);
+    }
+    return actions;
+  }
+
+  /** The score of an item's text came. */
+  public List<JobAction> onScored(String job, String item, String score) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = scoring(job, item);
+    if (run != null) {
+      finish(run, true, score, actions);
+    }
+    return actions;
+  }
+
+  /**
+   * An item's score did not come.
+   *
+   * @param serverErrors answers of 500 that the request got this time
+   * @param mostServerErrors answers of 500 after which the item is given up
+   */
+  public List<JobAction> onScoreFailed(
+      String job, String item, int serverErrors, int mostServerErrors, long nowMillis) {
+    List<JobAction> actions = new ArrayList<>();
+    ItemRun run = scoring(job, item);
+    if (run == null) {
+      return actions;
+    }
+    run.scoreErrors += serverErrors;
+    if (run.scoreErrors >= mostServerErrors) {
+      finish(run, false, "", actions);
+    } else {
+      run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
+      run.notBefore = nowMillis + SCORE_RETRY_MILLIS;
+    }
+    return actions;
+  }
+
+  private ItemRun scoring(String job, String item) {
+    JobWork work = jobs.get(job);
+    ItemRun run = work == null ? null : work.runs.get(item);
+    return run != null && run.phase == ItemRun.Phase.SCORING ? run : null;
+  }
+
+  private void finish(ItemRun run, boolean completed, String score, List<JobAction> actions) {
+    run.phase = ItemRun.Phase.FINISHING;
+    actions.add(
+        new JobAction.Finish(
+            new JobRecord.ItemFinished(
+                run.job.job.id(),
+                run.item.id(),
+                completed,
+                completed ? run.text.data() : "",
+                completed ? run.text.versions() : List.of(),
+                score)));
+  }
+
+  /** Number of items by phase, for logs and metrics. */
+  public Map<String, Long> phases() {
+    return jobs.values().stream()
+        .flatMap(work -> work.runs.values().stream())
+        .collect(
+            Collectors.groupingBy(run -> run.phase.name(), TreeMap::new, Collectors.counting()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -0,0 +1,103 @@
+package org.passhaven.core.job;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.job.JobRecord;
+import org.passhaven.protocol.job.JobSubmission;
+
+/**
+ * Fold of the records of jobs. All readers of a partition hold the same jobs, results and
+ * positions. A record that says again what an earlier one said is ignored. Not thread-safe.
+ */
+public final class JobTable {
+  /** What folding one record did to a job. */
+  public enum Effect {
+    /** A copy, or a record of an unknown job. */
+    IGNORED,
+    /** The job is accepted. */
+    ACCEPTED,
+    /** An item got its result. */
+    LISTED,
+    /** The caller ended the job. */
+    ENDED
+  }
+
+  private record PartKey(String job, long attempt) {}
+
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<PartKey, List<byte[]>> parts = new HashMap<>();
+  private final Map<String, Long> endedUnknown = new HashMap<>();
+
+  /** Folds one record that was read at {@code nowMillis}. */
+  public Effect apply(JobRecord record, long nowMillis) {
+    if (record instanceof JobRecord.JobPart part) {
+      return onPart(part, nowMillis);
+    }
+    Job job = jobs.get(record.job());
+    if (job == null) {
+      if (record instanceof JobRecord.JobEnded) {
+        endedUnknown.put(record.job(), nowMillis);
+      }
+      return Effect.IGNORED;
+    }
+    if (record instanceof JobRecord.ItemFinished result) {
+      return job.list(result) ? Effect.LISTED : Effect.IGNORED;
+    }
+    return job.end() ? Effect.ENDED : Effect.IGNORED;
+  }
+
+  private Effect onPart(JobRecord.JobPart part, long nowMillis) {
+    if (jobs.containsKey(part.job())) {
+      return Effect.IGNORED;
+    }
+    PartKey key = new PartKey(part.job(), part.attempt());
+    List<byte[]> pieces = parts.computeIfAbsent(key, unused -> new ArrayList<>());
+    if (part.part() != pieces.size()) {
+      return Effect.IGNORED;
+    }
+    pieces.add(part.content());
+    if (pieces.size() < part.parts()) {
+      return Effect.IGNORED;
+    }
+    parts.keySet().removeIf(other -> other.job().equals(part.job()));
+    return accept(part.job(), pieces, nowMillis);
+  }
+
+  private Effect accept(String id, List<byte[]> pieces, long nowMillis) {
+    ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    pieces.forEach(whole::writeBytes);
+    try {
+      Job job = new Job(Codec.decode(whole.toByteArray(), JobSubmission.class), nowMillis);
+      jobs.put(id, job);
+      if (endedUnknown.remove(id) != null) {
+        job.end();
+      }
+      return Effect.ACCEPTED;
+    } catch (CodecException e) {
+      return Effect.IGNORED;
+    }
+  }
+
+  /** A job; null if it is unknown or forgotten. */
+  public Job get(String id) {
+    return jobs.get(id);
+  }
+
+  /** All jobs in the order of their acceptance. */
+  public Collection<Job> all() {
+    return jobs.values();
+  }
+
+  /** Forgets what was accepted before {@code beforeMillis} and is not open. */
+  public void forget(long beforeMillis) {
+    jobs.values().removeIf(job -> job.acceptedAtMillis() < beforeMillis && !job.isOpen());
+    endedUnknown.values().removeIf(at -> at < beforeMillis);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -0,0 +1,96 @@
+package org.passhaven.core.member;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.passhaven.core.placement.Member;
+import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.protocol.member.MemberBeat;
+
+/**
+ * Live nodes by their beats. Silence is counted against the newest beat of anybody, not against the
+ * clock: a log that is down, or a node that can't reach it, makes nobody dead. Times in monotonic
+ * milliseconds of the reader. Not thread-safe.
+ */
+public final class BeatTable {
+  private final long silenceMillis;
+  private final Map<String, Heard> members = new TreeMap<>();
+  private long newestMillis = Long.MIN_VALUE;
+
+  private record Heard(MemberBeat beat, long atMillis) {}
+
+  /** Creates a table in which a node is dead after {@code silenceMillis} without a beat. */
+  public BeatTable(long silenceMillis) {
+    this.silenceMillis = silenceMillis;
+  }
+
+  /** A beat was read. */
+  public void onBeat(MemberBeat beat, long nowMillis) {
+    Objects.requireNonNull(beat, "beat");
+    newestMillis = Math.max(newestMillis, nowMillis);
+    Heard known = members.get(beat.node());
+    // A clock that was set back may give a new start a lower number; silence of the old one
+    // decides.
+    boolean silent = known == null || newestMillis - known.atMillis() >= silenceMillis;
+    if (silent || beat.incarnation() >= known.beat().incarnation()) {
+      members.put(beat.node(), new Heard(beat, nowMillis));
+    }
+  }
+
+  /** Time of the newest beat of anybody; the smallest number if none was read. */
+  public long newestMillis() {
+    return newestMillis;
+  }
+
+  /** Live nodes that take new work, by name. */
+  public List<MemberBeat> taking() {
+    return members.values().stream()
+        .filter(heard -> newestMillis - heard.atMillis() < silenceMillis)
+        .map(Heard::beat)
+        .filter(MemberBeat::taking)
+        .sorted(Comparator.comparing(MemberBeat::node))
+        .toList();
+  }
+
+  /** Whether a node is alive and takes new work. */
+  public boolean isTaking(String node) {
+    return taking().stream().anyMatch(beat -> beat.node().equals(node));
+  }
+
+  /** The node that a key belongs to; empty if no node is known. */
+  public String ownerOf(String key) {
+    List<Member> ranked = rank(key);
+    return ranked.isEmpty() ? "" : ranked.get(0).name();
+  }
+
+  /** Place of a node among the candidates for a key, from zero; the last one if it is unknown. */
+  public int rankOf(String key, String node) {
+    List<Member> ranked = rank(key);
+    for (int place = 0; place < ranked.size(); place++) {
+      if (ranked.get(place).name().equals(node)) {
+        return place;
+      }
+    }
+    return ranked.size();
+  }
+
+  private List<Member> rank(String key) {
+    List<Member> candidates =
+        taking().stream().map(beat -> new Member(beat.node(), beat.zone())).toList();
+    return Rendezvous.rank(key, candidates, candidates.size());
+  }
+
+  /**
+   * Addresses at which callers reach live nodes: those of a zone if it has enough, else all.
+   *
+   * @param enough nodes of the caller's zone that suffice
+   */
+  public List<String> addressesFor(String zone, int enough, int most) {
+    List<MemberBeat> all = taking();
+    List<MemberBeat> near = all.stream().filter(beat -> beat.zone().equals(zone)).toList();
+    List<MemberBeat> chosen = near.size() >= enough ? near : all;
+    return chosen.stream().limit(most).map(MemberBeat::address).toList();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/member/package-info.java
@@ -0,0 +1,2 @@
+/** Which nodes are alive, by their beats in the log. Pure. */
+package org.passhaven.core.member;
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -0,0 +1,164 @@
+package org.passhaven.core.order;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.protocol.order.OrderRecord;
+
+/**
+ * Decides whether this node may order servers now. The fold of one stream decides who holds the
+ * lease: a claim names the epoch that it succeeds, and the first one wins. A holder orders only for
+ * a short time from the moment at which it sent an intent that it then read back. So whoever reads
+ * the stream knows when a predecessor can have ordered last, and waits the hand-over time longer.
+ * Nothing is written while no order is due. Times in monotonic milliseconds. Not thread-safe.
+ */
+public final class OrderLease {
+  /**
+   * Pace of the lease.
+   *
+   * @param validMillis time for which an intent allows orders, from when it was sent
+   * @param handOverMillis time that must pass between orders of two nodes
+   * @param claimAfterMillis silence of a live holder after which another may claim
+   * @param rankMillis time that each next candidate waits longer
+   */
+  public record Settings(
+      long validMillis, long handOverMillis, long claimAfterMillis, long rankMillis) {}
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final long READ_BACK_MILLIS = 1_000;
+  private final String node;
+  private final long incarnation;
+  private final Settings settings;
+  private final Map<Long, Long> sentAtByNumber = new HashMap<>();
+  private long epoch;
+  private String holder = "";
+  private long holderIncarnation;
+  private long lastRecordAt = NEVER;
+  private long lastOtherRecordAt = NEVER;
+  private long neededSince = NEVER;
+  private long notBefore = NEVER;
+  private long validUntil = NEVER;
+  private long claimSentAt = NEVER;
+  private long intentSentAt = NEVER;
+  private long nextNumber = 1;
+
+  /** Creates the lease of one start of a node. */
+  public OrderLease(String node, long incarnation, Settings settings) {
+    this.node = Objects.requireNonNull(node, "node");
+    this.incarnation = incarnation;
+    this.settings = Objects.requireNonNull(settings, "settings");
+  }
+
+  /** Folds a record that was read at {@code nowMillis}. */
+  public void onRecord(OrderRecord record, long nowMillis) {
+    if (record instanceof OrderRecord.Claimed claim) {
+      onClaim(claim, nowMillis);
+    } else if (record instanceof OrderRecord.Intended intent) {
+      onIntent(intent, nowMillis);
+    }
+  }
+
+  private void onClaim(OrderRecord.Claimed claim, long nowMillis) {
+    if (claim.epoch() != epoch + 1) {
+      return;
+    }
+    epoch = claim.epoch();
+    holder = claim.node();
+    holderIncarnation = claim.incarnation();
+    validUntil = NEVER;
+    sentAtByNumber.clear();
+    noteRecord(claim.node(), nowMillis);
+    if (isHolder()) {
+      notBefore = lastOtherRecordAt + settings.validMillis() + settings.handOverMillis();
+    }
+  }
+
+  private void onIntent(OrderRecord.Intended intent, long nowMillis) {
+    boolean valid =
+        intent.epoch() == epoch
+            && intent.node().equals(holder)
+            && intent.incarnation() == holderIncarnation;
+    if (!valid) {
+      return;
+    }
+    noteRecord(intent.node(), nowMillis);
+    Long sentAt = isHolder() ? sentAtByNumber.remove(intent.number()) : null;
+    if (sentAt != null) {
+      validUntil = Math.max(validUntil, sentAt + settings.validMillis());
+    }
+  }
+
+  private void noteRecord(String writer, long nowMillis) {
+    lastRecordAt = nowMillis;
+    if (!writer.equals(node)) {
+      lastOtherRecordAt = nowMillis;
+    }
+  }
+
+  /** Whether this start of this node holds the lease, by all that was read. */
+  public boolean isHolder() {
+    return holder.equals(node) && holderIncarnation == incarnation;
+  }
+
+  /** Node that holds the lease; empty if nobody ever did. */
+  public String holder() {
+    return holder;
+  }
+
+  /** Fencing token of the holder's orders. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Whether an order may be sent at this very moment. */
+  public boolean mayOrder(long nowMillis) {
+    return isHolder() && nowMillis >= notBefore && nowMillis < validUntil;
+  }
+
+  /**
+   * The record to append now, if any.
+   *
+   * @param needed whether some order is due
+   * @param holderAlive whether the holder is a live node that takes work
+   * @param rank place of this node among the candidates, from zero
+   */
+  public Optional<OrderRecord> next(boolean needed, boolean holderAlive, int rank, long nowMillis) {
+    if (!needed) {
+      neededSince = NEVER;
+      return Optional.empty();
+    }
+    if (neededSince == NEVER) {
+      neededSince = nowMillis;
+    }
+    return isHolder() ? nextIntent(nowMillis) : nextClaim(holderAlive, rank, nowMillis);
+  }
+
+  private Optional<OrderRecord> nextIntent(long nowMillis) {
+    boolean fresh = validUntil - nowMillis > settings.validMillis() / 2;
+    boolean justSent = nowMillis - intentSentAt < settings.validMillis() / 4;
+    if (fresh || justSent) {
+      return Optional.empty();
+    }
+    intentSentAt = nowMillis;
+    long number = nextNumber++;
+    sentAtByNumber.put(number, nowMillis);
+    return Optional.of(new OrderRecord.Intended(epoch, node, incarnation, number));
+  }
+
+  private Optional<OrderRecord> nextClaim(boolean holderAlive, int rank, long nowMillis) {
+    if (nowMillis - claimSentAt < READ_BACK_MILLIS) {
+      return Optional.empty();
+    }
+    long patience = rank * settings.rankMillis();
+    if (holderAlive) {
+      patience += settings.claimAfterMillis();
+    }
+    long silentSince = holderAlive ? Math.max(neededSince, lastRecordAt) : neededSince;
+    if (nowMillis - silentSince < patience) {
+      return Optional.empty();
+    }
+    claimSentAt = nowMillis;
+    return Optional.of(new OrderRecord.Claimed(epoch + 1, node, incarnation));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -0,0 +1,67 @@
+package org.passhaven.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** All routes of one configuration version; immutable. */
+public final class RouteTable {
+  /** No configuration yet. */
+  public static final RouteTable EMPTY = new RouteTable(0, List.of(), RequestLimits.DEFAULT);
+
+  private final long version;
+  private final RequestLimits limits;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+  /** Creates the table of configuration {@code version}; zero stands for none. */
+  public RouteTable(long version, List<Route> routes, RequestLimits limits) {
+    this.version = version;
+    this.limits = limits;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(hostKey(route.host()), key -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+  }
+
+  /** Version of the configuration; zero if none is known. */
+  public long version() {
+    return version;
+  }
+
+  /** What callers may send. */
+  public RequestLimits limits() {
+    return limits;
+  }
+
+  /** Number of routes. */
+  public int size() {
+    return routesByHost.values().stream().mapToInt(List::size).sum();
+  }
+
+  /**
+   * The route with the longest prefix that begins the path.
+   *
+   * @param host as the caller names it, with or without a port
+   * @param uri path, perhaps with a query
+   */
+  public Optional<Route> find(String host, String uri) {
+    List<Route> routes = routesByHost.get(hostKey(host));
+    if (routes == null) {
+      return Optional.empty();
+    }
+    int query = uri.indexOf('?');
+    String path = query < 0 ? uri : uri.substring(0, query);
+    return routes.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
+  }
+
+  private static String hostKey(String host) {
+    int colon = host.indexOf(':');
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -0,0 +1,185 @@
+package org.passhaven.node.follow;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.passhaven.spi.LogService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads one stream from an offset on, for good. Each record is given once and in order. After a
+ * failure it tries again; records that are no longer kept are passed over. Used on the node's
+ * thread.
+ */
+public final class LogTail {
+  private static final Logger LOG = LoggerFactory.getLogger(LogTail.class);
+  private static final int MOST_RECORDS = 2_000;
+  private static final long WAIT_MILLIS = 1_500;
+  private static final long FIRST_PAUSE_MILLIS = 50;
+  private static final long MOST_PAUSE_MILLIS = 400;
+
+  /** Takes what is read. */
+  public interface Listener {
+    /** A record was read. */
+    void onRecord(byte[] record);
+
+    /** All records of one read were given. */
+    default void onBatchEnd() {}
+  }
+
+  private final LogService log;
+  private final Timers timers;
+  private final String stream;
+  private final long betweenMillis;
+  private final Listener listener;
+  private final List<UniEmitter<? super Boolean>> refreshing = new ArrayList<>();
+  private long next;
+  private boolean caughtUp;
+  private boolean down;
+  private boolean closed;
+  private long pauseMillis = FIRST_PAUSE_MILLIS;
+
+  /**
+   * Creates a tail; {@link #start} begins to read.
+   *
+   * @param betweenMillis pause after records, so that a busy stream is read in batches
+   */
+  public LogTail(
+      LogService log, Timers timers, String stream, long betweenMillis, Listener listener) {
+    this.log = Objects.requireNonNull(log, "log");
+    this.timers = Objects.requireNonNull(timers, "timers");
+    this.stream = Objects.requireNonNull(stream, "stream");
+    this.betweenMillis = betweenMillis;
+    this.listener = Objects.requireNonNull(listener, "listener");
+  }
+
+  /** Begins to read at an offset. */
+  public void start(long offset) {
+    next = offset;
+    readOn();
+  }
+
+  /** Whether the end of the stream was reached once. */
+  public boolean isCaughtUp() {
+    return caughtUp;
+  }
+
+  /** Reads no more. */
+  public void close() {
+    closed = true;
+  }
+
+  private void readOn() {
+    if (closed) {
+      return;
+    }
+    long wait = caughtUp ? WAIT_MILLIS : 0;
+    log.read(stream, next, MOST_RECORDS, wait).subscribe().with(this::onBatch, this::onFailure);
+  }
+
+  private void onBatch(LogService.Batch batch) {
+    if (closed) {
+      return;
+    }
+    if (down) {
+      LOG.atInfo().addKeyValue("stream", stream).addKeyValue("next", next).log("log: regained");
+    }
+    down = false;
+    pauseMillis = FIRST_PAUSE_MILLIS;
+    boolean some = deliver(batch);
+    if (some && caughtUp && betweenMillis > 0) {
+      timers.after(betweenMillis, this::readOn);
+    } else {
+      readOn();
+    }
+  }
+
+  /** Gives what was not given before; true if there was something. */
+  private boolean deliver(LogService.Batch batch) {
+    if (batch.firstOffset() > next) {
+      LOG.atWarn()
+          .addKeyValue("stream", stream)
+          .addKeyValue("wanted", next)
+          .addKeyValue("first", batch.firstOffset())
+          .log("log: records are gone");
+      next = batch.firstOffset();
+    }
+    long offset = batch.firstOffset();
+    boolean some = false;
+    for (byte[] record : batch.records()) {
+      if (offset == next) {
+        next++;
+        some = true;
+        listener.onRecord(record);
+      }
+      offset++;
+    }
+    if (!caughtUp && next >= batch.endOffset()) {
+      caughtUp = true;
+      LOG.atInfo().addKeyValue("stream", stream).addKeyValue("next", next).log("log: caught up");
+    }
+    if (some) {
+      listener.onBatchEnd();
+    }
+    return some;
+  }
+
+  private void onFailure(Throwable failure) {
+    if (closed) {
+      return;
+    }
+    if (!down) {
+      LOG.atWarn()
+          .addKeyValue("stream", stream)
+          .addKeyValue("next", next)
+          .addKeyValue("reason", PlatformException.from(failure).getMessage())
+          .log("log: lost");
+    }
+    down = true;
+    timers.after(pauseMillis, this::readOn);
+    pauseMillis = Math.min(MOST_PAUSE_MILLIS, pauseMillis * 2);
+  }
+
+  /**
+   * Reads what is there now, beside the waiting read. Gives true once all records that were
+   * appended before the call have been given, false if the stream could not be read.
+   */
+  public Uni<Boolean> refresh() {
+    if (!caughtUp) {
+      return Uni.createFrom().item(false);
+    }
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              refreshing.add(emitter);
+              if (refreshing.size() == 1) {
+                refreshNow();
+              }
+            });
+  }
+
+  private void refreshNow() {
+    List<UniEmitter<? super Boolean>> asked = new ArrayList<>(refreshing);
+    log.read(stream, next, MOST_RECORDS, 0)
+        .subscribe()
+        .with(
+            batch -> {
+              deliver(batch);
+              endRefresh(asked, next >= batch.endOffset());
+            },
+            failure -> endRefresh(asked, false));
+  }
+
+  private void endRefresh(List<UniEmitter<? super Boolean>> asked, boolean done) {
+    refreshing.removeAll(asked);
+    if (!refreshing.isEmpty()) {
+      refreshNow();
+    }
+    asked.forEach(emitter -> emitter.complete(done));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -0,0 +1,138 @@
+package org.passhaven.node.follow;
+
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService;
+import org.passhaven.spi.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps up with a table: lists it, then follows its changes; lists it anew when changes were
+ * missed. Used on the node's thread.
+ */
+public final class TableFollower {
+  private static final Logger LOG = LoggerFactory.getLogger(TableFollower.class);
+  private static final long WAIT_MILLIS = 1_500;
+  private static final long FIRST_PAUSE_MILLIS = 50;
+  private static final long MOST_PAUSE_MILLIS = 400;
+
+  /** Takes documents. */
+  public interface Listener {
+    /** A document is new or changed; {@code value} is null if it was removed. */
+    void onDocument(String key, byte[] value);
+
+    /** The table was listed whole: no other keys exist. */
+    void onListed(Set<String> keys);
+  }
+
+  private final TableService tables;
+  private final Timers timers;
+  private final String table;
+  private final Listener listener;
+  private final Set<String> listedKeys = new HashSet<>();
+  private long firstEnd;
+  private long position;
+  private boolean listed;
+  private boolean down;
+  private long pauseMillis = FIRST_PAUSE_MILLIS;
+
+  /** Creates a follower; {@link #start} begins. */
+  public TableFollower(TableService tables, Timers timers, String table, Listener listener) {
+    this.tables = Objects.requireNonNull(tables, "tables");
+    this.timers = Objects.requireNonNull(timers, "timers");
+    this.table = Objects.requireNonNull(table, "table");
+    this.listener = Objects.requireNonNull(listener, "listener");
+  }
+
+  /** Begins to follow. */
+  public void start() {
+    listAnew();
+  }
+
+  /** Whether the table was listed whole once. */
+  public boolean isListed() {
+    return listed;
+  }
+
+  private void listAnew() {
+    listedKeys.clear();
+    listAfter("");
+  }
+
+  private void listAfter(String key) {
+    tables
+        .list(table, key)
+        .subscribe()
+        .with(page -> onPage(page, key.isEmpty()), failure -> onFailure(failure, this::listAnew));
+  }
+
+  private void onPage(TableService.Page page, boolean isFirst) {
+    regained();
+    if (isFirst) {
+      firstEnd = page.end();
+    }
+    page.entries().forEach(this::give);
+    page.entries().forEach(entry -> listedKeys.add(entry.key()));
+    if (page.more() && !page.entries().isEmpty()) {
+      listAfter(page.entries().get(page.entries().size() - 1).key());
+      return;
+    }
+    // Pages are no snapshot: changes that came in between are read again from the first page's end.
+    listener.onListed(Set.copyOf(listedKeys));
+    position = firstEnd;
+    if (!listed) {
+      LOG.atInfo()
+          .addKeyValue("table", table)
+          .addKeyValue("documents", listedKeys.size())
+          .log("table: listed");
+    }
+    listed = true;
+    readOn();
+  }
+
+  private void readOn() {
+    tables
+        .changes(table, position, WAIT_MILLIS)
+        .subscribe()
+        .with(this::onChanges, failure -> onFailure(failure, this::readOn));
+  }
+
+  private void onChanges(TableService.Changes changes) {
+    regained();
+    if (changes.truncated()) {
+      LOG.atWarn().addKeyValue("table", table).addKeyValue("at", position).log("table: gap");
+      listAnew();
+      return;
+    }
+    changes.entries().forEach(this::give);
+    position = changes.end();
+    readOn();
+  }
+
+  private void give(TableService.Entry entry) {
+    listener.onDocument(entry.key(), entry.value());
+  }
+
+  private void regained() {
+    if (down) {
+      LOG.atInfo().addKeyValue("table", table).log("table: regained");
+    }
+    down = false;
+    pauseMillis = FIRST_PAUSE_MILLIS;
+  }
+
+  private void onFailure(Throwable failure, Runnable again) {
+    if (!down) {
+      LOG.atWarn()
+          .addKeyValue("table", table)
+          .addKeyValue("reason", PlatformException.from(failure).getMessage())
+          .log("table: lost");
+    }
+    down = true;
+    timers.after(pauseMillis, again);
+    pauseMillis = Math.min(MOST_PAUSE_MILLIS, pauseMillis * 2);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -0,0 +1,170 @@
+package org.passhaven.node.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.route.RouteTable;
+import org.passhaven.node.follow.TableFollower;
+import org.passhaven.node.gateway.PlatformDocuments.DocumentException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Configuration, named weight versions and servers as this node knows them. A configuration version
+ * never goes back within the life of the process.
+ */
+public final class Directory {
+  private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
+  private final PlatformDocuments documents;
+  private final ServerTable servers = new ServerTable();
+  private final Map<String, Long> newestVersions = new HashMap<>();
+  private final List<Runnable> listeners = new ArrayList<>();
+  private final TableFollower operator;
+  private final TableFollower serverEntries;
+  private RouteTable routes = RouteTable.EMPTY;
+
+  /** Creates the directory. */
+  public Directory(GatewayContext context) {
+    this.documents = Objects.requireNonNull(context, "context").documents();
+    this.operator =
+        new TableFollower(
+            context.tables(), context.timers(), documents.operatorTable(), new OperatorListener());
+    this.serverEntries =
+        new TableFollower(
+            context.tables(), context.timers(), documents.serverTable(), new ServerListener());
+  }
+
+  /** Begins to follow. */
+  public void start() {
+    operator.start();
+    serverEntries.start();
+  }
+
+  /** Calls {@code listener} after each change. */
+  public void addListener(Runnable listener) {
+    listeners.add(listener);
+  }
+
+  /** Routes in force. */
+  public RouteTable routes() {
+    return routes;
+  }
+
+  /** Whether a configuration is known. */
+  public boolean isConfigured() {
+    return routes.version() > 0 && serverEntries.isListed();
+  }
+
+  /** Servers as they list themselves. */
+  public ServerTable servers() {
+    return servers;
+  }
+
+  /** Newest named weight version by model. */
+  public Map<String, Long> newestVersions() {
+    return newestVersions;
+  }
+
+  private void changed() {
+    listeners.forEach(Runnable::run);
+  }
+
+  private final class OperatorListener implements TableFollower.Listener {
+    @Override
+    public void onDocument(String key, byte[] value) {
+      if (value == null) {
+        return;
+      }
+      try {
+        if (documents.isConfiguration(key)) {
+          putInForce(documents.configuration(value));
+        } else {
+          documents.namedVersion(key, value).forEach(this::name);
+        }
+      } catch (DocumentException e) {
+        LOG.atError()
+            .addKeyValue("key", key)
+            .addKeyValue("reason", e.getMessage())
+            .log("configuration: a document can't be read");
+      }
+    }
+
+    private void putInForce(RouteTable table) {
+      if (table.version() <= routes.version()) {
+        return;
+      }
+      LOG.atInfo()
+          .addKeyValue("version", table.version())
+          .addKeyValue("before", routes.version())
+          .addKeyValue("routes", table.size())
+          .log("configuration: in force");
+      routes = table;
+      changed();
+    }
+
+    private void name(String model, long version) {
+      Long before = newestVersions.get(model);
+      if (before == null || version > before) {
+        newestVersions.put(model, version);
+        LOG.atInfo()
+            .addKeyValue("model", model)
+            .addKeyValue("version", version)
+            .log("weights: named");
+        changed();
+      }
+    }
+
+    @Override
+    public void onListed(Set<String> keys) {}
+  }
+
+  private final class ServerListener implements TableFollower.Listener {
+    @Override
+    public void onDocument(String key, byte[] value) {
+      ServerEntry before = servers.get(key);
+      if (value == null) {
+        servers.remove(key);
+      } else {
+        try {
+          servers.put(documents.server(key, value));
+        } catch (DocumentException e) {
+          LOG.atError()
+              .addKeyValue("server", key)
+              .addKeyValue("reason", e.getMessage())
+              .log("servers: an entry can't be read");
+          return;
+        }
+      }
+      ServerEntry after = servers.get(key);
+      if (!Objects.equals(before, after)) {
+        logChange(key, before, after);
+        changed();
+      }
+    }
+
+    private void logChange(String key, ServerEntry before, ServerEntry after) {
+      String state = after == null ? "gone" : after.ready() ? "ready" : "draining";
+      boolean isNews = before == null || after == null || before.ready() != after.ready();
+      if (isNews) {
+        ServerEntry known = after == null ? before : after;
+        LOG.atInfo()
+            .addKeyValue("server", key)
+            .addKeyValue("service", known == null ? "" : known.service())
+            .addKeyValue("address", known == null ? "" : known.address())
+            .addKeyValue("state", state)
+            .log("servers: changed");
+      }
+    }
+
+    @Override
+    public void onListed(Set<String> keys) {
+      servers.retain(keys);
+      changed();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
@@ -0,0 +1,39 @@
+package org.passhaven.node.gateway;
+
+import java.util.Objects;
+import java.util.function.IntUnaryOperator;
+import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.LogService;
+import org.passhaven.spi.TableService;
+import org.passhaven.spi.Timers;
+
+/**
+ * What every part of a gateway node is given.
+ *
+ * @param incarnation this start of the node; higher than that of any earlier start
+ * @param randomBelow random number from zero to below the argument
+ */
+public record GatewayContext(
+    GatewaySettings settings,
+    long incarnation,
+    Timers timers,
+    IntUnaryOperator randomBelow,
+    LogService log,
+    TableService tables,
+    BackEndService backEnds,
+    PlatformDocuments documents) {
+  public GatewayContext {
+    Objects.requireNonNull(settings, "settings");
+    Objects.requireNonNull(timers, "timers");
+    Objects.requireNonNull(randomBelow, "randomBelow");
+    Objects.requireNonNull(log, "log");
+    Objects.requireNonNull(tables, "tables");
+    Objects.requireNonNull(backEnds, "backEnds");
+    Objects.requireNonNull(documents, "documents");
+  }
+
+  /** Monotonic milliseconds. */
+  public long now() {
+    return timers.nowMillis();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -0,0 +1,45 @@
+package org.passhaven.node.gateway;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.passhaven.core.order.OrderLease;
+
+/**
+ * Settings of one gateway node, checked and immutable.
+ *
+ * @param node unique name of the machine
+ * @param zone zone of the machine
+ * @param address host and port at which callers reach it
+ * @param jobPartitions partitions over which runs are spread
+ * @param beat time between two beats
+ * @param silence time without a beat after which a node is dead
+ * @param tick time between two rounds of decisions
+ * @param lease who may order weights
+ * @param loadsAtOnce servers of a service that load weights at a time
+ * @param keepJobs time for which ended jobs stay readable
+ * @param mostRecordBytes largest record of the log
+ * @param mostAppendBytes largest append to the log
+ */
+public record GatewaySettings(
+    String node,
+    String zone,
+    String address,
+    int jobPartitions,
+    Duration beat,
+    Duration silence,
+    Duration tick,
+    OrderLease.Settings lease,
+    int loadsAtOnce,
+    Duration keepJobs,
+    int mostRecordBytes,
+    int mostAppendBytes) {
+  public GatewaySettings {
+    Objects.requireNonNull(node, "node");
+    Objects.requireNonNull(zone, "zone");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(lease, "lease");
+    if (jobPartitions < 1) {
+      throw new IllegalArgumentException("jobPartitions must be at least 1");
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -0,0 +1,120 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.BiConsumer;
+import net.openhft.hashing.LongHashFunction;
+import org.passhaven.core.job.Job;
+import org.passhaven.core.job.JobTable;
+import org.passhaven.node.follow.LogTail;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.job.JobRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The jobs' partitions: follows them all into one fold, and appends to them. */
+public final class JobLog {
+  private static final Logger LOG = LoggerFactory.getLogger(JobLog.class);
+  private static final String STREAM_PREFIX = "jobs.";
+  private static final long BETWEEN_READS_MILLIS = 15;
+  private static final long FORGET_PERIOD_MILLIS = 10_000;
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
+  private final GatewayContext context;
+  private final JobTable table = new JobTable();
+  private final List<LogTail> tails = new ArrayList<>();
+  private final List<BiConsumer<JobRecord, JobTable.Effect>> listeners = new ArrayList<>();
+
+  /** Creates the log; {@link #start} begins to follow it. */
+  public JobLog(GatewayContext context) {
+    this.context = Objects.requireNonNull(context, "context");
+    for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
+      tails.add(
+          new LogTail(
+              context.log(),
+              context.timers(),
+              STREAM_PREFIX + partition,
+              BETWEEN_READS_MILLIS,
+              this::onRecord));
+    }
+  }
+
+  /** Begins to follow all partitions from their beginnings. */
+  public void start() {
+    tails.forEach(tail -> tail.start(0));
+    context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
+  }
+
+  /** Calls {@code listener} with each record that changed a job. */
+  public void addListener(BiConsumer<JobRecord, JobTable.Effect> listener) {
+    listeners.add(listener);
+  }
+
+  /** All jobs. */
+  public JobTable table() {
+    return table;
+  }
+
+  /** Whether all partitions were read to their ends once. */
+  public boolean isCaughtUp() {
+    return tails.stream().allMatch(LogTail::isCaughtUp);
+  }
+
+  /** The stream that holds a run's jobs. */
+  public String streamOf(String run) {
+    return STREAM_PREFIX + Math.floorMod(HASH.hashChars(run), tails.size());
+  }
+
+  /** Appends records that are encoded already. */
+  public Uni<Long> append(String stream, List<byte[]> records) {
+    return context.log().append(stream, records);
+  }
+
+  /**
+   * Looks whether a job exists that is not known here. Gives whether the answer is sure: every
+   * partition was read to an end later than the call.
+   */
+  public Uni<Boolean> refresh() {
+    List<Uni<Boolean>> refreshed = tails.stream().map(LogTail::refresh).toList();
+    return Uni.join()
+        .all(refreshed)
+        .andFailFast()
+        .map(all -> all.stream().allMatch(Boolean::booleanValue));
+  }
+
+  private void onRecord(byte[] bytes) {
+    JobRecord record;
+    try {
+      record = Codec.decode(bytes, JobRecord.class);
+    } catch (CodecException e) {
+      LOG.atError().addKeyValue("reason", e.getMessage()).log("job: a record can't be read");
+      return;
+    }
+    JobTable.Effect effect = table.apply(record, context.now());
+    if (effect == JobTable.Effect.IGNORED) {
+      return;
+    }
+    logEffect(record, effect);
+    listeners.forEach(listener -> listener.accept(record, effect));
+  }
+
+  private void logEffect(JobRecord record, JobTable.Effect effect) {
+    if (effect == JobTable.Effect.LISTED) {
+      return;
+    }
+    Job job = table.get(record.job());
+    LOG.atInfo()
+        .addKeyValue("job", record.job())
+        .addKeyValue("run", job.submission().run())
+        .addKeyValue("step", job.submission().step())
+        .addKeyValue("items", job.submission().items().size())
+        .addKeyValue("listed", job.results().size())
+        .log(effect == JobTable.Effect.ACCEPTED ? "job: accepted" : "job: ended");
+  }
+
+  private void forget() {
+    table.forget(context.now() - context.settings().keepJobs().toMillis());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -0,0 +1,327 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.core.job.Job;
+import org.passhaven.core.job.JobAction;
+import org.passhaven.core.job.JobPolicy;
+import org.passhaven.core.job.JobScheduler;
+import org.passhaven.core.job.JobTable;
+import org.passhaven.core.route.Route;
+import org.passhaven.protocol.job.JobItem;
+import org.passhaven.protocol.job.JobRecord;
+import org.passhaven.protocol.job.JobSubmission;
+import org.passhaven.protocol.job.ScoreCall;
+import org.passhaven.spi.BackEndException;
+import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.BackEndService.Progress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the jobs of the runs that belong to this node: carries out the decisions of the {@link
+ * JobScheduler}.
+ */
+public final class JobRunner {
+  private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
+  private static final String OWNER_KEY_PREFIX = "run/";
+  private static final long GENERATION_MILLIS = 30_000;
+  private static final long SCORE_MILLIS = 2_500;
+  private static final int SCORES_AT_ONCE = 48;
+  private static final String POST = "POST";
+  private final GatewayContext context;
+  private final Directory directory;
+  private final MemberAgent members;
+  private final JobLog log;
+  private final RequestForwarder forwarder;
+  private final ResultWriter results;
+  private final JobScheduler scheduler;
+  private final Map<Long, Cancellable> generations = new HashMap<>();
+  private final java.util.ArrayDeque<JobAction.Score> scoresWaiting = new java.util.ArrayDeque<>();
+  private int scoresInProgress;
+  private boolean stopping;
+  private boolean deciding;
+
+  /** Creates the runner; {@link #start} begins. */
+  public JobRunner(
+      GatewayContext context,
+      Directory directory,
+      MemberAgent members,
+      JobLog log,
+      RequestForwarder forwarder) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.members = Objects.requireNonNull(members, "members");
+    this.log = Objects.requireNonNull(log, "log");
+    this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
+    this.results = new ResultWriter(context, log);
+    this.scheduler = new JobScheduler(context.settings().zone());
+    log.addListener(this::onRecord);
+  }
+
+  /** Begins to run jobs. */
+  public void start() {
+    context.timers().every(context.settings().tick().toMillis(), this::decide);
+    directory.addListener(this::decideSoon);
+  }
+
+  /** Runs nothing more; other nodes take over. */
+  public void stop() {
+    stopping = true;
+    scheduler.running().forEach(job -> drop(job, "stopping"));
+  }
+
+  /** Number of jobs that this node runs. */
+  public int running() {
+    return scheduler.running().size();
+  }
+
+  private void onRecord(JobRecord record, JobTable.Effect effect) {
+    Job job = log.table().get(record.job());
+    if (effect == JobTable.Effect.LISTED) {
+      String item = ((JobRecord.ItemFinished) record).item();
+      results.onListed(job, item);
+      apply(scheduler.onListed(job.id(), item));
+    } else if (effect == JobTable.Effect.ENDED) {
+      drop(job.id(), "ended");
+    } else {
+      decideSoon();
+    }
+  }
+
+  private void drop(String job, String why) {
+    if (scheduler.isRunning(job)) {
+      LOG.atInfo().addKeyValue("job", job).addKeyValue("why", why).log("job: run no longer here");
+      apply(scheduler.drop(job, why));
+      results.drop(job);
+    }
+  }
+
+  private void decideSoon() {
+    if (!deciding) {
+      deciding = true;
+      context
+          .timers()
+          .after(
+              1,
+              () -> {
+                deciding = false;
+                decide();
+              });
+    }
+  }
+
+  private void decide() {
+    if (stopping || !log.isCaughtUp()) {
+      return;
+    }
+    for (Job job : log.table().all()) {
+      if (job.isOpen()) {
+        takeOrDrop(job);
+      }
+    }
+    apply(scheduler.decide(directory.servers().all(), context.now()));
+  }
+
+  private void takeOrDrop(Job job) {
+    boolean mine = isMine(job.submission().run());
+    boolean running = scheduler.isRunning(job.id());
+    if (running && !mine) {
+      drop(job.id(), "another node runs it");
+      return;
+    }
+    Optional<JobPolicy> policy = mine ? policyOf(job.submission()) : Optional.empty();
+    if (policy.isEmpty()) {
+      return;
+    }
+    scheduler.take(job, policy.get());
+    if (!running) {
+      LOG.atInfo()
+          .addKeyValue("job", job.id())
+          .addKeyValue("run", job.submission().run())
+          .addKeyValue("step", job.submission().step())
+          .addKeyValue("open", job.submission().items().size() - job.results().size())
+          .addKeyValue("live", members.beats().taking().size())
+          .log("job: run here");
+    }
+  }
+
+  private boolean isMine(String run) {
+    return members.beats().ownerOf(OWNER_KEY_PREFIX + run).equals(context.settings().node());
+  }
+
+  private Optional<JobPolicy> policyOf(JobSubmission submission) {
+    return directory
+        .routes()
+        .find(submission.host(), submission.path())
+        .map(
+            route ->
+                new JobPolicy(
+                    route.shares().get(0).service(),
+                    Math.max(1, route.mostAttempts()),
+                    route.singleVersion(),
+                    route.giveUpMillis()));
+  }
+
+  private void apply(List<JobAction> actions) {
+    for (JobAction action : actions) {
+      if (action instanceof JobAction.Start start) {
+        begin(start);
+      } else if (action instanceof JobAction.Stop stop) {
+        stopGeneration(stop);
+      } else if (action instanceof JobAction.Score score) {
+        scoresWaiting.add(score);
+        scoreNext();
+      } else if (action instanceof JobAction.Finish finish) {
+        finish(finish.result());
+      }
+    }
+  }
+
+  private void finish(JobRecord.ItemFinished result) {
+    Job job = log.table().get(result.job());
+    if (job == null) {
+      return;
+    }
+    if (!result.completed()) {
+      LOG.atInfo()
+          .addKeyValue("job", result.job())
+          .addKeyValue("item", result.item())
+          .log("job: item given up");
+    }
+    results.write(job, result);
+    decideSoon();
+  }
+
+  private void stopGeneration(JobAction.Stop stop) {
+    Cancellable running = generations.remove(stop.attempt());
+    if (running != null) {
+      running.cancel();
+    }
+    decideSoon();
+  }
+
+  private void begin(JobAction.Start start) {
+    JobItem item = start.item();
+    Call call =
+        new Call(
+            item.id(),
+            POST,
+            item.path(),
+            start.job().host(),
+            item.headers(),
+            item.body(),
+            GENERATION_MILLIS);
+    long attempt = start.attempt();
+    LOG.atDebug()
+        .addKeyValue("job", start.job().id())
+        .addKeyValue("item", item.id())
+        .addKeyValue("attempt", attempt)
+        .addKeyValue("server", start.server().instance())
+        .addKeyValue("after", start.lastEvent())
+        .log("job: generation begins");
+    Cancellable running =
+        context
+            .backEnds()
+            .generate(
+                new BackEndService.Target(start.server().instance(), start.server().address()),
+                new BackEndService.Generation(call, start.lastEvent(), start.priority()))
+            .subscribe()
+            .with(
+                progress -> onProgress(attempt, progress),
+                failure -> onFailed(start, BackEndException.from(failure)),
+                () -> onWhole(attempt));
+    generations.put(attempt, running);
+  }
+
+  private void onProgress(long attempt, Progress progress) {
+    long now = context.now();
+    if (progress instanceof Progress.Began began) {
+      apply(scheduler.onBegan(attempt, began.version(), now));
+    } else if (progress instanceof Progress.Event event) {
+      apply(scheduler.onEvent(attempt, event.id(), event.version(), event.data(), now));
+    }
+  }
+
+  private void onWhole(long attempt) {
+    generations.remove(attempt);
+    apply(scheduler.onWhole(attempt, context.now()));
+    decideSoon();
+  }
+
+  private void onFailed(JobAction.Start start, BackEndException failure) {
+    generations.remove(start.attempt());
+    LOG.atInfo()
+        .addKeyValue("job", start.job().id())
+        .addKeyValue("item", start.item().id())
+        .addKeyValue("server", start.server().instance())
+        .addKeyValue("kind", failure.kind())
+        .addKeyValue("reason", failure.getMessage())
+        .log("job: generation failed");
+    apply(scheduler.onFailed(start.attempt(), failureOf(failure.kind()), context.now()));
+    decideSoon();
+  }
+
+  private static JobScheduler.Failure failureOf(BackEndException.Kind kind) {
+    return switch (kind) {
+      case REFUSED -> JobScheduler.Failure.REFUSED;
+      case MISDIRECTED -> JobScheduler.Failure.MISDIRECTED;
+      case SERVER_ERROR -> JobScheduler.Failure.SERVER_ERROR;
+      case IMPOSSIBLE -> JobScheduler.Failure.IMPOSSIBLE;
+      case UNREACHABLE, CUT -> JobScheduler.Failure.CUT;
+    };
+  }
+
+  private void scoreNext() {
+    while (scoresInProgress < SCORES_AT_ONCE && !scoresWaiting.isEmpty()) {
+      JobAction.Score score = scoresWaiting.poll();
+      if (scheduler.isRunning(score.job().id())) {
+        score(score);
+      }
+    }
+  }
+
+  private void score(JobAction.Score action) {
+    ScoreCall score = action.item().score();
+    String job = action.job().id();
+    String item = action.item().id();
+    Optional<Route> route = directory.routes().find(score.host(), score.path());
+    if (route.isEmpty()) {
+      apply(scheduler.onScoreFailed(job, item, 0, 1, context.now()));
+      return;
+    }
+    scoresInProgress++;
+    Call call =
+        new Call(
+            score.id(), POST, score.path(), score.host(), List.of(), score.body(), SCORE_MILLIS);
+    forwarder
+        .forward(route.get(), call)
+        .subscribe()
+        .with(
+            outcome -> {
+              scoresInProgress--;
+              onScoreOutcome(job, item, route.get(), outcome);
+              scoreNext();
+            });
+  }
+
+  private void onScoreOutcome(String job, String item, Route route, ForwardOutcome outcome) {
+    if (outcome instanceof ForwardOutcome.Answered answered && answered.answer().isSuccess()) {
+      apply(scheduler.onScored(job, item, answered.answer().signature()));
+      return;
+    }
+    int mostErrors = Math.max(1, route.mostAttempts());
+    LOG.atInfo()
+        .addKeyValue("job", job)
+        .addKeyValue("item", item)
+        .addKeyValue("serverErrors", outcome.serverErrors())
+        .addKeyValue("outcome", outcome.getClass().getSimpleName())
+        .log("job: no score");
+    apply(scheduler.onScoreFailed(job, item, outcome.serverErrors(), mostErrors, context.now()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -0,0 +1,108 @@
+package org.passhaven.node.gateway;
+
+import java.util.List;
+import java.util.Objects;
+import org.passhaven.core.member.BeatTable;
+import org.passhaven.node.follow.LogTail;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.spi.PlatformException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends this node's beats to the log and reads those of all nodes. */
+public final class MemberAgent {
+  private static final Logger LOG = LoggerFactory.getLogger(MemberAgent.class);
+  private static final String STREAM = "members.0";
+  private static final long BETWEEN_READS_MILLIS = 150;
+  private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
+  private final GatewayContext context;
+  private final BeatTable beats;
+  private final LogTail tail;
+  private boolean tailing;
+  private boolean taking = true;
+  private long ownBeatReadAt = Long.MIN_VALUE / 2;
+  private List<String> lastTaking = List.of();
+
+  /** Creates the agent. */
+  public MemberAgent(GatewayContext context) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.beats = new BeatTable(context.settings().silence().toMillis());
+    this.tail =
+        new LogTail(context.log(), context.timers(), STREAM, BETWEEN_READS_MILLIS, this::onRecord);
+  }
+
+  /** Begins to beat. */
+  public void start() {
+    context.timers().every(context.settings().beat().toMillis(), this::beat);
+    beat();
+  }
+
+  /** What is known of all nodes. */
+  public BeatTable beats() {
+    return beats;
+  }
+
+  /** Whether this node has lately written to the log and read it back. */
+  public boolean isInTouch() {
+    return context.now() - ownBeatReadAt < context.settings().silence().toMillis();
+  }
+
+  /** Tells everybody that this node takes no new work. */
+  public void announceLeaving() {
+    taking = false;
+    beat();
+  }
+
+  private void beat() {
+    GatewaySettings settings = context.settings();
+    MemberBeat beat =
+        new MemberBeat(
+            settings.node(), settings.address(), settings.zone(), context.incarnation(), taking);
+    context
+        .log()
+        .append(STREAM, List.of(Codec.encode(beat)))
+        .subscribe()
+        .with(this::onAppended, this::onBeatFailed);
+  }
+
+  private void onAppended(long offset) {
+    if (!tailing) {
+      tailing = true;
+      tail.start(offset);
+    }
+  }
+
+  private void onBeatFailed(Throwable failure) {
+    LOG.debug("members: a beat failed: {}", PlatformException.from(failure).getMessage());
+    if (!tailing) {
+      context.timers().after(FIRST_BEAT_PAUSE_MILLIS, this::beat);
+    }
+  }
+
+  private void onRecord(byte[] record) {
+    try {
+      MemberBeat beat = Codec.decode(record, MemberBeat.class);
+      beats.onBeat(beat, context.now());
+      if (beat.node().equals(context.settings().node())
+          && beat.incarnation() == context.incarnation()) {
+        ownBeatReadAt = context.now();
+      }
+      logChange();
+    } catch (CodecException e) {
+      LOG.warn("members: a record can't be read: {}", e.getMessage());
+    }
+  }
+
+  private void logChange() {
+    List<String> now = beats.taking().stream().map(MemberBeat::node).toList();
+    if (!now.equals(lastTaking)) {
+      lastTaking = now;
+      LOG.atInfo()
+          .addKeyValue("live", now.size())
+          .addKeyValue("nodes", now)
+          .log("members: changed");
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -0,0 +1,221 @@
+package org.passhaven.node.gateway;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.order.OrderLease;
+import org.passhaven.core.order.VersionOrderPlanner;
+import org.passhaven.core.order.VersionOrderPlanner.Wanted;
+import org.passhaven.node.follow.LogTail;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.order.OrderRecord;
+import org.passhaven.spi.BackEndService.Order;
+import org.passhaven.spi.BackEndService.OrderOutcome;
+import org.passhaven.spi.BackEndService.Report;
+import org.passhaven.spi.BackEndService.Target;
+import org.passhaven.spi.PlatformException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings servers to the newest named weight versions, as the one node that holds the {@link
+ * OrderLease}. A server's report is read before each order, and the order names the sequence that
+ * the report gave, so an order that is carried out late comes to nothing once another was taken.
+ */
+public final class OrderAgent {
+  private static final Logger LOG = LoggerFactory.getLogger(OrderAgent.class);
+  private static final String STREAM = "orders.0";
+  private static final String CANDIDATE_KEY = "orders";
+  private static final long CALL_LIMIT_MILLIS = 700;
+  private static final long LOOK_AGAIN_MILLIS = 150;
+  private static final long LOAD_MILLIS = 850;
+  private static final long LOAD_LIMIT_MILLIS = 5_000;
+  private static final long RETRY_MILLIS = 400;
+  private final GatewayContext context;
+  private final Directory directory;
+  private final MemberAgent members;
+  private final OrderLease lease;
+  private final VersionOrderPlanner planner;
+  private final LogTail tail;
+  private boolean wasHolder;
+  private boolean stopping;
+
+  /** Creates the agent; {@link #start} begins. */
+  public OrderAgent(GatewayContext context, Directory directory, MemberAgent members) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.members = Objects.requireNonNull(members, "members");
+    GatewaySettings settings = context.settings();
+    this.lease = new OrderLease(settings.node(), context.incarnation(), settings.lease());
+    this.planner = new VersionOrderPlanner(settings.loadsAtOnce());
+    this.tail = new LogTail(context.log(), context.timers(), STREAM, 0, this::onRecord);
+  }
+
+  /** Begins to follow the lease and, as its holder, to order. */
+  public void start() {
+    tail.start(0);
+    context.timers().every(context.settings().tick().toMillis(), this::decide);
+    directory.addListener(this::decide);
+  }
+
+  /** Orders nothing more. */
+  public void stop() {
+    stopping = true;
+  }
+
+  private void onRecord(byte[] bytes) {
+    try {
+      lease.onRecord(Codec.decode(bytes, OrderRecord.class), context.now());
+    } catch (CodecException e) {
+      LOG.atError().addKeyValue("reason", e.getMessage()).log("orders: a record can't be read");
+      return;
+    }
+    if (lease.isHolder() != wasHolder) {
+      wasHolder = lease.isHolder();
+      planner.reset(directory.servers().all());
+      LOG.atInfo()
+          .addKeyValue("epoch", lease.epoch())
+          .addKeyValue("holder", lease.holder())
+          .log(wasHolder ? "orders: lease taken" : "orders: lease lost");
+    }
+    decide();
+  }
+
+  private void decide() {
+    if (stopping || !tail.isCaughtUp()) {
+      return;
+    }
+    long now = context.now();
+    boolean needed =
+        planner.isNeeded(directory.servers().all(), directory.newestVersions())
+            && members.isInTouch();
+    boolean holderAlive = members.beats().isTaking(lease.holder());
+    int rank = members.beats().rankOf(CANDIDATE_KEY, context.settings().node());
+    Optional<OrderRecord> record = lease.next(needed, holderAlive, rank, now);
+    record.ifPresent(this::append);
+    if (lease.mayOrder(now)) {
+      planner.begin(directory.servers().all(), directory.newestVersions(), now).forEach(this::look);
+    }
+  }
+
+  private void append(OrderRecord record) {
+    if (record instanceof OrderRecord.Claimed claim) {
+      LOG.atInfo()
+          .addKeyValue("epoch", claim.epoch())
+          .addKeyValue("before", lease.holder())
+          .log("orders: lease claimed");
+    }
+    context
+        .log()
+        .append(STREAM, List.of(Codec.encode(record)))
+        .subscribe()
+        .with(
+            offset -> {},
+            failure ->
+                LOG.atInfo()
+                    .addKeyValue("reason", PlatformException.from(failure).getMessage())
+                    .log("orders: an append failed"));
+  }
+
+  private static Target targetOf(ServerEntry server) {
+    return new Target(server.instance(), server.address());
+  }
+
+  /** Asks a server what it serves, then orders it on. */
+  private void look(Wanted wanted) {
+    context
+        .backEnds()
+        .report(targetOf(wanted.server()), CALL_LIMIT_MILLIS)
+        .subscribe()
+        .with(report -> onReport(wanted, report), failure -> fail(wanted, failure.getMessage()));
+  }
+
+  private void onReport(Wanted wanted, Report report) {
+    if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
+      done(wanted);
+    } else if (report.busy()) {
+      fail(wanted, "another order is under way");
+    } else {
+      order(wanted, report.sequence());
+    }
+  }
+
+  private void order(Wanted wanted, long sequence) {
+    if (stopping || !lease.mayOrder(context.now())) {
+      fail(wanted, "the lease is not valid now");
+      return;
+    }
+    Order order =
+        new Order(
+            wanted.model(), wanted.version(), context.settings().node(), lease.epoch(), sequence);
+    LOG.atInfo()
+        .addKeyValue("server", wanted.server().instance())
+        .addKeyValue("model", wanted.model())
+        .addKeyValue("version", wanted.version())
+        .addKeyValue("fence", lease.epoch())
+        .addKeyValue("sequence", sequence)
+        .log("orders: version ordered");
+    context
+        .backEnds()
+        .order(targetOf(wanted.server()), order, CALL_LIMIT_MILLIS)
+        .subscribe()
+        .with(outcome -> onOrdered(wanted, outcome), failure -> fail(wanted, failure.getMessage()));
+  }
+
+  private void onOrdered(Wanted wanted, OrderOutcome outcome) {
+    if (outcome == OrderOutcome.IN_EFFECT) {
+      done(wanted);
+    } else if (outcome == OrderOutcome.STARTED) {
+      long until = context.now() + LOAD_LIMIT_MILLIS;
+      context.timers().after(LOAD_MILLIS, () -> watch(wanted, until));
+    } else {
+      fail(wanted, "the server answered " + outcome);
+    }
+  }
+
+  /** Looks whether a load has ended. */
+  private void watch(Wanted wanted, long untilMillis) {
+    ServerEntry entry = directory.servers().get(wanted.server().instance());
+    if (entry != null && entry.versionOf(wanted.model()) >= wanted.version()) {
+      done(wanted);
+      return;
+    }
+    if (entry == null || context.now() >= untilMillis) {
+      fail(wanted, "the load did not end");
+      return;
+    }
+    context
+        .backEnds()
+        .report(targetOf(wanted.server()), CALL_LIMIT_MILLIS)
+        .subscribe()
+        .with(
+            report -> onWatched(wanted, report, untilMillis),
+            failure -> context.timers().after(LOOK_AGAIN_MILLIS, () -> watch(wanted, untilMillis)));
+  }
+
+  private void onWatched(Wanted wanted, Report report, long untilMillis) {
+    if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
+      done(wanted);
+    } else {
+      context.timers().after(LOOK_AGAIN_MILLIS, () -> watch(wanted, untilMillis));
+    }
+  }
+
+  private void done(Wanted wanted) {
+    planner.onVersion(wanted.server().instance(), wanted.model(), wanted.version());
+    planner.onDone(wanted.server().instance());
+    decide();
+  }
+
+  private void fail(Wanted wanted, String reason) {
+    LOG.atInfo()
+        .addKeyValue("server", wanted.server().instance())
+        .addKeyValue("model", wanted.model())
+        .addKeyValue("version", wanted.version())
+        .addKeyValue("reason", reason)
+        .log("orders: not done");
+    planner.onFailed(wanted.server().instance(), context.now() + RETRY_MILLIS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -0,0 +1,269 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.Cancellable;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.backend.ServerPicker;
+import org.passhaven.core.forward.ForwardPlan;
+import org.passhaven.core.forward.ForwardPlan.Outcome;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.ShareRotation;
+import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.BackEndService.Answer;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings requests to servers as their {@link ForwardPlan} decides. */
+public final class RequestForwarder {
+  private static final Logger LOG = LoggerFactory.getLogger(RequestForwarder.class);
+  private static final long RETRY_AFTER_MILLIS = 100;
+  private static final long RETRY_PAUSE_MILLIS = 10;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int MISDIRECTED = 421;
+  private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
+  private static final long FULL_AVOIDED_MILLIS = 50;
+  private final GatewayContext context;
+  private final Directory directory;
+  private final ShareRotation rotation;
+  private final ServerHealth health = new ServerHealth();
+  private final ServerPicker picker;
+  private int inProgress;
+
+  /** Creates a forwarder to the servers of the directory. */
+  public RequestForwarder(GatewayContext context, Directory directory) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.rotation = new ShareRotation(context.randomBelow());
+    this.picker = new ServerPicker(health, context.settings().zone());
+    directory.addListener(
+        () ->
+            health.retain(
+                directory.servers().all().stream()
+                    .map(ServerEntry::instance)
+                    .collect(Collectors.toSet())));
+  }
+
+  /** Requests that are being forwarded. */
+  public int inProgress() {
+    return inProgress;
+  }
+
+  /**
+   * Forwards a request; its deadline is the time that is left for it. Cancelling closes the
+   * connections to servers.
+   */
+  public Uni<ForwardOutcome> forward(Route route, Call call) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              Forward forward = new Forward(route, call, emitter);
+              emitter.onTermination(forward::cancel);
+              forward.begin();
+            });
+  }
+
+  private final class Forward {
+    private final Route route;
+    private final Call call;
+    private final UniEmitter<? super ForwardOutcome> emitter;
+    private final ForwardPlan plan;
+    private final String service;
+    private final long beganAt = context.now();
+    private final Map<Integer, Cancellable> attempts = new HashMap<>();
+    private Timers.Timer deadline;
+    private int nextAttempt;
+    private boolean done;
+
+    Forward(Route route, Call call, UniEmitter<? super ForwardOutcome> emitter) {
+      this.route = route;
+      this.call = call;
+      this.emitter = emitter;
+      this.plan = new ForwardPlan(route, beganAt + call.deadlineMillis());
+      this.service = rotation.next(route);
+    }
+
+    void begin() {
+      inProgress++;
+      deadline = context.timers().after(call.deadlineMillis(), this::onDeadline);
+      if (!tryNext()) {
+        giveUp("no server");
+      }
+    }
+
+    /** Sends the request to the next server; false if nothing is under way. */
+    private boolean tryNext() {
+      if (done) {
+        return true;
+      }
+      List<ServerEntry> servers = directory.servers().readyOf(service);
+      Optional<ServerEntry> server = plan.next(servers, picker, context.now());
+      if (server.isEmpty()) {
+        return plan.inProgress() > 0;
+      }
+      send(server.get());
+      return true;
+    }
+
+    private void send(ServerEntry server) {
+      int attempt = nextAttempt++;
+      long sentAt = context.now();
+      health.onSent(server.instance());
+      Call left =
+          new Call(
+              call.id(),
+              call.method(),
+              call.uri(),
+              call.host(),
+              call.headers(),
+              call.body(),
+              Math.max(1, plan.deadlineMillis() - sentAt));
+      Cancellable sending =
+          context
+              .backEnds()
+              .call(new BackEndService.Target(server.instance(), server.address()), left)
+              .onTermination()
+              .invoke(() -> health.onEnded(server.instance()))
+              .subscribe()
+              .with(
+                  answer -> onAnswer(attempt, server, answer, sentAt),
+                  failure -> onFailure(attempt, server, PlatformException.from(failure)));
+      if (!done) {
+        attempts.put(attempt, sending);
+      }
+      plan.hedgeAfterMillis()
+          .ifPresent(after -> context.timers().after(after, () -> hedge(attempt, server)));
+    }
+
+    private void hedge(int attempt, ServerEntry server) {
+      if (!done && attempts.containsKey(attempt)) {
+        LOG.atDebug()
+            .addKeyValue("request", call.id())
+            .addKeyValue("server", server.instance())
+            .log("request: silent server, another one is asked");
+        tryNext();
+      }
+    }
+
+    private void onAnswer(int attempt, ServerEntry server, Answer answer, long sentAt) {
+      attempts.remove(attempt);
+      long now = context.now();
+      Outcome outcome = classify(answer);
+      if (outcome == Outcome.SUCCESS) {
+        health.onSuccess(server.instance(), now - sentAt, now);
+      } else if (outcome == Outcome.NOT_RUN) {
+        long avoided =
+            answer.status() == MISDIRECTED ? MISDIRECTED_AVOIDED_MILLIS : FULL_AVOIDED_MILLIS;
+        health.avoid(server.instance(), avoided, now);
+      }
+      if (outcome != Outcome.SUCCESS) {
+        logAttempt(server, outcome, "status " + answer.status());
+      }
+      decide(outcome, answer);
+    }
+
+    private void onFailure(int attempt, ServerEntry server, PlatformException failure) {
+      attempts.remove(attempt);
+      health.onFailure(server.instance(), context.now());
+      boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
+      Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+      logAttempt(server, outcome, failure.getMessage());
+      decide(outcome, null);
+    }
+
+    private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
+      LOG.atInfo()
+          .addKeyValue("request", call.id())
+          .addKeyValue("route", route.name())
+          .addKeyValue("server", server.instance())
+          .addKeyValue("outcome", outcome)
+          .addKeyValue("reason", reason)
+          .addKeyValue("afterMillis", context.now() - beganAt)
+          .log("request: attempt failed");
+    }
+
+    private void decide(Outcome outcome, Answer answer) {
+      if (done) {
+        return;
+      }
+      switch (plan.onEnded(outcome, context.now())) {
+        case DELIVER -> finish(new ForwardOutcome.Answered(answer, plan.serverErrors()));
+        case TRY_NEXT -> context.timers().after(pauseAfter(outcome), this::tryNextOrGiveUp);
+        case GIVE_UP -> giveUp("attempts used up");
+        case WAIT -> {}
+      }
+    }
+
+    private long pauseAfter(Outcome outcome) {
+      return outcome == Outcome.NOT_RUN ? RETRY_PAUSE_MILLIS : 1;
+    }
+
+    private void tryNextOrGiveUp() {
+      if (!done && !tryNext()) {
+        giveUp("no other server");
+      }
+    }
+
+    private void onDeadline() {
+      if (!done) {
+        giveUp("time is over");
+      }
+    }
+
+    private void giveUp(String reason) {
+      boolean timedOut = context.now() >= plan.deadlineMillis();
+      ForwardOutcome outcome =
+          plan.hasSurelyNotRun()
+              ? new ForwardOutcome.NotRun(reason, RETRY_AFTER_MILLIS)
+              : new ForwardOutcome.Unknown(reason, timedOut, plan.serverErrors());
+      LOG.atInfo()
+          .addKeyValue("request", call.id())
+          .addKeyValue("route", route.name())
+          .addKeyValue("service", service)
+          .addKeyValue("ready", directory.servers().readyOf(service).size())
+          .addKeyValue("configuration", directory.routes().version())
+          .addKeyValue("attempts", nextAttempt)
+          .addKeyValue("outcome", outcome.getClass().getSimpleName())
+          .addKeyValue("reason", reason)
+          .addKeyValue("tookMillis", context.now() - beganAt)
+          .log("request: given up");
+      finish(outcome);
+    }
+
+    private void finish(ForwardOutcome outcome) {
+      emitter.complete(outcome);
+      cancel();
+    }
+
+    private void cancel() {
+      if (done) {
+        return;
+      }
+      done = true;
+      inProgress--;
+      deadline.cancel();
+      List<Cancellable> running = List.copyOf(attempts.values());
+      attempts.clear();
+      running.forEach(Cancellable::cancel);
+    }
+  }
+
+  private static Outcome classify(Answer answer) {
+    if (answer.notRun()) {
+      return Outcome.NOT_RUN;
+    } else if (answer.isSuccess()) {
+      return Outcome.SUCCESS;
+    }
+    return answer.status() >= FIRST_SERVER_ERROR ? Outcome.SERVER_ERROR : Outcome.FINAL;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -0,0 +1,57 @@
+package org.passhaven.protocol.job;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Records of a partition of jobs. Their fold is the jobs' state; of two records that say the same
+ * thing the first wins, so a copy, a late record or one of a former runner changes nothing.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = JobRecord.JobPart.class, name = "jp"),
+  @JsonSubTypes.Type(value = JobRecord.ItemFinished.class, name = "if"),
+  @JsonSubTypes.Type(value = JobRecord.JobEnded.class, name = "je")
+})
+public sealed interface JobRecord {
+  /** Name of the job. */
+  String job();
+
+  /**
+   * A piece of an encoded {@link JobSubmission}; the job is accepted with its last piece.
+   *
+   * @param attempt names the append that the piece belongs to; pieces of two are never mixed
+   */
+  record JobPart(String job, long attempt, int part, int parts, byte[] content)
+      implements JobRecord {
+    public JobPart {
+      Objects.requireNonNull(job, "job");
+      Objects.requireNonNull(content, "content");
+    }
+  }
+
+  /**
+   * The result of an item; its place among the job's results is its position.
+   *
+   * @param completed whether the item has its whole text; else it is given up
+   * @param text data of all events in order, separated by line feeds
+   * @param versions weight versions that made the text, rising
+   * @param score what the scorer gave; empty if there is none
+   */
+  record ItemFinished(
+      String job, String item, boolean completed, String text, List<Long> versions, String score)
+      implements JobRecord {
+    public ItemFinished {
+      Objects.requireNonNull(job, "job");
+      Objects.requireNonNull(item, "item");
+      Objects.requireNonNull(text, "text");
+      versions = List.copyOf(versions);
+      Objects.requireNonNull(score, "score");
+    }
+  }
+
+  /** The caller wants no more of the job. */
+  record JobEnded(String job) implements JobRecord {}
+}
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -0,0 +1,19 @@
+package org.passhaven.protocol.member;
+
+import java.util.Objects;
+
+/**
+ * A node is alive and reaches the log.
+ *
+ * @param address host and port at which callers reach it
+ * @param incarnation its start; a higher one replaces a lower one
+ * @param taking whether it takes new work
+ */
+public record MemberBeat(
+    String node, String address, String zone, long incarnation, boolean taking) {
+  public MemberBeat {
+    Objects.requireNonNull(node, "node");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(zone, "zone");
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -0,0 +1,31 @@
+package org.passhaven.protocol.order;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** Records that decide which node may give orders to servers; see {@code OrderLease}. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = OrderRecord.Claimed.class, name = "oc"),
+  @JsonSubTypes.Type(value = OrderRecord.Intended.class, name = "oi")
+})
+public sealed interface OrderRecord {
+  /** Epoch under which the record was written. */
+  long epoch();
+
+  /** Node that wrote the record. */
+  String node();
+
+  /** Start of the node that wrote the record. */
+  long incarnation();
+
+  /** Claim; valid if its epoch is one more than the epoch folded so far. */
+  record Claimed(long epoch, String node, long incarnation) implements OrderRecord {}
+
+  /**
+   * The holder may order for a short while from the moment at which it sent this record.
+   *
+   * @param number counts the intents of one start of a node
+   */
+  record Intended(long epoch, String node, long incarnation, long number) implements OrderRecord {}
+}
