--- a/core/src/main/java/org/passhaven/core/job/ItemText.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemText.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import org.passhaven.protocol.job.JobRecord.ItemProgress;
 
 /** Text of one item as far as it is generated. Not thread-safe. */
 final class ItemText {
@@ -24,6 +25,15 @@
     return true;
   }
 
+  /** The text that an earlier runner left. */
+  static ItemText of(ItemProgress progress) {
+    ItemText text = new ItemText();
+    text.data.append(progress.text());
+    text.versions.addAll(progress.versions());
+    text.lastEvent = progress.lastEvent();
+    return text;
+  }
+
   long lastEvent() {
     return lastEvent;
   }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -14,6 +14,7 @@
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.protocol.job.JobRecord;
+import org.passhaven.protocol.job.JobRecord.ItemProgress;
 
 /**
  * Decisions of the node that runs jobs: which item generates where, when it moves on to another
@@ -84,7 +85,59 @@
     }
     JobWork work = new JobWork(job, policy);
     jobs.put(job.id(), work);
-    work.runs.values().forEach(this::useKeptText);
+    for (ItemRun run : work.runs.values()) {
+      useKeptText(run);
+      adoptProgress(run);
+    }
+  }
+
+  /** The log has text of an item that an earlier runner left. */
+  public void onProgress(String job, String item) {
+    JobWork work = jobs.get(job);
+    ItemRun run = work == null ? null : work.runs.get(item);
+    if (run != null) {
+      adoptProgress(run);
+    }
+  }
+
+  private void adoptProgress(ItemRun run) {
+    ItemProgress left = run.job.job.progressOf(run.item.id());
+    if (left == null || run.phase != ItemRun.Phase.WAITING) {
+      return;
+    }
+    ItemText text = ItemText.of(left);
+    boolean fits =
+        text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
+    if (fits && text.lastEvent() >= run.text.lastEvent()) {
+      run.text = text;
+      if (left.whole()) {
+        run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
+      }
+    }
+  }
+
+  /** Texts that are not in the log as results, for the runner that follows this one. */
+  public List<ItemProgress> progress() {
+    List<ItemProgress> left = new ArrayList<>();
+    for (JobWork work : jobs.values()) {
+      for (ItemRun run : work.runs.values()) {
+        boolean unfinished =
+            run.phase != ItemRun.Phase.DONE && run.phase != ItemRun.Phase.FINISHING;
+        if (unfinished && !run.text.isEmpty()) {
+          boolean whole =
+              run.phase == ItemRun.Phase.SCORING || run.phase == ItemRun.Phase.WAITING_FOR_SCORE;
+          left.add(
+              new ItemProgress(
+                  work.job.id(),
+                  run.item.id(),
+                  run.text.lastEvent(),
+                  run.text.data(),
+                  run.text.versions(),
+                  whole));
+        }
+      }
+    }
+    return left;
   }
 
   private void useKeptText(ItemRun run) {
@@ -163,7 +216,7 @@
       work.runs.values().stream()
           .filter(run -> run.phase == ItemRun.Phase.WAITING_FOR_SCORE)
           .filter(run -> run.notBefore <= nowMillis)
-          .forEach(run -> score(run, actions));
+          .forEach(run -> scoreOrFinish(run, actions));
       for (ItemRun run : work.waiting(nowMillis)) {
         start(run, ready.values(), priorityOf(work), nowMillis, actions);
       }
@@ -370,12 +423,16 @@
     }
     health.onSuccess(run.server, nowMillis - run.startedAt, nowMillis);
     leaveServer(run);
+    scoreOrFinish(run, actions);
+    return actions;
+  }
+
+  private void scoreOrFinish(ItemRun run, List<JobAction> actions) {
     if (run.item.score() == null) {
       finish(run, true, "", actions);
     } else {
       score(run, actions);
     }
-    return actions;
   }
 
   private void score(ItemRun run, List<JobAction> actions) {
--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -23,6 +23,8 @@
     IGNORED,
     /** The job is accepted. */
     ACCEPTED,
+    /** A runner left the text of an item. */
+    ADVANCED,
     /** An item got its result. */
     LISTED,
     /** The caller ended the job. */
@@ -47,6 +49,9 @@
       }
       return Effect.IGNORED;
     }
+    if (record instanceof JobRecord.ItemProgress text) {
+      return job.advance(text) ? Effect.ADVANCED : Effect.IGNORED;
+    }
     if (record instanceof JobRecord.ItemFinished result) {
       return job.list(result) ? Effect.LISTED : Effect.IGNORED;
     }
--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -18,6 +18,7 @@
   private final long silenceMillis;
   private final Map<String, Heard> members = new TreeMap<>();
   private long newestMillis = Long.MIN_VALUE;
+  private List<MemberBeat> taking;
 
   private record Heard(MemberBeat beat, long atMillis) {}
 
@@ -30,6 +31,7 @@
   public void onBeat(MemberBeat beat, long nowMillis) {
     Objects.requireNonNull(beat, "beat");
     newestMillis = Math.max(newestMillis, nowMillis);
+    taking = null;
     Heard known = members.get(beat.node());
     // A clock that was set back may give a new start a lower number; silence of the old one
     // decides.
@@ -46,6 +48,13 @@
 
   /** Live nodes that take new work, by name. */
   public List<MemberBeat> taking() {
+    if (taking == null) {
+      taking = findTaking();
+    }
+    return taking;
+  }
+
+  private List<MemberBeat> findTaking() {
     return members.values().stream()
         .filter(heard -> newestMillis - heard.atMillis() < silenceMillis)
         .map(Heard::beat)
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -182,6 +182,27 @@
     assertThat(onlyStart(servers, 500).lastEvent(), equalTo(0L));
   }
 
+  @Test
+  void aSuccessorGoesOnWithTheTextThatARunnerLeft() {
+    List<ServerEntry> servers = List.of(server("a", 1));
+    Job job = job("j", 0, 1, item("x", "g", 0, true), item("y", "g", 0, true));
+    scheduler.take(job, POLICY);
+    List<JobAction.Start> started = starts(scheduler.decide(servers, 0));
+    for (JobAction.Start start : started) {
+      scheduler.onBegan(start.attempt(), 1, 5);
+      events(start.attempt(), 1, 3, 10);
+    }
+    scheduler.onWhole(started.get(1).attempt(), 200);
+    scheduler.progress().forEach(job::advance);
+    JobScheduler successor = new JobScheduler("z");
+    successor.take(job, POLICY);
+    List<JobAction> actions = successor.decide(servers, 300);
+    assertThat(
+        actions,
+        containsInAnyOrder(instanceOf(JobAction.Score.class), instanceOf(JobAction.Start.class)));
+    assertThat(starts(actions).get(0).lastEvent(), equalTo(3L));
+  }
+
   @Test
   void noServerGetsMoreThanItsSlots() {
     List<JobItem> items = new ArrayList<>();
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -19,7 +19,7 @@
 public final class LogTail {
   private static final Logger LOG = LoggerFactory.getLogger(LogTail.class);
   private static final int MOST_RECORDS = 2_000;
-  private static final long WAIT_MILLIS = 1_500;
+  private static final long WAIT_MILLIS = 2_200;
   private static final long FIRST_PAUSE_MILLIS = 50;
   private static final long MOST_PAUSE_MILLIS = 400;
 
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -84,17 +84,17 @@
 
   /** Planned stop: tells everybody, runs no more jobs; requests go on being served. */
   public Uni<Void> leave() {
-    if (!stopping) {
-      LOG.atInfo()
-          .addKeyValue("node", context.settings().node())
-          .addKeyValue("requests", forwarder.inProgress())
-          .addKeyValue("jobs", runner.running())
-          .log("node: leaves");
-      stopping = true;
-      orders.stop();
-      members.announceLeaving();
-      runner.stop();
+    if (stopping) {
+      return Uni.createFrom().voidItem();
     }
-    return Uni.createFrom().voidItem();
+    LOG.atInfo()
+        .addKeyValue("node", context.settings().node())
+        .addKeyValue("requests", forwarder.inProgress())
+        .addKeyValue("jobs", runner.running())
+        .log("node: leaves");
+    stopping = true;
+    orders.stop();
+    // The texts go first: the beat makes other nodes take over.
+    return runner.stop().invoke(members::announceLeaving);
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -101,7 +101,7 @@
   }
 
   private void logEffect(JobRecord record, JobTable.Effect effect) {
-    if (effect == JobTable.Effect.LISTED) {
+    if (effect == JobTable.Effect.LISTED || effect == JobTable.Effect.ADVANCED) {
       return;
     }
     Job job = table.get(record.job());
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -1,6 +1,9 @@
 package org.passhaven.node.gateway;
 
+import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +15,7 @@
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.route.Route;
+import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
@@ -33,6 +37,7 @@
   private static final long GENERATION_MILLIS = 30_000;
   private static final long SCORE_MILLIS = 2_500;
   private static final int SCORES_AT_ONCE = 48;
+  private static final long LEAVE_TEXT_MILLIS = 500;
   private static final String POST = "POST";
   private final GatewayContext context;
   private final Directory directory;
@@ -42,7 +47,7 @@
   private final ResultWriter results;
   private final JobScheduler scheduler;
   private final Map<Long, Cancellable> generations = new HashMap<>();
-  private final java.util.ArrayDeque<JobAction.Score> scoresWaiting = new java.util.ArrayDeque<>();
+  private final ArrayDeque<JobAction.Score> scoresWaiting = new ArrayDeque<>();
   private int scoresInProgress;
   private boolean stopping;
   private boolean deciding;
@@ -70,10 +75,32 @@
     directory.addListener(this::decideSoon);
   }
 
-  /** Runs nothing more; other nodes take over. */
-  public void stop() {
+  /**
+   * Runs nothing more and leaves the texts so far to the next runners; gives a result when these
+   * are in the log, or the log gave no answer in time.
+   */
+  public Uni<Void> stop() {
     stopping = true;
+    Map<String, List<byte[]>> byStream = new HashMap<>();
+    for (JobRecord.ItemProgress text : scheduler.progress()) {
+      JobRecord record = text;
+      String run = log.table().get(text.job()).submission().run();
+      byStream
+          .computeIfAbsent(log.streamOf(run), stream -> new ArrayList<>())
+          .add(Codec.encode(record));
+    }
     scheduler.running().forEach(job -> drop(job, "stopping"));
+    List<Uni<Long>> appends = new ArrayList<>();
+    byStream.forEach((stream, records) -> appends.add(log.append(stream, records)));
+    if (appends.isEmpty()) {
+      return Uni.createFrom().voidItem();
+    }
+    return context
+        .timers()
+        .limit(Uni.join().all(appends).andCollectFailures(), LEAVE_TEXT_MILLIS, "texts")
+        .replaceWithVoid()
+        .onFailure()
+        .recoverWithNull();
   }
 
   /** Number of jobs that this node runs. */
@@ -89,6 +116,9 @@
       apply(scheduler.onListed(job.id(), item));
     } else if (effect == JobTable.Effect.ENDED) {
       drop(job.id(), "ended");
+      results.drop(job.id());
+    } else if (effect == JobTable.Effect.ADVANCED) {
+      scheduler.onProgress(job.id(), ((JobRecord.ItemProgress) record).item());
     } else {
       decideSoon();
     }
@@ -98,7 +128,6 @@
     if (scheduler.isRunning(job)) {
       LOG.atInfo().addKeyValue("job", job).addKeyValue("why", why).log("job: run no longer here");
       apply(scheduler.drop(job, why));
-      results.drop(job);
     }
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -15,7 +15,7 @@
 public final class MemberAgent {
   private static final Logger LOG = LoggerFactory.getLogger(MemberAgent.class);
   private static final String STREAM = "members.0";
-  private static final long BETWEEN_READS_MILLIS = 150;
+  private static final long BETWEEN_READS_MILLIS = 250;
   private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
   private final GatewayContext context;
   private final BeatTable beats;
