Keep a run at its runner until that leaves; let no new node act before it knows the others

So it took every run and claimed the order lease at once, 54 times in 60 s, and each change of the lease costs 5 s without orders: no server got new weights, steps waited for them. Now a runner is recorded in the log (RunTaken) and keeps its run until it leaves or falls silent; a node acts after it has followed the beats for 1.1 s, and reads the last 64 of them at its start; the lease goes to the youngest node, which a rolling restart reaches last, and a holder that has just written counts as alive.

--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -38,7 +38,7 @@
   private final Map<String, Long> endedUnknown = new HashMap<>();
 
   /** Folds one record that was read at {@code nowMillis}. */
-  public Effect apply(JobRecord record, long nowMillis) {
+  public Effect apply(JobRecord.OfJob record, long nowMillis) {
     if (record instanceof JobRecord.JobPart part) {
       return onPart(part, nowMillis);
     }
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/RunOwners.java
@@ -0,0 +1,69 @@
+package org.passhaven.core.job;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.core.member.BeatTable;
+import org.passhaven.protocol.job.JobRecord.RunTaken;
+
+/**
+ * Which node runs the jobs of each run. A node keeps a run until it leaves or falls silent; then
+ * the first live candidate takes it, and the next ones if that one does not. Times in monotonic
+ * milliseconds. Not thread-safe.
+ */
+public final class RunOwners {
+  private static final String KEY_PREFIX = "run/";
+  private static final long READ_BACK_MILLIS = 600;
+  private static final long RANK_MILLIS = 400;
+  private final String node;
+  private final long incarnation;
+  private final Map<String, RunTaken> owners = new HashMap<>();
+  private final Map<String, Long> ownerlessSince = new HashMap<>();
+  private final Map<String, Long> claimedAt = new HashMap<>();
+
+  /** Creates the view of one start of a node. */
+  public RunOwners(String node, long incarnation) {
+    this.node = Objects.requireNonNull(node, "node");
+    this.incarnation = incarnation;
+  }
+
+  /** Folds a record; true if it took effect. */
+  public boolean apply(RunTaken record) {
+    if (record.epoch() != epochOf(record.run()) + 1) {
+      return false;
+    }
+    owners.put(record.run(), record);
+    ownerlessSince.remove(record.run());
+    return true;
+  }
+
+  private long epochOf(String run) {
+    RunTaken owner = owners.get(run);
+    return owner == null ? 0 : owner.epoch();
+  }
+
+  /** Whether this start of this node runs a run. */
+  public boolean isOwn(String run) {
+    RunTaken owner = owners.get(run);
+    return owner != null && owner.node().equals(node) && owner.incarnation() == incarnation;
+  }
+
+  /** The record to append if this node is to take a run now. */
+  public Optional<RunTaken> claim(String run, BeatTable beats, long nowMillis) {
+    RunTaken owner = owners.get(run);
+    if (owner != null && beats.isTaking(owner.node(), owner.incarnation())) {
+      ownerlessSince.remove(run);
+      return Optional.empty();
+    }
+    long since = ownerlessSince.computeIfAbsent(run, name -> nowMillis);
+    long patience = beats.rankOf(KEY_PREFIX + run, node) * RANK_MILLIS;
+    Long claimed = claimedAt.get(run);
+    boolean justClaimed = claimed != null && nowMillis - claimed < READ_BACK_MILLIS;
+    if (justClaimed || nowMillis - since < patience || !beats.isTaking(node, incarnation)) {
+      return Optional.empty();
+    }
+    claimedAt.put(run, nowMillis);
+    return Optional.of(new RunTaken(run, epochOf(run) + 1, node, incarnation));
+  }
+}
--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -68,10 +68,33 @@
     return taking().stream().anyMatch(beat -> beat.node().equals(node));
   }
 
-  /** The node that a key belongs to; empty if no node is known. */
-  public String ownerOf(String key) {
-    List<Member> ranked = rank(key);
-    return ranked.isEmpty() ? "" : ranked.get(0).name();
+  /** Whether one start of a node is alive and takes new work. */
+  public boolean isTaking(String node, long incarnation) {
+    return taking().stream()
+        .anyMatch(beat -> beat.node().equals(node) && beat.incarnation() == incarnation);
+  }
+
+  /** Whether a node's newest beat says that it takes no new work. */
+  public boolean isLeaving(String node) {
+    Heard heard = members.get(node);
+    return heard != null && !heard.beat().taking();
+  }
+
+  /**
+   * Place of a node among the live ones by start, the youngest first; the last one if it is
+   * unknown. Where nodes are restarted in turn, the youngest one stays longest.
+   */
+  public int rankByYouth(String node) {
+    List<MemberBeat> byYouth =
+        taking().stream()
+            .sorted(Comparator.comparingLong(MemberBeat::incarnation).reversed())
+            .toList();
+    for (int place = 0; place < byYouth.size(); place++) {
+      if (byYouth.get(place).node().equals(node)) {
+        return place;
+      }
+    }
+    return byYouth.size();
   }
 
   /** Place of a node among the candidates for a key, from zero; the last one if it is unknown. */
--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -106,6 +106,11 @@
     return holder;
   }
 
+  /** Whether the holder has written lately, so that it is alive whatever else is known of it. */
+  public boolean isFresh(long nowMillis) {
+    return nowMillis - lastRecordAt < settings.claimAfterMillis();
+  }
+
   /** Fencing token of the holder's orders. */
   public long epoch() {
     return epoch;
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
@@ -0,0 +1,85 @@
+package org.passhaven.core.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.member.BeatTable;
+import org.passhaven.protocol.job.JobRecord.RunTaken;
+import org.passhaven.protocol.member.MemberBeat;
+
+class RunOwnersTest {
+  private final BeatTable beats = new BeatTable(1_500);
+  private final RunOwners a = new RunOwners("a", 1);
+
+  private void beat(String node, long incarnation, boolean taking, long now) {
+    beats.onBeat(new MemberBeat(node, node + ":1", "z", incarnation, taking), now);
+  }
+
+  private String firstOf(String run) {
+    return beats.rankOf("run/" + run, "a") == 0 ? "a" : "b";
+  }
+
+  private String runWhoseFirstIs(String node) {
+    for (int i = 0; ; i++) {
+      if (firstOf("r" + i).equals(node)) {
+        return "r" + i;
+      }
+    }
+  }
+
+  @Test
+  void theFirstCandidateTakesARunThatNobodyHas() {
+    beat("a", 1, true, 0);
+    beat("b", 1, true, 0);
+    String run = runWhoseFirstIs("a");
+    RunTaken claim = a.claim(run, beats, 0).orElseThrow();
+    assertThat(a.isOwn(run), is(false));
+    assertThat(a.apply(claim), is(true));
+    assertThat(a.isOwn(run), is(true));
+  }
+
+  @Test
+  void aNodeThatComesBackDoesNotTakeARunFromALiveRunner() {
+    beat("a", 1, true, 0);
+    beat("b", 1, true, 0);
+    String run = runWhoseFirstIs("a");
+    a.apply(new RunTaken(run, 1, "b", 1));
+    assertThat(a.claim(run, beats, 0), equalTo(Optional.empty()));
+  }
+
+  @Test
+  void aRunnerThatLeavesOrStartsAnewIsSucceeded() {
+    beat("a", 1, true, 0);
+    beat("b", 1, true, 0);
+    String run = runWhoseFirstIs("a");
+    a.apply(new RunTaken(run, 1, "b", 1));
+    beat("b", 2, true, 10);
+    assertThat(a.claim(run, beats, 10).orElseThrow().epoch(), equalTo(2L));
+  }
+
+  @Test
+  void theSecondCandidateWaitsForTheFirst() {
+    beat("a", 1, true, 0);
+    beat("b", 1, true, 0);
+    String run = runWhoseFirstIs("b");
+    assertThat(a.claim(run, beats, 0).isPresent(), is(false));
+    assertThat(a.claim(run, beats, 399).isPresent(), is(false));
+    assertThat(a.claim(run, beats, 400).isPresent(), is(true));
+  }
+
+  @Test
+  void ofTwoClaimsTheFirstInTheLogWins() {
+    assertThat(a.apply(new RunTaken("r", 1, "b", 1)), is(true));
+    assertThat(a.apply(new RunTaken("r", 1, "a", 1)), is(false));
+    assertThat(a.isOwn("r"), is(false));
+  }
+
+  @Test
+  void aNodeThatLeavesTakesNothing() {
+    beat("a", 1, false, 0);
+    assertThat(a.claim("r", beats, 5_000).isPresent(), is(false));
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -8,6 +8,7 @@
 import net.openhft.hashing.LongHashFunction;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
+import org.passhaven.core.job.RunOwners;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
@@ -24,12 +25,15 @@
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final JobTable table = new JobTable();
+  private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
-  private final List<BiConsumer<JobRecord, JobTable.Effect>> listeners = new ArrayList<>();
+  private final List<Runnable> ownerListeners = new ArrayList<>();
+  private final List<BiConsumer<JobRecord.OfJob, JobTable.Effect>> listeners = new ArrayList<>();
 
   /** Creates the log; {@link #start} begins to follow it. */
   public JobLog(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
+    this.owners = new RunOwners(context.settings().node(), context.incarnation());
     for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
       tails.add(
           new LogTail(
@@ -48,10 +52,20 @@
   }
 
   /** Calls {@code listener} with each record that changed a job. */
-  public void addListener(BiConsumer<JobRecord, JobTable.Effect> listener) {
+  public void addListener(BiConsumer<JobRecord.OfJob, JobTable.Effect> listener) {
     listeners.add(listener);
   }
 
+  /** Calls {@code listener} when a run has got another runner. */
+  public void addOwnerListener(Runnable listener) {
+    ownerListeners.add(listener);
+  }
+
+  /** Which node runs which run. */
+  public RunOwners owners() {
+    return owners;
+  }
+
   /** All jobs. */
   public JobTable table() {
     return table;
@@ -92,6 +106,25 @@
       LOG.atError().addKeyValue("reason", e.getMessage()).log("job: a record can't be read");
       return;
     }
+    if (record instanceof JobRecord.RunTaken taken) {
+      onTaken(taken);
+    } else if (record instanceof JobRecord.OfJob ofJob) {
+      onJobRecord(ofJob);
+    }
+  }
+
+  private void onTaken(JobRecord.RunTaken taken) {
+    if (owners.apply(taken)) {
+      LOG.atInfo()
+          .addKeyValue("run", taken.run())
+          .addKeyValue("epoch", taken.epoch())
+          .addKeyValue("runner", taken.node())
+          .log("job: run taken");
+      ownerListeners.forEach(Runnable::run);
+    }
+  }
+
+  private void onJobRecord(JobRecord.OfJob record) {
     JobTable.Effect effect = table.apply(record, context.now());
     if (effect == JobTable.Effect.IGNORED) {
       return;
@@ -100,7 +133,7 @@
     listeners.forEach(listener -> listener.accept(record, effect));
   }
 
-  private void logEffect(JobRecord record, JobTable.Effect effect) {
+  private void logEffect(JobRecord.OfJob record, JobTable.Effect effect) {
     if (effect == JobTable.Effect.LISTED || effect == JobTable.Effect.ADVANCED) {
       return;
     }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -26,6 +26,7 @@
 import org.passhaven.spi.BackEndService.Progress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Runs the jobs of the runs that belong to this node: carries out the decisions of the {@link
@@ -33,7 +34,6 @@
  */
 public final class JobRunner {
   private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
-  private static final String OWNER_KEY_PREFIX = "run/";
   private static final long GENERATION_MILLIS = 30_000;
   private static final long SCORE_MILLIS = 2_500;
   private static final int SCORES_AT_ONCE = 48;
@@ -67,6 +67,7 @@
     this.results = new ResultWriter(context, log);
     this.scheduler = new JobScheduler(context.settings().zone());
     log.addListener(this::onRecord);
+    log.addOwnerListener(this::decideSoon);
   }
 
   /** Begins to run jobs. */
@@ -108,7 +109,7 @@
     return scheduler.running().size();
   }
 
-  private void onRecord(JobRecord record, JobTable.Effect effect) {
+  private void onRecord(JobRecord.OfJob record, JobTable.Effect effect) {
     Job job = log.table().get(record.job());
     if (effect == JobTable.Effect.LISTED) {
       String item = ((JobRecord.ItemFinished) record).item();
@@ -158,7 +159,9 @@
   }
 
   private void takeOrDrop(Job job) {
-    boolean mine = isMine(job.submission().run());
+    String run = job.submission().run();
+    claim(run);
+    boolean mine = log.owners().isOwn(run);
     boolean running = scheduler.isRunning(job.id());
     if (running && !mine) {
       drop(job.id(), "another node runs it");
@@ -180,8 +183,22 @@
     }
   }
 
-  private boolean isMine(String run) {
-    return members.beats().ownerOf(OWNER_KEY_PREFIX + run).equals(context.settings().node());
+  private void claim(String run) {
+    if (!members.isSettled()) {
+      return;
+    }
+    Optional<JobRecord.RunTaken> claim = log.owners().claim(run, members.beats(), context.now());
+    if (claim.isPresent()) {
+      JobRecord record = claim.get();
+      LOG.atInfo()
+          .addKeyValue("run", run)
+          .addKeyValue("epoch", claim.get().epoch())
+          .addKeyValue("live", members.beats().taking().size())
+          .log("job: run claimed");
+      log.append(log.streamOf(run), List.of(Codec.encode(record)))
+          .subscribe()
+          .with(offset -> {}, failure -> LOG.debug("job: a claim failed", failure));
+    }
   }
 
   private Optional<JobPolicy> policyOf(JobSubmission submission) {
@@ -231,6 +248,10 @@
     Cancellable running = generations.remove(stop.attempt());
     if (running != null) {
       running.cancel();
+      LOG.atInfo()
+          .addKeyValue("attempt", stop.attempt())
+          .addKeyValue("why", stop.why())
+          .log("job: generation stopped");
     }
     decideSoon();
   }
@@ -247,7 +268,7 @@
             item.body(),
             GENERATION_MILLIS);
     long attempt = start.attempt();
-    LOG.atDebug()
+    LOG.atLevel(start.lastEvent() > 0 ? Level.INFO : Level.DEBUG)
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", item.id())
         .addKeyValue("attempt", attempt)
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -16,12 +16,15 @@
   private static final Logger LOG = LoggerFactory.getLogger(MemberAgent.class);
   private static final String STREAM = "members.0";
   private static final long BETWEEN_READS_MILLIS = 250;
+  private static final long HISTORY_RECORDS = 64;
+  private static final long SETTLE_MILLIS = 1_100;
   private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
   private final GatewayContext context;
   private final BeatTable beats;
   private final LogTail tail;
   private boolean tailing;
   private boolean taking = true;
+  private long startedAt;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
   private List<String> lastTaking = List.of();
 
@@ -49,6 +52,11 @@
     return context.now() - ownBeatReadAt < context.settings().silence().toMillis();
   }
 
+  /** Whether this node has followed the beats long enough to know who else is alive. */
+  public boolean isSettled() {
+    return tailing && isInTouch() && context.now() - startedAt >= SETTLE_MILLIS;
+  }
+
   /** Tells everybody that this node takes no new work. */
   public void announceLeaving() {
     taking = false;
@@ -70,7 +78,9 @@
   private void onAppended(long offset) {
     if (!tailing) {
       tailing = true;
-      tail.start(offset);
+      startedAt = context.now();
+      // Beats of the last moments tell at once who else is there.
+      tail.start(Math.max(0, offset - HISTORY_RECORDS));
     }
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -27,7 +27,6 @@
 public final class OrderAgent {
   private static final Logger LOG = LoggerFactory.getLogger(OrderAgent.class);
   private static final String STREAM = "orders.0";
-  private static final String CANDIDATE_KEY = "orders";
   private static final long CALL_LIMIT_MILLIS = 700;
   private static final long LOOK_AGAIN_MILLIS = 150;
   private static final long LOAD_MILLIS = 850;
@@ -90,9 +89,11 @@
     long now = context.now();
     boolean needed =
         planner.isNeeded(directory.servers().all(), directory.newestVersions())
-            && members.isInTouch();
-    boolean holderAlive = members.beats().isTaking(lease.holder());
-    int rank = members.beats().rankOf(CANDIDATE_KEY, context.settings().node());
+            && members.isSettled();
+    boolean holderAlive =
+        members.beats().isTaking(lease.holder())
+            || (lease.isFresh(now) && !members.beats().isLeaving(lease.holder()));
+    int rank = members.beats().rankByYouth(context.settings().node());
     Optional<OrderRecord> record = lease.next(needed, holderAlive, rank, now);
     record.ifPresent(this::append);
     if (lease.mayOrder(now)) {
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -11,22 +11,36 @@
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
 @JsonSubTypes({
+  @JsonSubTypes.Type(value = JobRecord.RunTaken.class, name = "rt"),
   @JsonSubTypes.Type(value = JobRecord.JobPart.class, name = "jp"),
   @JsonSubTypes.Type(value = JobRecord.ItemProgress.class, name = "ip"),
   @JsonSubTypes.Type(value = JobRecord.ItemFinished.class, name = "if"),
   @JsonSubTypes.Type(value = JobRecord.JobEnded.class, name = "je")
 })
 public sealed interface JobRecord {
-  /** Name of the job. */
-  String job();
+  /** A record of one job. */
+  sealed interface OfJob extends JobRecord {
+    /** Name of the job. */
+    String job();
+  }
+
+  /**
+   * A node runs the jobs of a run from now on; valid if its epoch is one more than the one folded
+   * so far. Two runners harm nothing: this keeps them from doing the same work.
+   */
+  record RunTaken(String run, long epoch, String node, long incarnation) implements JobRecord {
+    public RunTaken {
+      Objects.requireNonNull(run, "run");
+      Objects.requireNonNull(node, "node");
+    }
+  }
 
   /**
    * A piece of an encoded {@link JobSubmission}; the job is accepted with its last piece.
    *
    * @param attempt names the append that the piece belongs to; pieces of two are never mixed
    */
-  record JobPart(String job, long attempt, int part, int parts, byte[] content)
-      implements JobRecord {
+  record JobPart(String job, long attempt, int part, int parts, byte[] content) implements OfJob {
     public JobPart {
       Objects.requireNonNull(job, "job");
       Objects.requireNonNull(content, "content");
@@ -42,7 +56,7 @@
    */
   record ItemProgress(
       String job, String item, long lastEvent, String text, List<Long> versions, boolean whole)
-      implements JobRecord {
+      implements OfJob {
     public ItemProgress {
       Objects.requireNonNull(job, "job");
       Objects.requireNonNull(item, "item");
@@ -61,7 +75,7 @@
    */
   record ItemFinished(
       String job, String item, boolean completed, String text, List<Long> versions, String score)
-      implements JobRecord {
+      implements OfJob {
     public ItemFinished {
       Objects.requireNonNull(job, "job");
       Objects.requireNonNull(item, "item");
@@ -72,5 +86,5 @@
   }
 
   /** The caller wants no more of the job. */
-  record JobEnded(String job) implements JobRecord {}
+  record JobEnded(String job) implements OfJob {}
 }
