--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -382,7 +382,7 @@
     if (!tooOld && !mixed) {
       return true;
     }
-    stop(run, tooOld ? "version too old" : "version changed", actions);
+    stop(run, "version " + version + (tooOld ? " is too old" : " is another one"), actions);
     if (mixed) {
       run.restartText();
     } else {
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -24,6 +24,7 @@
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Call;
 import org.passhaven.spi.BackEndService.Progress;
+import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -197,7 +198,13 @@
           .log("job: run claimed");
       log.append(log.streamOf(run), List.of(Codec.encode(record)))
           .subscribe()
-          .with(offset -> {}, failure -> LOG.debug("job: a claim failed", failure));
+          .with(
+              offset -> {},
+              failure ->
+                  LOG.atInfo()
+                      .addKeyValue("run", run)
+                      .addKeyValue("reason", PlatformException.from(failure).getMessage())
+                      .log("job: a claim failed"));
     }
   }
 
@@ -306,7 +313,8 @@
 
   private void onFailed(JobAction.Start start, BackEndException failure) {
     generations.remove(start.attempt());
-    LOG.atInfo()
+    // A full server is no failure, and there may be many such answers.
+    LOG.atLevel(failure.kind() == BackEndException.Kind.REFUSED ? Level.DEBUG : Level.INFO)
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", start.item().id())
         .addKeyValue("server", start.server().instance())
