Play gateway nodes in virtual time under 18 kinds of faults, with a checker

The production Gateway runs over a store that is down, silent, slow, loses answers, does writes late or forgets tables; servers that crash, go dark, slow down, leave, take orders late; nodes that are killed, paused, cut off or leave. Checked: positions never change, texts whole and in order, versions true, orders of two machines 3 s apart with rising fences, accepted jobs found.

--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
@@ -0,0 +1,127 @@
+package org.passhaven.simulator.gateway;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.passhaven.node.gateway.Gateway;
+import org.passhaven.node.gateway.GatewayContext;
+import org.passhaven.node.gateway.GatewaySettings;
+import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.simulator.time.VirtualTime;
+
+/** A machine that runs a gateway node; each start is a new node with nothing in memory. */
+public final class GatewayHost {
+  private final VirtualTime time;
+  private final GatewaySettings settings;
+  private final SimulatedProcess process;
+  private final SimulatedStore store;
+  private final SimulatedServers servers;
+  private final UniformRandomProvider random;
+  private Gateway gateway;
+  private boolean cut;
+  private long troubledUntilMillis;
+
+  /** Creates a host that is not started. */
+  public GatewayHost(
+      VirtualTime time,
+      GatewaySettings settings,
+      SimulatedProcess process,
+      SimulatedStore store,
+      SimulatedServers servers,
+      UniformRandomProvider random) {
+    this.time = time;
+    this.settings = settings;
+    this.process = process;
+    this.store = store;
+    this.servers = servers;
+    this.random = random;
+  }
+
+  /** Starts a node. */
+  public void start() {
+    long generation = process.start();
+    gateway =
+        new Gateway(
+            new GatewayContext(
+                settings,
+                generation,
+                process.timers(),
+                random::nextInt,
+                store.clientOf(process, () -> cut),
+                store.clientOf(process, () -> cut),
+                servers.clientOf(process),
+                new SimulatedDocuments()));
+    process.execute(generation, gateway::start);
+    note(0);
+  }
+
+  /** Ends the node at once. */
+  public void kill() {
+    process.kill();
+    gateway = null;
+  }
+
+  /** Stops the node from running for a while. */
+  public void pause(long forMillis) {
+    if (gateway == null) {
+      return;
+    }
+    long generation = process.generation();
+    process.pause();
+    note(forMillis);
+    time.after(
+        forMillis * VirtualTime.MICROS_PER_MILLI,
+        () -> {
+          if (process.generation() == generation) {
+            process.resume();
+          }
+        });
+  }
+
+  /** Cuts the node from the store for a while. */
+  public void cutFromStore(long forMillis) {
+    cut = true;
+    note(forMillis);
+    time.after(forMillis * VirtualTime.MICROS_PER_MILLI, () -> cut = false);
+  }
+
+  /** Planned stop: the node leaves and ends after {@code graceMillis}. */
+  public void leave(long graceMillis) {
+    if (gateway == null || process.isPaused()) {
+      return;
+    }
+    long generation = process.generation();
+    Gateway leaving = gateway;
+    process.execute(generation, () -> leaving.leave().subscribe().with(ignored -> {}));
+    note(graceMillis);
+    time.after(
+        graceMillis * VirtualTime.MICROS_PER_MILLI,
+        () -> {
+          if (process.generation() == generation) {
+            kill();
+          }
+        });
+  }
+
+  private void note(long forMillis) {
+    troubledUntilMillis = Math.max(troubledUntilMillis, time.nowMillis() + forMillis);
+  }
+
+  /** Whether the node has run without trouble for a time. */
+  public boolean isSoundFor(long millis) {
+    return isRunning() && !cut && time.nowMillis() - troubledUntilMillis >= millis;
+  }
+
+  /** Whether the node runs and is not paused. */
+  public boolean isRunning() {
+    return gateway != null && process.isAlive() && !process.isPaused();
+  }
+
+  /** The node that runs; null if none does. */
+  public Gateway gateway() {
+    return gateway;
+  }
+
+  /** The process. */
+  public SimulatedProcess process() {
+    return process;
+  }
+}
--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -0,0 +1,263 @@
+package org.passhaven.simulator.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.order.OrderLease;
+import org.passhaven.node.gateway.GatewaySettings;
+import org.passhaven.protocol.Codec;
+import org.passhaven.simulator.gateway.SimulatedServers.Server;
+import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.simulator.time.VirtualTime;
+
+/** A site of gateway nodes in virtual time: the same seed and faults give the same run. */
+public final class GatewayWorld {
+  private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final int NODES = 6;
+  private static final long LEASE_MILLIS = 3_000;
+  private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
+  private static final long LIST_PERIOD_MILLIS = 300;
+  private static final long RESTART_MILLIS = 900;
+  private static final long DRAIN_MILLIS = 2_000;
+  private static final long GRACE_MILLIS = 6_000;
+  private static final long SLOW_STORE = 50;
+  private static final long SLOW_SERVER = 4;
+  private static final double LOST_SHARE = 0.35;
+  private static final long ADDRESS_AFTER_MILLIS = 15_000;
+
+  /**
+   * What came of a run.
+   *
+   * @param wholeSteps steps of which every item was listed in time
+   */
+  public record Report(
+      List<String> violations, int steps, int wholeSteps, int orders, int handOvers) {}
+
+  private final VirtualTime time = new VirtualTime();
+  private final UniformRandomProvider random;
+  private final GatewayChecker checker = new GatewayChecker(LEASE_MILLIS);
+  private final SimulatedStore store;
+  private final SimulatedServers servers;
+  private final List<GatewayHost> hosts = new ArrayList<>();
+  private final List<String> draining = new ArrayList<>();
+  private final SimulatedTrainer trainer;
+  private long storeTroubledUntil;
+
+  /** Creates a world. */
+  public GatewayWorld(long seed) {
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    store = new SimulatedStore(time, random);
+    servers = new SimulatedServers(time, random, checker, ZONES);
+    trainer = new SimulatedTrainer(this, time, random);
+    for (int i = 0; i < NODES; i++) {
+      hosts.add(host("n" + i, ZONES.get(i % ZONES.size())));
+    }
+  }
+
+  private GatewayHost host(String name, String zone) {
+    GatewaySettings settings =
+        new GatewaySettings(
+            name,
+            zone,
+            name + ":1",
+            2,
+            Duration.ofMillis(500),
+            Duration.ofMillis(1_600),
+            Duration.ofMillis(100),
+            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, 2_000, 400),
+            2,
+            Duration.ofSeconds(150),
+            262_144,
+            2_097_152);
+    SimulatedProcess process = new SimulatedProcess(time, name, zone);
+    return new GatewayHost(time, settings, process, store, servers, random);
+  }
+
+  /** Draws faults that begin within a time. */
+  public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
+    UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
+    GatewayFault.Kind[] kinds = GatewayFault.Kind.values();
+    List<GatewayFault> faults = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      faults.add(
+          new GatewayFault(
+              kinds[drawing.nextInt(kinds.length)],
+              ADDRESS_AFTER_MILLIS / 5 + drawing.nextLong(withinMillis),
+              500 + drawing.nextInt(6_000),
+              drawing.nextInt(1_000)));
+    }
+    return faults;
+  }
+
+  /** Plays a run. */
+  public Report play(List<GatewayFault> faults, long forMillis) {
+    store.put(
+        SimulatedDocuments.OPERATOR,
+        SimulatedDocuments.CONFIGURATION,
+        SimulatedDocuments.version(1));
+    list();
+    hosts.forEach(GatewayHost::start);
+    after(3_000, trainer::start);
+    faults.forEach(fault -> after(fault.atMillis(), () -> begin(fault)));
+    long limit = forMillis * VirtualTime.MICROS_PER_MILLI;
+    boolean more = true;
+    while (more) {
+      more = time.runNext(limit);
+    }
+    return new Report(
+        checker.violations(),
+        trainer.steps(),
+        trainer.wholeSteps(),
+        checker.orders(),
+        checker.handOvers());
+  }
+
+  private void after(long millis, Runnable task) {
+    time.after(millis * VirtualTime.MICROS_PER_MILLI, task);
+  }
+
+  /** Servers list themselves, those that run only. */
+  private void list() {
+    for (Server server : servers.all()) {
+      boolean isModel = server.name.startsWith("llm");
+      if (server.down) {
+        continue;
+      }
+      ServerEntry entry =
+          new ServerEntry(
+              server.instance(),
+              isModel ? "llm" : "portal",
+              server.name,
+              server.zone,
+              8,
+              !draining.contains(server.instance()),
+              isModel ? Map.of(SimulatedServers.MODEL, server.version) : Map.of());
+      byte[] document = Codec.encode(entry);
+      if (!java.util.Arrays.equals(document, listed.put(server.instance(), document))) {
+        store.put(SimulatedDocuments.SERVERS, server.instance(), document);
+      }
+    }
+    after(LIST_PERIOD_MILLIS, this::list);
+  }
+
+  private final Map<String, byte[]> listed = new java.util.HashMap<>();
+
+  private void begin(GatewayFault fault) {
+    GatewayHost host = hosts.get(fault.target() % hosts.size());
+    List<Server> all = servers.all();
+    Server server = all.get(fault.target() % all.size());
+    switch (fault.kind()) {
+      case NODE_KILLED, LAST_WRITER_KILLED -> killAndRestart(host);
+      case ALL_NODES_KILLED -> hosts.forEach(this::killAndRestart);
+      case NODE_PAUSED -> host.pause(fault.forMillis());
+      case NODE_CUT_FROM_STORE -> host.cutFromStore(fault.forMillis());
+      case NODE_LEAVES -> leaveAndRestart(host);
+      case STORE_REFUSES -> trouble(SimulatedStore.Manner.REFUSES, 1, fault);
+      case STORE_SILENT -> trouble(SimulatedStore.Manner.SILENT, 1, fault);
+      case STORE_LOSES_ANSWERS -> trouble(SimulatedStore.Manner.LOSES_ANSWERS, LOST_SHARE, fault);
+      case STORE_DOES_LATE -> trouble(SimulatedStore.Manner.DOES_LATE, LOST_SHARE, fault);
+      case STORE_FORGETS -> store.forgetTables();
+      case STORE_SLOW -> {
+        storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
+        store.setSlowness(SLOW_STORE);
+        after(fault.forMillis(), () -> store.setSlowness(1));
+      }
+      case SERVER_CRASHES -> crash(server, false, fault.forMillis());
+      case SERVER_DARK -> crash(server, true, fault.forMillis());
+      case SERVER_SLOW -> {
+        server.setSlowness(SLOW_SERVER);
+        after(fault.forMillis(), () -> server.setSlowness(1));
+      }
+      case SERVER_LEAVES -> drain(server);
+      case ORDERS_LATE -> {
+        servers.setLateOrders(LOST_SHARE);
+        after(fault.forMillis(), () -> servers.setLateOrders(0));
+      }
+      case SCORES_LOST -> {
+        servers.setLostScores(LOST_SHARE);
+        after(fault.forMillis(), () -> servers.setLostScores(0));
+      }
+    }
+  }
+
+  private void killAndRestart(GatewayHost host) {
+    if (host.gateway() != null) {
+      host.kill();
+      after(RESTART_MILLIS, () -> startIfEnded(host));
+    }
+  }
+
+  private void leaveAndRestart(GatewayHost host) {
+    host.leave(GRACE_MILLIS);
+    after(GRACE_MILLIS + RESTART_MILLIS, () -> startIfEnded(host));
+  }
+
+  private static void startIfEnded(GatewayHost host) {
+    if (host.gateway() == null) {
+      host.start();
+    }
+  }
+
+  private void trouble(SimulatedStore.Manner manner, double share, GatewayFault fault) {
+    storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
+    store.setManner(manner, share);
+    after(fault.forMillis(), () -> store.setManner(SimulatedStore.Manner.SOUND, 0));
+  }
+
+  private void crash(Server server, boolean silently, long forMillis) {
+    if (server.down) {
+      return;
+    }
+    String instance = server.instance();
+    server.crash(silently);
+    after(DRAIN_MILLIS, () -> unlist(instance));
+    after(forMillis, server::restart);
+  }
+
+  private void drain(Server server) {
+    if (server.down) {
+      return;
+    }
+    String instance = server.instance();
+    draining.add(instance);
+    after(
+        DRAIN_MILLIS,
+        () -> {
+          if (server.instance().equals(instance) && !server.down) {
+            server.crash(false);
+            unlist(instance);
+            after(RESTART_MILLIS, server::restart);
+          }
+        });
+  }
+
+  private void unlist(String instance) {
+    if (listed.remove(instance) != null) {
+      store.put(SimulatedDocuments.SERVERS, instance, null);
+    }
+  }
+
+  /** Names a weight version. */
+  void name(long version) {
+    store.put(
+        SimulatedDocuments.OPERATOR,
+        SimulatedDocuments.versionKey(SimulatedServers.MODEL),
+        SimulatedDocuments.version(version));
+  }
+
+  GatewayChecker checker() {
+    return checker;
+  }
+
+  List<GatewayHost> hosts() {
+    return hosts;
+  }
+
+  boolean isStoreSoundFor(long millis) {
+    return time.nowMillis() - storeTroubledUntil >= millis;
+  }
+}
--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -0,0 +1,273 @@
+package org.passhaven.simulator.gateway;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.passhaven.simulator.time.SimulatedProcess;
+import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.LogService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.PlatformException.Kind;
+import org.passhaven.spi.TableService;
+
+/**
+ * The store in virtual time: streams and tables. It may be down (refusing or silent), slow, lose
+ * the answers of writes that it does at once or seconds later, and forget history.
+ */
+public final class SimulatedStore {
+  private static final long ONE_WAY_MICROS = 500;
+  private static final long WRITE_MICROS = 4_000;
+  private static final long CALL_LIMIT_MILLIS = 1_200;
+  private static final long LATE_FROM_MILLIS = 1_000;
+  private static final int LATE_SPREAD_MILLIS = 5_000;
+
+  /** How the store behaves. */
+  public enum Manner {
+    SOUND,
+    REFUSES,
+    SILENT,
+    LOSES_ANSWERS,
+    DOES_LATE
+  }
+
+  private static final class Stream {
+    final List<byte[]> records = new ArrayList<>();
+    final List<Runnable> waiting = new ArrayList<>();
+    long first;
+  }
+
+  private final VirtualTime time;
+  private final UniformRandomProvider random;
+  private final Map<String, Stream> streams = new HashMap<>();
+  private final Map<String, NavigableMap<String, byte[]>> tables = new HashMap<>();
+  private Manner manner = Manner.SOUND;
+  private double share = 1;
+  private long slowness = 1;
+
+  /** Creates an empty store. */
+  public SimulatedStore(VirtualTime time, UniformRandomProvider random) {
+    this.time = time;
+    this.random = random;
+  }
+
+  /** Sets how calls end; only a share of the writes if it loses answers. */
+  public void setManner(Manner newManner, double newShare) {
+    manner = newManner;
+    share = newShare;
+  }
+
+  /** Makes each call take so many times as long. */
+  public void setSlowness(long times) {
+    slowness = times;
+  }
+
+  private Stream stream(String name) {
+    return streams.computeIfAbsent(name, key -> new Stream());
+  }
+
+  /** Writes a document, as the operator or a server does. */
+  public void put(String table, String key, byte[] value) {
+    if (value == null) {
+      table(table).remove(key);
+    } else {
+      table(table).put(key, value);
+    }
+    byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
+    byte[] record = new byte[1 + keyBytes.length + (value == null ? 0 : value.length)];
+    record[0] = (byte) keyBytes.length;
+    System.arraycopy(keyBytes, 0, record, 1, keyBytes.length);
+    if (value != null) {
+      System.arraycopy(value, 0, record, 1 + keyBytes.length, value.length);
+    }
+    add("table/" + table, List.of(record));
+  }
+
+  private NavigableMap<String, byte[]> table(String name) {
+    return tables.computeIfAbsent(name, key -> new TreeMap<>());
+  }
+
+  /** Forgets the history of all tables: followers have to list them anew. */
+  public void forgetTables() {
+    streams.forEach(
+        (name, stream) -> {
+          if (name.startsWith("table/")) {
+            stream.first = stream.records.size();
+            wake(stream);
+          }
+        });
+  }
+
+  private long add(String name, List<byte[]> records) {
+    Stream stream = stream(name);
+    long offset = stream.records.size();
+    stream.records.addAll(records);
+    wake(stream);
+    return offset;
+  }
+
+  private static void wake(Stream stream) {
+    List<Runnable> woken = List.copyOf(stream.waiting);
+    stream.waiting.clear();
+    woken.forEach(Runnable::run);
+  }
+
+  /** The store as one process reaches it. */
+  public Client clientOf(SimulatedProcess process, BooleanSupplier isCut) {
+    return new Client(process, isCut);
+  }
+
+  /** One process's way to the store. */
+  public final class Client implements LogService, TableService {
+    private final SimulatedProcess process;
+    private final BooleanSupplier isCut;
+    private final long generation;
+
+    Client(SimulatedProcess process, BooleanSupplier isCut) {
+      this.process = process;
+      this.isCut = isCut;
+      this.generation = process.generation();
+    }
+
+    private void deliver(Runnable task) {
+      time.after(ONE_WAY_MICROS, () -> process.execute(generation, task));
+    }
+
+    private boolean isSilent() {
+      return manner == Manner.SILENT || isCut.getAsBoolean();
+    }
+
+    /** Begins a call; {@code serve} runs at the store. */
+    private <T> Uni<T> call(
+        long limitMillis, java.util.function.Consumer<UniEmitter<? super T>> serve) {
+      Uni<T> called =
+          Uni.createFrom()
+              .emitter(
+                  emitter -> {
+                    if (isSilent()) {
+                      return;
+                    }
+                    if (manner == Manner.REFUSES) {
+                      deliver(() -> emitter.fail(new PlatformException(Kind.NOT_RUN, "busy")));
+                      return;
+                    }
+                    time.after(ONE_WAY_MICROS, () -> serve.accept(emitter));
+                  });
+      return process.timers().limit(called, limitMillis, "store");
+    }
+
+    @Override
+    public Uni<Long> append(String stream, List<byte[]> records) {
+      return call(CALL_LIMIT_MILLIS, emitter -> write(stream, records, emitter));
+    }
+
+    private void write(String stream, List<byte[]> records, UniEmitter<? super Long> emitter) {
+      boolean lost = random.nextDouble() < share;
+      if (manner == Manner.DOES_LATE && lost) {
+        long late = LATE_FROM_MILLIS + random.nextInt(LATE_SPREAD_MILLIS);
+        time.after(late * VirtualTime.MICROS_PER_MILLI, () -> add(stream, records));
+        return;
+      }
+      boolean answers = !(manner == Manner.LOSES_ANSWERS && lost);
+      time.after(
+          WRITE_MICROS * slowness,
+          () -> {
+            long offset = add(stream, records);
+            if (answers && !isSilent()) {
+              deliver(() -> emitter.complete(offset));
+            }
+          });
+    }
+
+    @Override
+    public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
+      return call(
+          waitMillis + CALL_LIMIT_MILLIS,
+          emitter ->
+              await(
+                  stream,
+                  from,
+                  waitMillis,
+                  () -> {
+                    Stream kept = stream(stream);
+                    long first = Math.max(from, kept.first);
+                    int size = kept.records.size();
+                    int end = (int) Math.min(size, first + most);
+                    List<byte[]> records =
+                        first < end
+                            ? List.copyOf(kept.records.subList((int) first, end))
+                            : List.of();
+                    deliver(() -> emitter.complete(new Batch(first, records, size)));
+                  }));
+    }
+
+    /** Serves a read once there is something to read, or the wait is over. */
+    private void await(String name, long from, long waitMillis, Runnable serve) {
+      Stream stream = stream(name);
+      boolean[] served = new boolean[1];
+      Runnable once =
+          () -> {
+            if (!served[0] && !isSilent()) {
+              served[0] = true;
+              time.after(ONE_WAY_MICROS * slowness, serve);
+            }
+          };
+      if (stream.records.size() > from || from < stream.first || waitMillis <= 0) {
+        once.run();
+        return;
+      }
+      stream.waiting.add(once);
+      time.after(waitMillis * VirtualTime.MICROS_PER_MILLI, once);
+    }
+
+    @Override
+    public Uni<Page> list(String table, String afterKey) {
+      return call(
+          CALL_LIMIT_MILLIS,
+          emitter -> {
+            List<Entry> entries = new ArrayList<>();
+            table(table)
+                .tailMap(afterKey, false)
+                .forEach((key, value) -> entries.add(new Entry(key, value)));
+            long end = stream("table/" + table).records.size();
+            deliver(() -> emitter.complete(new Page(entries, false, end)));
+          });
+    }
+
+    @Override
+    public Uni<Changes> changes(String table, long from, long waitMillis) {
+      String name = "table/" + table;
+      return call(
+          waitMillis + CALL_LIMIT_MILLIS,
+          emitter ->
+              await(
+                  name,
+                  from,
+                  waitMillis,
+                  () -> {
+                    Stream stream = stream(name);
+                    boolean gone = from < stream.first;
+                    List<Entry> entries = new ArrayList<>();
+                    for (long at = from; !gone && at < stream.records.size(); at++) {
+                      entries.add(entry(stream.records.get((int) at)));
+                    }
+                    long end = from + entries.size();
+                    deliver(() -> emitter.complete(new Changes(entries, gone, end)));
+                  }));
+    }
+  }
+
+  private static TableService.Entry entry(byte[] record) {
+    int keyEnd = 1 + record[0];
+    String key = new String(record, 1, keyEnd - 1, StandardCharsets.UTF_8);
+    byte[] value = java.util.Arrays.copyOfRange(record, keyEnd, record.length);
+    return new TableService.Entry(key, value.length == 0 ? null : value);
+  }
+}
