Take a kept text that is whole straight to its score

The item never ended. A kept text now remembers that it is whole; an answer without a version is no old version, but an event without one is never taken. Three tests, of which the first two failed before.

--- a/core/src/main/java/org/passhaven/core/job/ItemRun.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemRun.java
@@ -32,6 +32,11 @@
     this.item = item;
   }
 
+  /** Whether nothing but the score, or the record of the result, is missing. */
+  boolean hasWholeText() {
+    return phase == Phase.WAITING_FOR_SCORE || phase == Phase.SCORING || phase == Phase.FINISHING;
+  }
+
   void restartText() {
     text = new ItemText();
   }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -52,10 +52,12 @@
     CUT
   }
 
+  private record KeptText(ItemText text, boolean whole) {}
+
   private final String zone;
   private final Map<String, JobWork> jobs = new LinkedHashMap<>();
   private final Map<Long, ItemRun> generating = new HashMap<>();
-  private final Map<String, ItemText> kept = new LinkedHashMap<>();
+  private final Map<String, KeptText> kept = new LinkedHashMap<>();
   private final Map<String, String> serverByGroup = new HashMap<>();
   private final ServerHealth health = new ServerHealth();
   private final ServerPace pace = new ServerPace();
@@ -105,15 +107,7 @@
     if (left == null || run.phase != ItemRun.Phase.WAITING) {
       return;
     }
-    ItemText text = ItemText.of(left);
-    boolean fits =
-        text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
-    if (fits && text.lastEvent() >= run.text.lastEvent()) {
-      run.text = text;
-      if (left.whole()) {
-        run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
-      }
-    }
+    useText(run, ItemText.of(left), left.whole());
   }
 
   /** Texts that are not in the log as results, for the runner that follows this one. */
@@ -124,8 +118,6 @@
         boolean unfinished =
             run.phase != ItemRun.Phase.DONE && run.phase != ItemRun.Phase.FINISHING;
         if (unfinished && !run.text.isEmpty()) {
-          boolean whole =
-              run.phase == ItemRun.Phase.SCORING || run.phase == ItemRun.Phase.WAITING_FOR_SCORE;
           left.add(
               new ItemProgress(
                   work.job.id(),
@@ -133,7 +125,7 @@
                   run.text.lastEvent(),
                   run.text.data(),
                   run.text.versions(),
-                  whole));
+                  run.hasWholeText()));
         }
       }
     }
@@ -141,12 +133,21 @@
   }
 
   private void useKeptText(ItemRun run) {
-    ItemText text = kept.remove(run.item.id());
+    KeptText left = kept.remove(run.item.id());
+    if (left != null && run.phase == ItemRun.Phase.WAITING) {
+      useText(run, left.text(), left.whole());
+    }
+  }
+
+  /** Takes text that was made before, if its versions fit and it is no shorter than the own one. */
+  private static void useText(ItemRun run, ItemText text, boolean whole) {
     boolean fits =
-        text != null
-            && text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
-    if (fits && run.phase == ItemRun.Phase.WAITING) {
+        text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
+    if (fits && text.lastEvent() >= run.text.lastEvent()) {
       run.text = text;
+      if (whole) {
+        run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
+      }
     }
   }
 
@@ -158,17 +159,18 @@
       return actions;
     }
     for (ItemRun run : work.runs.values()) {
+      boolean whole = run.hasWholeText();
       stop(run, why, actions);
       if (!run.text.isEmpty() && run.phase != ItemRun.Phase.DONE) {
-        keep(run);
+        keep(run, whole);
       }
       run.phase = ItemRun.Phase.DONE;
     }
     return actions;
   }
 
-  private void keep(ItemRun run) {
-    kept.put(run.item.id(), run.text);
+  private void keep(ItemRun run, boolean whole) {
+    kept.put(run.item.id(), new KeptText(run.text, whole));
     if (kept.size() > MOST_KEPT_TEXTS) {
       kept.remove(kept.keySet().iterator().next());
     }
@@ -368,7 +370,8 @@
   public List<JobAction> onBegan(long attempt, long version, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
     ItemRun run = generating.get(attempt);
-    if (run != null) {
+    // A continuation behind the last event has nothing to name a version for.
+    if (run != null && version != 0) {
       onVersion(run, version, nowMillis, actions);
     }
     return actions;
@@ -402,6 +405,11 @@
     if (version != 0 && !onVersion(run, version, nowMillis, actions)) {
       return actions;
     }
+    if (run.version == 0) {
+      stop(run, "no version is known", actions);
+      health.onFailure(run.server, nowMillis);
+      return actions;
+    }
     boolean first = run.progressAt == run.startedAt;
     if (!first) {
       pace.onPause(run.server, nowMillis - run.progressAt, nowMillis);
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -170,6 +170,41 @@
     assertThat(onlyStart(servers, 500).lastEvent(), equalTo(4L));
   }
 
+  @Test
+  void aWholeTextThatWasKeptIsScoredWithoutAServer() {
+    List<ServerEntry> servers = List.of(server("a", 3));
+    scheduler.take(job("j", 0, 1, item("x", "g", 0, true)), POLICY);
+    long attempt = onlyStart(servers, 0).attempt();
+    scheduler.onBegan(attempt, 3, 5);
+    events(attempt, 1, 4, 10);
+    scheduler.onWhole(attempt, 200);
+    scheduler.drop("j", "ended");
+    scheduler.take(job("k", 1, 3, item("x", "g", 0, true)), POLICY);
+    assertThat(scheduler.decide(servers, 500), contains(instanceOf(JobAction.Score.class)));
+  }
+
+  @Test
+  void aContinuationBehindTheLastEventNamesNoVersionAndIsWhole() {
+    List<ServerEntry> servers = List.of(server("a", 3));
+    scheduler.take(job("j", 0, 1, item("x", "g", 0, false)), POLICY);
+    long first = onlyStart(servers, 0).attempt();
+    scheduler.onBegan(first, 3, 5);
+    events(first, 1, 4, 10);
+    scheduler.onFailed(first, Failure.CUT, 200);
+    long second = onlyStart(servers, 500).attempt();
+    assertThat(scheduler.onBegan(second, 0, 505), empty());
+    assertThat(scheduler.onWhole(second, 510), contains(instanceOf(JobAction.Finish.class)));
+  }
+
+  @Test
+  void anEventOfAnUnknownVersionIsNeverTaken() {
+    scheduler.take(job("j", 0, 1, item("x", "g", 0, false)), POLICY);
+    long attempt = onlyStart(List.of(server("a", 3)), 0).attempt();
+    scheduler.onBegan(attempt, 0, 5);
+    assertThat(
+        scheduler.onEvent(attempt, 1, 0, "one", 10), contains(instanceOf(JobAction.Stop.class)));
+  }
+
   @Test
   void keptTextOfTooOldVersionsIsNotUsed() {
     List<ServerEntry> servers = List.of(server("a", 3));
