--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -22,8 +22,9 @@
  * the log; a successor generates it anew. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class JobScheduler {
-  private static final int AWAITED_PRIORITY = 3;
+  private static final int AWAITED_PRIORITY = 2;
   private static final int LATER_PRIORITY = 6;
+  private static final int MOST_ROUTE_PRIORITY = 3;
   private static final double AFFINITY_GAIN = 0.3;
   private static final double OTHER_ZONE_COST = 0.05;
   private static final double SLOW_RATIO = 1.8;
@@ -245,7 +246,8 @@
                 other ->
                     other.job.submission().run().equals(run)
                         && other.job.submission().step() < step);
-    return earlier ? LATER_PRIORITY : AWAITED_PRIORITY;
+    int rank = Math.max(0, Math.min(MOST_ROUTE_PRIORITY, work.policy.priority()));
+    return rank + (earlier ? LATER_PRIORITY : AWAITED_PRIORITY);
   }
 
   private void giveUpOld(JobWork work, long nowMillis, List<JobAction> actions) {
--- a/core/src/main/java/org/passhaven/core/route/Route.java
+++ b/core/src/main/java/org/passhaven/core/route/Route.java
@@ -12,6 +12,7 @@
  * @param targetMillis time within which an answer is worth most
  * @param mostAttempts most servers that may run one request
  * @param singleVersion whether one text must come from one weight version
+ * @param priority rank of its requests, 0 first
  * @param giveUpMillis time after which an item of a job may be given up; zero for never
  */
 public record Route(
@@ -25,6 +26,7 @@
     int mostAttempts,
     boolean resumable,
     boolean singleVersion,
+    int priority,
     long giveUpMillis) {
   /** What may be repeated, and how answers come. */
   public enum Kind {
--- a/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
+++ b/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
@@ -39,6 +39,7 @@
             attempts,
             false,
             false,
+            0,
             0);
     return new ForwardPlan(route, 1_000);
   }
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -21,7 +21,7 @@
 import org.passhaven.protocol.job.ScoreCall;
 
 class JobSchedulerTest {
-  private static final JobPolicy POLICY = new JobPolicy("llm", 3, false, 40_000);
+  private static final JobPolicy POLICY = new JobPolicy("llm", 3, false, 1, 40_000);
   private final JobScheduler scheduler = new JobScheduler("z");
 
   private static ServerEntry server(String name, long version) {
@@ -112,7 +112,7 @@
 
   @Test
   void aRouteOfSingleVersionsStartsAnewWhenTheVersionChanges() {
-    JobPolicy single = new JobPolicy("llm", 3, true, 0);
+    JobPolicy single = new JobPolicy("llm", 3, true, 0, 0);
     scheduler.take(job("j", 0, 1, item("x", "g", 0, false)), single);
     long attempt = onlyStart(List.of(server("a", 1)), 0).attempt();
     scheduler.onBegan(attempt, 1, 5);
--- a/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
@@ -23,6 +23,7 @@
         2,
         false,
         false,
+        0,
         0);
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
@@ -21,7 +21,8 @@
     LogService log,
     TableService tables,
     BackEndService backEnds,
-    PlatformDocuments documents) {
+    PlatformDocuments documents,
+    GatewayMetrics metrics) {
   public GatewayContext {
     Objects.requireNonNull(settings, "settings");
     Objects.requireNonNull(timers, "timers");
@@ -30,6 +31,7 @@
     Objects.requireNonNull(tables, "tables");
     Objects.requireNonNull(backEnds, "backEnds");
     Objects.requireNonNull(documents, "documents");
+    Objects.requireNonNull(metrics, "metrics");
   }
 
   /** Monotonic milliseconds. */
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -0,0 +1,83 @@
+package org.passhaven.node.gateway;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and latency histograms of a gateway node, named as docs/OPERATIONS.md lists them. */
+public final class GatewayMetrics {
+  private static final Duration[] LATENCY_BOUNDS = {
+    Duration.ofMillis(25),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(200),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(2),
+    Duration.ofSeconds(5)
+  };
+
+  /** Requests answered by a server. */
+  public final Counter requestsAnswered;
+
+  /** Requests refused as not run. */
+  public final Counter requestsRefused;
+
+  /** Requests whose outcome is unknown. */
+  public final Counter requestsUnknown;
+
+  /** Attempts at servers that came to nothing. */
+  public final Counter attemptsFailed;
+
+  /** Generations begun or continued. */
+  public final Counter generationsBegun;
+
+  /** Generations that failed at a server. */
+  public final Counter generationsFailed;
+
+  /** Generations that this node stopped. */
+  public final Counter generationsStopped;
+
+  /** Results read back from the log. */
+  public final Counter resultsListed;
+
+  /** Appends of results that were repeated. */
+  public final Counter appendsRepeated;
+
+  /** Version orders sent. */
+  public final Counter ordersSent;
+
+  private final Timer requestLatency;
+
+  /** Creates the meters in {@code registry}. */
+  public GatewayMetrics(MeterRegistry registry) {
+    requestsAnswered = registry.counter("passhaven.gateway.requests", "outcome", "answered");
+    requestsRefused = registry.counter("passhaven.gateway.requests", "outcome", "refused-not-run");
+    requestsUnknown = registry.counter("passhaven.gateway.requests", "outcome", "outcome-unknown");
+    attemptsFailed = registry.counter("passhaven.gateway.attempts.failed");
+    generationsBegun = registry.counter("passhaven.gateway.generations.begun");
+    generationsFailed = registry.counter("passhaven.gateway.generations.failed");
+    generationsStopped = registry.counter("passhaven.gateway.generations.stopped");
+    resultsListed = registry.counter("passhaven.gateway.results.listed");
+    appendsRepeated = registry.counter("passhaven.gateway.appends.repeated");
+    ordersSent = registry.counter("passhaven.gateway.orders.sent");
+    requestLatency =
+        Timer.builder("passhaven.gateway.request.latency")
+            .serviceLevelObjectives(LATENCY_BOUNDS)
+            .register(registry);
+  }
+
+  /** A request has ended, whatever its outcome. */
+  public void onRequest(ForwardOutcome outcome, long tookMillis) {
+    requestLatency.record(tookMillis, TimeUnit.MILLISECONDS);
+    if (outcome instanceof ForwardOutcome.Answered) {
+      requestsAnswered.increment();
+    } else if (outcome instanceof ForwardOutcome.NotRun) {
+      requestsRefused.increment();
+    } else {
+      requestsUnknown.increment();
+    }
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -114,6 +114,7 @@
     Job job = log.table().get(record.job());
     if (effect == JobTable.Effect.LISTED) {
       String item = ((JobRecord.ItemFinished) record).item();
+      context.metrics().resultsListed.increment();
       results.onListed(job, item);
       apply(scheduler.onListed(job.id(), item));
     } else if (effect == JobTable.Effect.ENDED) {
@@ -218,6 +219,7 @@
                     route.shares().get(0).service(),
                     Math.max(1, route.mostAttempts()),
                     route.singleVersion(),
+                    route.priority(),
                     route.giveUpMillis()));
   }
 
@@ -255,6 +257,7 @@
     Cancellable running = generations.remove(stop.attempt());
     if (running != null) {
       running.cancel();
+      context.metrics().generationsStopped.increment();
       LOG.atInfo()
           .addKeyValue("attempt", stop.attempt())
           .addKeyValue("why", stop.why())
@@ -293,6 +296,7 @@
                 progress -> onProgress(attempt, progress),
                 failure -> onFailed(start, BackEndException.from(failure)),
                 () -> onWhole(attempt));
+    context.metrics().generationsBegun.increment();
     generations.put(attempt, running);
   }
 
@@ -313,6 +317,7 @@
 
   private void onFailed(JobAction.Start start, BackEndException failure) {
     generations.remove(start.attempt());
+    context.metrics().generationsFailed.increment();
     // A full server is no failure, and there may be many such answers.
     LOG.atLevel(failure.kind() == BackEndException.Kind.REFUSED ? Level.DEBUG : Level.INFO)
         .addKeyValue("job", start.job().id())
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -158,6 +158,7 @@
         .addKeyValue("fence", lease.epoch())
         .addKeyValue("sequence", sequence)
         .log("orders: version ordered");
+    context.metrics().ordersSent.increment();
     context
         .backEnds()
         .order(targetOf(wanted.server()), order, CALL_LIMIT_MILLIS)
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -182,6 +182,7 @@
     }
 
     private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
+      context.metrics().attemptsFailed.increment();
       LOG.atInfo()
           .addKeyValue("request", call.id())
           .addKeyValue("route", route.name())
@@ -241,6 +242,7 @@
     }
 
     private void finish(ForwardOutcome outcome) {
+      context.metrics().onRequest(outcome, context.now() - beganAt);
       emitter.complete(outcome);
       cancel();
     }
--- a/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
@@ -88,6 +88,7 @@
   }
 
   private void onFailure(String stream, Lane lane, int records, Throwable failure) {
+    context.metrics().appendsRepeated.increment();
     LOG.atWarn()
         .addKeyValue("stream", stream)
         .addKeyValue("records", records)
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -49,7 +50,15 @@
             mostRecord,
             mostAppend);
     return new GatewayContext(
-        settings, 1, timers, bound -> 0, log, new NoTables(), new NoServers(), new NoDocuments());
+        settings,
+        1,
+        timers,
+        bound -> 0,
+        log,
+        new NoTables(),
+        new NoServers(),
+        new NoDocuments(),
+        new GatewayMetrics(new SimpleMeterRegistry()));
   }
 
   private static JobSubmission submission(String id, byte[] body) {
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
@@ -1,8 +1,10 @@
 package org.passhaven.simulator.gateway;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.node.gateway.Gateway;
 import org.passhaven.node.gateway.GatewayContext;
+import org.passhaven.node.gateway.GatewayMetrics;
 import org.passhaven.node.gateway.GatewaySettings;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
@@ -48,7 +50,8 @@
                 store.clientOf(process, () -> cut),
                 store.clientOf(process, () -> cut),
                 servers.clientOf(process),
-                new SimulatedDocuments()));
+                new SimulatedDocuments(),
+                new GatewayMetrics(new SimpleMeterRegistry())));
     process.execute(generation, gateway::start);
     note(0);
   }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
@@ -68,6 +68,7 @@
         MOST_ATTEMPTS,
         false,
         false,
+        0,
         GIVE_UP_MILLIS);
   }
 
