--- a/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
+++ b/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
@@ -42,7 +42,8 @@
             "Configuration",
             "RevisionMonotonic AcceptedStands",
             "ReachesEveryNode"),
-        Arguments.of("Leaving", "Leaving", "NoNewWorkAfterLeave", ""));
+        Arguments.of("Leaving", "Leaving", "NoNewWorkAfterLeave", ""),
+        Arguments.of("Orders", "Orders", "OrdersApart", ""));
   }
 
   static Stream<Arguments> mutations() {
@@ -58,7 +59,10 @@
         Arguments.of("Requests", "Requests", "run-after-giving-up", "NotRunMeansNotRun"),
         Arguments.of("Configuration", "Configuration", "take-any-image", "RevisionMonotonic"),
         Arguments.of("Configuration", "Configuration", "tell-at-append", "AcceptedStands"),
-        Arguments.of("Leaving", "Leaving", "stale-list", "NoNewWorkAfterLeave"));
+        Arguments.of("Leaving", "Leaving", "stale-list", "NoNewWorkAfterLeave"),
+        Arguments.of("Orders", "Orders", "no-wait", "OrdersApart"),
+        Arguments.of("Orders", "Orders", "valid-from-reading", "OrdersApart"),
+        Arguments.of("Orders", "Orders", "no-read-back", "OrdersApart"));
   }
 
   @ParameterizedTest
