--- a/cli/src/main/java/org/passhaven/cli/ExitCode.java
+++ b/cli/src/main/java/org/passhaven/cli/ExitCode.java
@@ -1,6 +1,6 @@
 package org.passhaven.cli;
 
-/** Exit codes of the program, as docs/OPERATING.md lists them. */
+/** Exit codes of the program, as docs/OPERATIONS.md lists them. */
 enum ExitCode {
   /** Done. */
   OK(0),
--- a/node/src/main/java/org/passhaven/node/NodeMetrics.java
+++ b/node/src/main/java/org/passhaven/node/NodeMetrics.java
@@ -3,7 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 
-/** Counters of one node, named as docs/OPERATING.md lists them. */
+/** Counters of one node, named as docs/OPERATIONS.md lists them. */
 public final class NodeMetrics {
   /** Samples handed to trainers. */
   public final Counter samplesHandedOver;
--- a/simulator/src/main/java/org/passhaven/simulator/fault/FaultKind.java
+++ b/simulator/src/main/java/org/passhaven/simulator/fault/FaultKind.java
@@ -1,6 +1,6 @@
 package org.passhaven.simulator.fault;
 
-/** Kinds of faults; docs/OPERATING.md says what an operator sees of each. */
+/** Kinds of faults; docs/OPERATIONS.md says what an operator sees of each. */
 public enum FaultKind {
   /**
    * An engine loses its memory, resets its streams and is back after the duration on the version
--- a/simulator/src/main/java/org/passhaven/simulator/fault/Scenario.java
+++ b/simulator/src/main/java/org/passhaven/simulator/fault/Scenario.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /**
- * A scenario file: a site, a length, and faults. docs/OPERATING.md describes the format.
+ * A scenario file: a site, a length, and faults. docs/OPERATIONS.md describes the format.
  *
  * @param name shown in reports
  * @param site name of a shipped site
--- a/simulator/src/test/java/org/passhaven/simulator/SimulationTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/SimulationTest.java
@@ -36,7 +36,7 @@
     assertThat(run("necpa", 7, 4), equalTo(run("necpa", 7, 4)));
   }
 
-  /** The small form of the documented sweep of 1,000 seeds; see docs/OPERATING.md. */
+  /** The small form of the documented sweep of 1,000 seeds; see docs/OPERATIONS.md. */
   @ParameterizedTest
   @ValueSource(strings = {"necpa", "bensalah"})
   void pairedFaultsBreakNoPromise(String site) throws Exception {
