Let a share of a large service load weights at a time, not always two

Cause: two loads at a time are right for 6 servers, but 24 servers with three models need 72 loads of 0.9 s for each round of versions, 32 s at two at a time against a version each 4 s. The new test fails with the constant (2 instead of 7).

--- a/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
+++ b/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.passhaven.core.backend.ServerEntry;
 
@@ -17,14 +18,16 @@
   /** A version that a server is to load. */
   public record Wanted(ServerEntry server, String model, long version) {}
 
-  private final int mostAtOnce;
+  private final LoadLimit limit;
   private final Map<String, Wanted> loading = new TreeMap<>();
   private final Map<String, Map<String, Long>> reached = new HashMap<>();
   private final Map<String, Long> notBefore = new HashMap<>();
 
-  /** Creates a planner that lets {@code mostAtOnce} servers of a service load at a time. */
-  public VersionOrderPlanner(int mostAtOnce) {
-    this.mostAtOnce = mostAtOnce;
+  /**
+   * Creates a planner that lets as many servers of a service load at a time as {@code limit} says.
+   */
+  public VersionOrderPlanner(LoadLimit limit) {
+    this.limit = Objects.requireNonNull(limit, "limit");
   }
 
   /** All loads that are due and not under way. */
@@ -56,7 +59,7 @@
     while (true) {
       List<Wanted> due =
           due(servers, newest).stream()
-              .filter(wanted -> mayBegin(wanted.server(), nowMillis))
+              .filter(wanted -> mayBegin(wanted.server(), servers, nowMillis))
               .toList();
       if (due.isEmpty()) {
         return begun;
@@ -73,12 +76,14 @@
     }
   }
 
-  private boolean mayBegin(ServerEntry server, long nowMillis) {
+  private boolean mayBegin(ServerEntry server, Collection<ServerEntry> servers, long nowMillis) {
     long sameService =
+        servers.stream().filter(other -> other.service().equals(server.service())).count();
+    long loadingNow =
         loading.values().stream()
             .filter(wanted -> wanted.server().service().equals(server.service()))
             .count();
-    return sameService < mostAtOnce
+    return loadingNow < limit.of(sameService)
         && nowMillis >= notBefore.getOrDefault(server.instance(), Long.MIN_VALUE);
   }
 
--- a/core/src/test/java/org/passhaven/core/order/VersionOrderPlannerTest.java
+++ b/core/src/test/java/org/passhaven/core/order/VersionOrderPlannerTest.java
@@ -3,15 +3,17 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
 
 class VersionOrderPlannerTest {
-  private final VersionOrderPlanner planner = new VersionOrderPlanner(2);
+  private final VersionOrderPlanner planner = new VersionOrderPlanner(new LoadLimit(2, 0.3));
 
   private static ServerEntry server(String name, long m, long n) {
     return new ServerEntry(name, "llm", name + ":1", "z", 8, true, Map.of("m", m, "n", n));
@@ -34,6 +36,13 @@
     assertThat(names(planner.begin(servers, newest, 20)), contains("c m 2"));
   }
 
+  @Test
+  void aLargeServiceLoadsAtAShareOfItsServers() {
+    List<ServerEntry> servers =
+        IntStream.range(0, 24).mapToObj(i -> server(String.format("s%02d", i), 1, 1)).toList();
+    assertThat(planner.begin(servers, Map.of("m", 2L), 0), hasSize(7));
+  }
+
   @Test
   void theModelThatFewestServersHaveGoesFirst() {
     List<ServerEntry> servers = List.of(server("a", 2, 1), server("b", 2, 1), server("c", 1, 1));
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.passhaven.core.order.LoadLimit;
 import org.passhaven.core.order.OrderLease;
 
 /**
@@ -15,7 +16,7 @@
  * @param silence time without a beat after which a node is dead
  * @param tick time between two rounds of decisions
  * @param lease who may order weights
- * @param loadsAtOnce servers of a service that load weights at a time
+ * @param loads how many servers of a service load weights at a time
  * @param keepJobs time for which ended jobs stay readable
  * @param mostRecordBytes largest record of the log
  * @param mostAppendBytes largest append to the log
@@ -29,7 +30,7 @@
     Duration silence,
     Duration tick,
     OrderLease.Settings lease,
-    int loadsAtOnce,
+    LoadLimit loads,
     Duration keepJobs,
     int mostRecordBytes,
     int mostAppendBytes) {
@@ -38,6 +39,7 @@
     Objects.requireNonNull(zone, "zone");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(lease, "lease");
+    Objects.requireNonNull(loads, "loads");
     if (jobPartitions < 1) {
       throw new IllegalArgumentException("jobPartitions must be at least 1");
     }
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -48,7 +48,7 @@
     this.members = Objects.requireNonNull(members, "members");
     GatewaySettings settings = context.settings();
     this.lease = new OrderLease(settings.node(), context.incarnation(), settings.lease());
-    this.planner = new VersionOrderPlanner(settings.loadsAtOnce());
+    this.planner = new VersionOrderPlanner(settings.loads());
     this.tail = new LogTail(context.log(), context.timers(), STREAM, 0, this::onRecord);
   }
 
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.order.LoadLimit;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.ManualTimers;
@@ -45,7 +46,7 @@
             Duration.ofMillis(1_500),
             Duration.ofMillis(100),
             new OrderLease.Settings(1_000, 3_000, 2_000, 400),
-            2,
+            new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             mostRecord,
             mostAppend);
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -7,6 +7,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.order.LoadLimit;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.node.gateway.GatewaySettings;
 import org.passhaven.protocol.Codec;
@@ -69,7 +70,7 @@
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
             new OrderLease.Settings(1_000, HAND_OVER_MILLIS, 2_000, 400),
-            2,
+            new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
             2_097_152);
