Avoid servers whose weights are overdue; split the choice of a server out of JobScheduler

A server that still holds older weights 1.2 s after the name was read now costs as much as 0.6 of its load. The service lists are built once a round instead of for each item.

--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -25,9 +24,6 @@
   private static final int AWAITED_PRIORITY = 2;
   private static final int LATER_PRIORITY = 6;
   private static final int MOST_ROUTE_PRIORITY = 3;
-  private static final double AFFINITY_GAIN = 0.3;
-  private static final double OTHER_ZONE_COST = 0.05;
-  private static final double SLOW_RATIO = 1.8;
   private static final int MOST_MOVES = 6;
   private static final long MOVE_AFTER_MILLIS = 250;
   private static final long FIRST_EVENT_MILLIS = 1_200;
@@ -55,18 +51,17 @@
 
   private record KeptText(ItemText text, boolean whole) {}
 
-  private final String zone;
   private final Map<String, JobWork> jobs = new LinkedHashMap<>();
   private final Map<Long, ItemRun> generating = new HashMap<>();
   private final Map<String, KeptText> kept = new LinkedHashMap<>();
-  private final Map<String, String> serverByGroup = new HashMap<>();
   private final ServerHealth health = new ServerHealth();
   private final ServerPace pace = new ServerPace();
+  private final GenerationPicker picker;
   private long nextAttempt = 1;
 
   /** Creates the scheduler of a node in {@code zone}. */
   public JobScheduler(String zone) {
-    this.zone = Objects.requireNonNull(zone, "zone");
+    this.picker = new GenerationPicker(zone, health, pace);
   }
 
   /** Whether this node runs a job. */
@@ -205,23 +200,28 @@
     run.phase = ItemRun.Phase.WAITING;
   }
 
-  /** All that is due now: items given up, generations moved, generations and scores begun. */
-  public List<JobAction> decide(Collection<ServerEntry> servers, long nowMillis) {
+  /**
+   * All that is due now: items given up, generations moved, generations and scores begun.
+   *
+   * @param newest newest weight version by model
+   */
+  public List<JobAction> decide(
+      Collection<ServerEntry> servers, Map<String, NamedVersion> newest, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
-    Map<String, ServerEntry> ready =
-        servers.stream()
-            .filter(ServerEntry::ready)
-            .collect(Collectors.toMap(ServerEntry::instance, server -> server));
-    pace.retain(ready.keySet());
-    health.retain(ready.keySet());
+    ReadyServers ready = new ReadyServers(servers, newest);
+    pace.retain(ready.instances());
+    health.retain(ready.instances());
     for (JobWork work : byUrgency()) {
       giveUpOld(work, nowMillis, actions);
       work.runs.values().stream()
           .filter(run -> run.phase == ItemRun.Phase.WAITING_FOR_SCORE)
           .filter(run -> run.notBefore <= nowMillis)
           .forEach(run -> scoreOrFinish(run, actions));
+      int priority = priorityOf(work);
       for (ItemRun run : work.waiting(nowMillis)) {
-        start(run, ready.values(), priorityOf(work), nowMillis, actions);
+        picker
+            .choose(run, ready, nowMillis)
+            .ifPresent(server -> begin(run, server, priority, nowMillis, actions));
       }
     }
     for (ItemRun run : List.copyOf(generating.values())) {
@@ -263,19 +263,6 @@
     }
   }
 
-  private void start(
-      ItemRun run,
-      Collection<ServerEntry> ready,
-      int priority,
-      long nowMillis,
-      List<JobAction> actions) {
-    Optional<ServerEntry> chosen = choose(run, ready, nowMillis);
-    if (chosen.isEmpty()) {
-      return;
-    }
-    begin(run, chosen.get(), priority, nowMillis, actions);
-  }
-
   private void begin(
       ItemRun run, ServerEntry server, int priority, long nowMillis, List<JobAction> actions) {
     run.phase = ItemRun.Phase.GENERATING;
@@ -286,7 +273,7 @@
     run.progressAt = nowMillis;
     generating.put(run.attempt, run);
     health.onSent(server.instance());
-    serverByGroup.put(run.item.group(), server.instance());
+    picker.onBegun(run.item.group(), server.instance());
     actions.add(
         new JobAction.Start(
             run.attempt,
@@ -297,42 +284,9 @@
             priority));
   }
 
-  private Optional<ServerEntry> choose(ItemRun run, Collection<ServerEntry> ready, long nowMillis) {
-    List<String> service =
-        ready.stream()
-            .filter(server -> server.service().equals(run.job.policy.service()))
-            .map(ServerEntry::instance)
-            .toList();
-    return ready.stream()
-        .filter(server -> mayServe(run, server, nowMillis))
-        .min(
-            Comparator.comparingDouble(
-                    (ServerEntry server) -> cost(run, server, service, nowMillis))
-                .thenComparing(ServerEntry::instance));
-  }
-
-  private boolean mayServe(ItemRun run, ServerEntry server, long nowMillis) {
-    String model = run.job.job.submission().model();
-    boolean versionFits =
-        model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
-    return server.service().equals(run.job.policy.service())
-        && versionFits
-        && !health.isAvoided(server.instance(), nowMillis)
-        && health.inProgress(server.instance()) < Math.max(1, server.slots());
-  }
-
-  private double cost(ItemRun run, ServerEntry server, Collection<String> service, long nowMillis) {
-    double load = health.inProgress(server.instance()) / (double) Math.max(1, server.slots());
-    double cost = pace.ratio(server.instance(), service, nowMillis) * (1 + load);
-    if (server.instance().equals(serverByGroup.get(run.item.group()))) {
-      cost -= AFFINITY_GAIN;
-    }
-    return server.zone().equals(zone) ? cost : cost + OTHER_ZONE_COST;
-  }
-
   /** Moves a generation that has stalled, or whose server is slow or leaves, if there is room. */
   private void moveIfHeldUp(
-      ItemRun run, Map<String, ServerEntry> ready, long nowMillis, List<JobAction> actions) {
+      ItemRun run, ReadyServers ready, long nowMillis, List<JobAction> actions) {
     long patience = run.version == 0 ? FIRST_EVENT_MILLIS : NEXT_EVENT_MILLIS;
     if (nowMillis - run.progressAt >= patience) {
       health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
@@ -341,13 +295,14 @@
       return;
     }
     boolean settled = nowMillis - run.startedAt >= MOVE_AFTER_MILLIS;
-    if (!settled || run.moves >= MOST_MOVES || !isSlow(run.server, ready, nowMillis)) {
+    if (!settled || run.moves >= MOST_MOVES || !picker.isSlow(run.server, ready, nowMillis)) {
       return;
     }
     Optional<ServerEntry> better =
-        choose(run, ready.values(), nowMillis)
+        picker
+            .choose(run, ready, nowMillis)
             .filter(server -> !server.instance().equals(run.server))
-            .filter(server -> !isSlow(server.instance(), ready, nowMillis));
+            .filter(server -> !picker.isSlow(server.instance(), ready, nowMillis));
     if (better.isPresent()) {
       stop(run, "slow server", actions);
       run.moves++;
@@ -355,19 +310,6 @@
     }
   }
 
-  private boolean isSlow(String server, Map<String, ServerEntry> ready, long nowMillis) {
-    ServerEntry entry = ready.get(server);
-    if (entry == null) {
-      return false;
-    }
-    List<String> service =
-        ready.values().stream()
-            .filter(other -> other.service().equals(entry.service()))
-            .map(ServerEntry::instance)
-            .toList();
-    return pace.ratio(server, service, nowMillis) >= SLOW_RATIO;
-  }
-
   /** A server began a generation under a weight version; zero if it names none. */
   public List<JobAction> onBegan(long attempt, long version, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -0,0 +1,54 @@
+package org.passhaven.core.job;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.passhaven.core.backend.ServerEntry;
+
+/**
+ * Servers that take new work, and the weight versions named, as one round of decisions sees them.
+ */
+final class ReadyServers {
+  private final Map<String, ServerEntry> byInstance = new LinkedHashMap<>();
+  private final Map<String, List<ServerEntry>> byService;
+  private final Map<String, NamedVersion> named;
+
+  ReadyServers(Collection<ServerEntry> servers, Map<String, NamedVersion> named) {
+    this.named = Objects.requireNonNull(named, "named");
+    servers.stream()
+        .filter(ServerEntry::ready)
+        .forEach(server -> byInstance.put(server.instance(), server));
+    byService =
+        byInstance.values().stream()
+            .collect(
+                Collectors.groupingBy(ServerEntry::service, TreeMap::new, Collectors.toList()));
+  }
+
+  Set<String> instances() {
+    return byInstance.keySet();
+  }
+
+  /** The entry of a server; null if it takes no new work. */
+  ServerEntry get(String instance) {
+    return byInstance.get(instance);
+  }
+
+  List<ServerEntry> of(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  List<String> instancesOf(String service) {
+    return of(service).stream().map(ServerEntry::instance).toList();
+  }
+
+  /** Whether a server still holds older weights of a model though newer ones are overdue. */
+  boolean hasOverdueWeights(ServerEntry server, String model, long nowMillis) {
+    NamedVersion newest = named.get(model);
+    return newest != null && newest.isOverdueAt(server.versionOf(model), nowMillis);
+  }
+}
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -22,6 +22,7 @@
 
 class JobSchedulerTest {
   private static final JobPolicy POLICY = new JobPolicy("llm", 3, false, 1, 40_000);
+  private static final Map<String, NamedVersion> NOTHING_NAMED = Map.of();
   private final JobScheduler scheduler = new JobScheduler("z");
 
   private static ServerEntry server(String name, long version) {
@@ -45,7 +46,7 @@
   }
 
   private JobAction.Start onlyStart(List<ServerEntry> servers, long now) {
-    List<JobAction.Start> started = starts(scheduler.decide(servers, now));
+    List<JobAction.Start> started = starts(scheduler.decide(servers, NOTHING_NAMED, now));
     assertThat(started, hasSize(1));
     return started.get(0);
   }
@@ -98,10 +99,40 @@
   @Test
   void serversWithOlderWeightsThanAllowedGetNothing() {
     scheduler.take(job("j", 0, 5, item("x", "g", 0, false)), POLICY);
-    assertThat(scheduler.decide(List.of(server("a", 4)), 0), empty());
+    assertThat(scheduler.decide(List.of(server("a", 4)), NOTHING_NAMED, 0), empty());
     assertThat(onlyStart(List.of(server("a", 4), server("b", 5)), 1).server().instance(), is("b"));
   }
 
+  @Test
+  void aServerWithOverdueWeightsIsTakenOnlyIfTheOthersAreMuchFuller() {
+    List<ServerEntry> servers = List.of(server("a", 4), server("b", 5));
+    Map<String, NamedVersion> named = Map.of("m", new NamedVersion(5, 0));
+    JobItem[] items = {
+      item("x", "g", 3, false),
+      item("y", "h", 2, false),
+      item("z", "i", 1, false),
+      item("w", "k", 0, false)
+    };
+    scheduler.take(job("j", 0, 4, items), POLICY);
+    List<String> chosen =
+        starts(scheduler.decide(servers, named, 2_000)).stream()
+            .map(start -> start.server().instance())
+            .toList();
+    assertThat(chosen, contains("b", "b", "a", "a"));
+  }
+
+  @Test
+  void olderWeightsThatAreAllowedAreUsedWhileTheNewestAreJustNamed() {
+    List<ServerEntry> servers = List.of(server("a", 4), server("b", 5));
+    Map<String, NamedVersion> named = Map.of("m", new NamedVersion(5, 0));
+    scheduler.take(job("j", 0, 4, item("x", "g", 2, false), item("y", "h", 1, false)), POLICY);
+    List<String> chosen =
+        starts(scheduler.decide(servers, named, 100)).stream()
+            .map(start -> start.server().instance())
+            .toList();
+    assertThat(chosen, contains("a", "b"));
+  }
+
   @Test
   void textOfAnOlderVersionThanAllowedIsNotTaken() {
     scheduler.take(job("j", 0, 5, item("x", "g", 0, false)), POLICY);
@@ -133,7 +164,7 @@
       assertThat(actions, hasSize(error < 3 ? 0 : 1));
       now += 100;
     }
-    assertThat(starts(scheduler.decide(servers, now)), empty());
+    assertThat(starts(scheduler.decide(servers, NOTHING_NAMED, now)), empty());
   }
 
   @Test
@@ -151,7 +182,7 @@
     JobAction.Start first = onlyStart(servers, 0);
     scheduler.onBegan(first.attempt(), 1, 5);
     events(first.attempt(), 1, 2, 10);
-    List<JobAction> actions = scheduler.decide(servers, 1_000);
+    List<JobAction> actions = scheduler.decide(servers, NOTHING_NAMED, 1_000);
     assertThat(actions, contains(instanceOf(JobAction.Stop.class)));
     JobAction.Start second = onlyStart(servers, 1_001);
     assertThat(second.lastEvent(), equalTo(2L));
@@ -180,7 +211,8 @@
     scheduler.onWhole(attempt, 200);
     scheduler.drop("j", "ended");
     scheduler.take(job("k", 1, 3, item("x", "g", 0, true)), POLICY);
-    assertThat(scheduler.decide(servers, 500), contains(instanceOf(JobAction.Score.class)));
+    assertThat(
+        scheduler.decide(servers, NOTHING_NAMED, 500), contains(instanceOf(JobAction.Score.class)));
   }
 
   @Test
@@ -222,7 +254,7 @@
     List<ServerEntry> servers = List.of(server("a", 1));
     Job job = job("j", 0, 1, item("x", "g", 0, true), item("y", "g", 0, true));
     scheduler.take(job, POLICY);
-    List<JobAction.Start> started = starts(scheduler.decide(servers, 0));
+    List<JobAction.Start> started = starts(scheduler.decide(servers, NOTHING_NAMED, 0));
     for (JobAction.Start start : started) {
       scheduler.onBegan(start.attempt(), 1, 5);
       events(start.attempt(), 1, 3, 10);
@@ -231,7 +263,7 @@
     scheduler.progress().forEach(job::advance);
     JobScheduler successor = new JobScheduler("z");
     successor.take(job, POLICY);
-    List<JobAction> actions = successor.decide(servers, 300);
+    List<JobAction> actions = successor.decide(servers, NOTHING_NAMED, 300);
     assertThat(
         actions,
         containsInAnyOrder(instanceOf(JobAction.Score.class), instanceOf(JobAction.Start.class)));
@@ -246,7 +278,7 @@
     }
     scheduler.take(job("j", 0, 1, items.toArray(JobItem[]::new)), POLICY);
     List<JobAction.Start> started =
-        starts(scheduler.decide(List.of(server("a", 1), server("b", 1)), 0));
+        starts(scheduler.decide(List.of(server("a", 1), server("b", 1)), NOTHING_NAMED, 0));
     assertThat(
         started.stream().map(start -> start.server().instance()).toList(),
         containsInAnyOrder("a", "a", "b", "b"));
@@ -257,7 +289,8 @@
     scheduler.take(job("later", 2, 1, item("z", "g", 999, false)), POLICY);
     scheduler.take(
         job("now", 1, 1, item("short", "g1", 10, false), item("long", "g2", 500, false)), POLICY);
-    List<JobAction.Start> started = starts(scheduler.decide(List.of(server("a", 1)), 0));
+    List<JobAction.Start> started =
+        starts(scheduler.decide(List.of(server("a", 1)), NOTHING_NAMED, 0));
     assertThat(
         started.stream().map(start -> start.item().id()).toList(), contains("long", "short"));
     assertThat(started.get(0).priority(), equalTo(3));
@@ -280,7 +313,7 @@
     scheduler.onWhole(attempt, 20);
     assertThat(scheduler.onScoreFailed("j", "x", 2, 4, 30), empty());
     assertThat(
-        scheduler.decide(List.of(server("a", 1)), 200),
+        scheduler.decide(List.of(server("a", 1)), NOTHING_NAMED, 200),
         contains(instanceOf(JobAction.Score.class)));
     List<JobAction> last = scheduler.onScoreFailed("j", "x", 2, 4, 230);
     assertThat(((JobAction.Finish) last.get(0)).result().completed(), is(false));
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.job.NamedVersion;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.follow.TableFollower;
 import org.passhaven.node.gateway.PlatformDocuments.DocumentException;
@@ -20,9 +21,10 @@
  */
 public final class Directory {
   private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
+  private final GatewayContext context;
   private final PlatformDocuments documents;
   private final ServerTable servers = new ServerTable();
-  private final Map<String, Long> newestVersions = new HashMap<>();
+  private final Map<String, NamedVersion> named = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
   private final TableFollower operator;
   private final TableFollower serverEntries;
@@ -30,7 +32,8 @@
 
   /** Creates the directory. */
   public Directory(GatewayContext context) {
-    this.documents = Objects.requireNonNull(context, "context").documents();
+    this.context = Objects.requireNonNull(context, "context");
+    this.documents = context.documents();
     this.operator =
         new TableFollower(
             context.tables(), context.timers(), documents.operatorTable(), new OperatorListener());
@@ -66,8 +69,15 @@
   }
 
   /** Newest named weight version by model. */
+  public Map<String, NamedVersion> named() {
+    return named;
+  }
+
+  /** Number of the newest named weight version by model. */
   public Map<String, Long> newestVersions() {
-    return newestVersions;
+    Map<String, Long> versions = new HashMap<>();
+    named.forEach((model, newest) -> versions.put(model, newest.version()));
+    return versions;
   }
 
   private void changed() {
@@ -108,9 +118,9 @@
     }
 
     private void name(String model, long version) {
-      Long before = newestVersions.get(model);
-      if (before == null || version > before) {
-        newestVersions.put(model, version);
+      NamedVersion before = named.get(model);
+      if (before == null || version > before.version()) {
+        named.put(model, new NamedVersion(version, context.now()));
         LOG.atInfo()
             .addKeyValue("model", model)
             .addKeyValue("version", version)
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -157,7 +157,7 @@
         takeOrDrop(job);
       }
     }
-    apply(scheduler.decide(directory.servers().all(), context.now()));
+    apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
   }
 
   private void takeOrDrop(Job job) {
