Give each model its part of the servers' weights, and more where its items pile up

Cause: every version of every model was loaded on every server. WeightPlacement, pure: models of a service share its servers equally, keep those that hold their weights, and get more while their open items are more than three rounds of slots. The holder tells all nodes by a record when a server has reached a version, since entries lag by up to 1.2 s.

--- a/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
@@ -1,5 +1,6 @@
 package org.passhaven.core.backend;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 
@@ -27,6 +28,13 @@
     versions = Map.copyOf(versions);
   }
 
+  /** The same entry with none of the versions lower than given; one start never goes back. */
+  public ServerEntry withAtLeast(Map<String, Long> told) {
+    Map<String, Long> merged = new HashMap<>(versions);
+    told.forEach((model, version) -> merged.merge(model, version, Math::max));
+    return new ServerEntry(instance, service, address, zone, slots, ready, merged);
+  }
+
   /** Weight version of a model; zero if the server does not say that it serves it. */
   public long versionOf(String model) {
     return versions.getOrDefault(model, 0L);
--- a/core/src/main/java/org/passhaven/core/backend/ServerTable.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerTable.java
@@ -10,9 +10,15 @@
 public final class ServerTable {
   private final Map<String, ServerEntry> servers = new TreeMap<>();
 
-  /** A server listed itself or changed its entry. */
+  /** A server listed itself or changed its entry; versions that it told already stay. */
   public void put(ServerEntry entry) {
-    servers.put(entry.instance(), entry);
+    ServerEntry known = servers.get(entry.instance());
+    servers.put(entry.instance(), known == null ? entry : entry.withAtLeast(known.versions()));
+  }
+
+  /** A server told that it holds a version of a model, before its entry says so. */
+  public void onReached(String instance, String model, long version) {
+    servers.computeIfPresent(instance, (name, entry) -> entry.withAtLeast(Map.of(model, version)));
   }
 
   /** A server's entry is gone. */
--- a/core/src/main/java/org/passhaven/core/job/Job.java
+++ b/core/src/main/java/org/passhaven/core/job/Job.java
@@ -97,6 +97,11 @@
 
   /** Whether items are still to be run. */
   public boolean isOpen() {
-    return !ended && positions.size() < items.size();
+    return !ended && openItems() > 0;
+  }
+
+  /** Number of items that have no result. */
+  public int openItems() {
+    return items.size() - positions.size();
   }
 }
--- a/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
+++ b/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.passhaven.core.backend.ServerEntry;
 
 /**
- * Chooses which servers load which weight version next. Few load at once, since more slow each
- * other; the model whose newest version fewest servers have goes first. Not thread-safe.
+ * Chooses which servers load which weight version next, of those that {@link WeightPlacement}
+ * wants. Few load at once, since more slow each other; the model whose newest version fewest
+ * servers have goes first. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class VersionOrderPlanner {
   /** A version that a server is to load. */
@@ -20,8 +23,9 @@
 
   private final LoadLimit limit;
   private final Map<String, Wanted> loading = new TreeMap<>();
-  private final Map<String, Map<String, Long>> reached = new HashMap<>();
-  private final Map<String, Long> notBefore = new HashMap<>();
+  private final Map<String, Long> notBeforeMillis = new HashMap<>();
+  private final Map<String, Long> suspectUntilMillis = new HashMap<>();
+  private final WeightPlacement placement = new WeightPlacement(ServerEntry::versionOf);
 
   /**
    * Creates a planner that lets as many servers of a service load at a time as {@code limit} says.
@@ -31,14 +35,20 @@
   }
 
   /** All loads that are due and not under way. */
-  public List<Wanted> due(Collection<ServerEntry> servers, Map<String, Long> newest) {
+  public List<Wanted> due(Collection<ServerEntry> servers, WeightDemand demand, long nowMillis) {
+    List<ServerEntry> sound =
+        servers.stream()
+            .filter(
+                server ->
+                    nowMillis >= suspectUntilMillis.getOrDefault(server.instance(), Long.MIN_VALUE))
+            .toList();
+    Map<String, Set<String>> placed =
+        placement.place(sound, demand.newestVersions().keySet(), demand.openItems());
     List<Wanted> due = new ArrayList<>();
-    for (ServerEntry server : servers) {
-      for (String model : new TreeMap<>(server.versions()).keySet()) {
-        long version = newest.getOrDefault(model, 0L);
-        if (server.ready()
-            && versionAt(server, model) < version
-            && !loading.containsKey(server.instance())) {
+    for (ServerEntry server : sound) {
+      for (String model : new TreeSet<>(placed.getOrDefault(server.instance(), Set.of()))) {
+        long version = demand.newestVersions().get(model);
+        if (server.versionOf(model) < version && !loading.containsKey(server.instance())) {
           due.add(new Wanted(server, model, version));
         }
       }
@@ -47,18 +57,17 @@
   }
 
   /** Whether some order is due or under way. */
-  public boolean isNeeded(Collection<ServerEntry> servers, Map<String, Long> newest) {
-    return !loading.isEmpty() || !due(servers, newest).isEmpty();
+  public boolean isNeeded(Collection<ServerEntry> servers, WeightDemand demand, long nowMillis) {
+    return !loading.isEmpty() || !due(servers, demand, nowMillis).isEmpty();
   }
 
   /** Loads to begin now; they count as under way until {@link #onDone} or {@link #onFailed}. */
-  public List<Wanted> begin(
-      Collection<ServerEntry> servers, Map<String, Long> newest, long nowMillis) {
+  public List<Wanted> begin(Collection<ServerEntry> servers, WeightDemand demand, long nowMillis) {
     loading.keySet().removeIf(name -> servers.stream().noneMatch(s -> s.instance().equals(name)));
     List<Wanted> begun = new ArrayList<>();
     while (true) {
       List<Wanted> due =
-          due(servers, newest).stream()
+          due(servers, demand, nowMillis).stream()
               .filter(wanted -> mayBegin(wanted.server(), servers, nowMillis))
               .toList();
       if (due.isEmpty()) {
@@ -68,7 +77,7 @@
           due.stream()
               .min(
                   Comparator.comparingLong((Wanted wanted) -> served(servers, wanted))
-                      .thenComparing(wanted -> versionAt(wanted.server(), wanted.model()))
+                      .thenComparing(wanted -> wanted.server().versionOf(wanted.model()))
                       .thenComparing(wanted -> wanted.server().instance()))
               .orElseThrow();
       loading.put(next.server().instance(), next);
@@ -84,30 +93,20 @@
             .filter(wanted -> wanted.server().service().equals(server.service()))
             .count();
     return loadingNow < limit.of(sameService)
-        && nowMillis >= notBefore.getOrDefault(server.instance(), Long.MIN_VALUE);
+        && nowMillis >= notBeforeMillis.getOrDefault(server.instance(), Long.MIN_VALUE);
   }
 
   /** Servers that have the wanted version or are loading it. */
   private long served(Collection<ServerEntry> servers, Wanted wanted) {
     long having =
         servers.stream()
-            .filter(server -> versionAt(server, wanted.model()) >= wanted.version())
+            .filter(server -> server.versionOf(wanted.model()) >= wanted.version())
             .count();
     long loadingIt =
         loading.values().stream().filter(other -> other.model().equals(wanted.model())).count();
     return having + loadingIt;
   }
 
-  private long versionAt(ServerEntry server, String model) {
-    long told = reached.getOrDefault(server.instance(), Map.of()).getOrDefault(model, 0L);
-    return Math.max(told, server.versionOf(model));
-  }
-
-  /** A server told that it serves a version of a model. */
-  public void onVersion(String instance, String model, long version) {
-    reached.computeIfAbsent(instance, name -> new HashMap<>()).merge(model, version, Math::max);
-  }
-
   /** A load has ended well. */
   public void onDone(String instance) {
     loading.remove(instance);
@@ -116,13 +115,19 @@
   /** A load came to nothing; the server is left alone until {@code retryAtMillis}. */
   public void onFailed(String instance, long retryAtMillis) {
     loading.remove(instance);
-    notBefore.put(instance, retryAtMillis);
+    notBeforeMillis.put(instance, retryAtMillis);
+  }
+
+  /** A server gave no answer; other servers take its place until {@code retryAtMillis}. */
+  public void onUnreachable(String instance, long retryAtMillis) {
+    onFailed(instance, retryAtMillis);
+    suspectUntilMillis.put(instance, retryAtMillis);
   }
 
-  /** Forgets servers that are not listed any more, and all loads under way. */
-  public void reset(Collection<ServerEntry> servers) {
+  /** Forgets all loads under way and all failures. */
+  public void reset() {
     loading.clear();
-    reached.keySet().removeIf(name -> servers.stream().noneMatch(s -> s.instance().equals(name)));
-    notBefore.clear();
+    notBeforeMillis.clear();
+    suspectUntilMillis.clear();
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -80,6 +80,15 @@
     return versions;
   }
 
+  /** A server told that it holds a weight version, before its entry says so. */
+  public void onReached(String instance, String model, long version) {
+    ServerEntry before = servers.get(instance);
+    servers.onReached(instance, model, version);
+    if (!Objects.equals(before, servers.get(instance))) {
+      changed();
+    }
+  }
+
   private void changed() {
     listeners.forEach(Runnable::run);
   }
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -31,7 +31,7 @@
     this.log = new JobLog(context);
     this.jobs = new JobService(context, log);
     this.runner = new JobRunner(context, directory, members, log, forwarder);
-    this.orders = new OrderAgent(context, directory, members);
+    this.orders = new OrderAgent(context, directory, members, log);
   }
 
   /** Begins to work. */
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -2,7 +2,9 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.BiConsumer;
 import net.openhft.hashing.LongHashFunction;
@@ -76,6 +78,17 @@
     return tails.stream().allMatch(LogTail::isCaughtUp);
   }
 
+  /** Items without a result in open jobs, by the model that generates them. */
+  public Map<String, Integer> openItemsByModel() {
+    Map<String, Integer> open = new HashMap<>();
+    for (Job job : table.all()) {
+      if (job.isOpen()) {
+        open.merge(job.submission().model(), job.openItems(), Integer::sum);
+      }
+    }
+    return open;
+  }
+
   /** The stream that holds a run's jobs. */
   public String streamOf(String run) {
     return STREAM_PREFIX + Math.floorMod(HASH.hashChars(run), tails.size());
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -7,7 +7,8 @@
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
 @JsonSubTypes({
   @JsonSubTypes.Type(value = OrderRecord.Claimed.class, name = "oc"),
-  @JsonSubTypes.Type(value = OrderRecord.Intended.class, name = "oi")
+  @JsonSubTypes.Type(value = OrderRecord.Intended.class, name = "oi"),
+  @JsonSubTypes.Type(value = OrderRecord.Reached.class, name = "or")
 })
 public sealed interface OrderRecord {
   /** Epoch under which the record was written. */
@@ -28,4 +29,9 @@
    * @param number counts the intents of one start of a node
    */
   record Intended(long epoch, String node, long incarnation, long number) implements OrderRecord {}
+
+  /** A server told the holder that it holds a version; its own entry says so only later. */
+  record Reached(
+      long epoch, String node, long incarnation, String server, String model, long version)
+      implements OrderRecord {}
 }
