Read job records less often where they are only followed

A node that runs nothing of a partition now pauses 100 ms. The pause is a function that the tail asks each time.

--- a/core/src/main/java/org/passhaven/core/job/RunOwners.java
+++ b/core/src/main/java/org/passhaven/core/job/RunOwners.java
@@ -1,6 +1,7 @@
 package org.passhaven.core.job;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -49,6 +50,11 @@
     return owner != null && owner.node().equals(node) && owner.incarnation() == incarnation;
   }
 
+  /** Runs that this start of this node runs. */
+  public List<String> ownRuns() {
+    return owners.keySet().stream().filter(this::isOwn).toList();
+  }
+
   /** The record to append if this node is to take a run now. */
   public Optional<RunTaken> claim(String run, BeatTable beats, long nowMillis) {
     RunTaken owner = owners.get(run);
--- a/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
+++ b/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
@@ -1,6 +1,8 @@
 package org.passhaven.core.job;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
@@ -39,6 +41,9 @@
     assertThat(a.isOwn(run), is(false));
     assertThat(a.apply(claim), is(true));
     assertThat(a.isOwn(run), is(true));
+    assertThat(a.ownRuns(), contains(run));
+    assertThat(a.apply(new RunTaken(run, 2, "b", 1)), is(true));
+    assertThat(a.ownRuns(), empty());
   }
 
   @Test
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.LongSupplier;
 import org.passhaven.spi.LogService;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.Timers;
@@ -35,7 +36,7 @@
   private final LogService log;
   private final Timers timers;
   private final String stream;
-  private final long betweenMillis;
+  private final LongSupplier betweenMillis;
   private final Listener listener;
   private final List<UniEmitter<? super Boolean>> refreshing = new ArrayList<>();
   private long next;
@@ -47,14 +48,15 @@
   /**
    * Creates a tail; {@link #start} begins to read.
    *
-   * @param betweenMillis pause after records, so that a busy stream is read in batches
+   * @param betweenMillis pause after records, so that a busy stream is read in batches; asked each
+   *     time
    */
   public LogTail(
-      LogService log, Timers timers, String stream, long betweenMillis, Listener listener) {
+      LogService log, Timers timers, String stream, LongSupplier betweenMillis, Listener listener) {
     this.log = Objects.requireNonNull(log, "log");
     this.timers = Objects.requireNonNull(timers, "timers");
     this.stream = Objects.requireNonNull(stream, "stream");
-    this.betweenMillis = betweenMillis;
+    this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
   }
 
@@ -92,8 +94,9 @@
     down = false;
     pauseMillis = FIRST_PAUSE_MILLIS;
     boolean some = deliver(batch);
-    if (some && caughtUp && betweenMillis > 0) {
-      timers.after(betweenMillis, this::readOn);
+    long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
+    if (pause > 0) {
+      timers.after(pause, this::readOn);
     } else {
       readOn();
     }
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -3,9 +3,11 @@
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import net.openhft.hashing.LongHashFunction;
 import org.passhaven.core.job.Job;
@@ -22,13 +24,15 @@
 public final class JobLog {
   private static final Logger LOG = LoggerFactory.getLogger(JobLog.class);
   private static final String STREAM_PREFIX = "jobs.";
-  private static final long BETWEEN_READS_MILLIS = 15;
+  private static final long RUNNER_PAUSE_MILLIS = 15;
+  private static final long FOLLOWER_PAUSE_MILLIS = 100;
   private static final long FORGET_PERIOD_MILLIS = 10_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final JobTable table = new JobTable();
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
+  private final Set<String> ownStreams = new HashSet<>();
   private final List<Runnable> ownerListeners = new ArrayList<>();
   private final List<BiConsumer<JobRecord.OfJob, JobTable.Effect>> listeners = new ArrayList<>();
 
@@ -37,16 +41,18 @@
     this.context = Objects.requireNonNull(context, "context");
     this.owners = new RunOwners(context.settings().node(), context.incarnation());
     for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
+      String stream = STREAM_PREFIX + partition;
       tails.add(
           new LogTail(
-              context.log(),
-              context.timers(),
-              STREAM_PREFIX + partition,
-              BETWEEN_READS_MILLIS,
-              this::onRecord));
+              context.log(), context.timers(), stream, () -> pauseMillis(stream), this::onRecord));
     }
   }
 
+  /** A node that runs nothing of a partition reads it for others' callers only: less often. */
+  private long pauseMillis(String stream) {
+    return ownStreams.contains(stream) ? RUNNER_PAUSE_MILLIS : FOLLOWER_PAUSE_MILLIS;
+  }
+
   /** Begins to follow all partitions from their beginnings. */
   public void start() {
     tails.forEach(tail -> tail.start(0));
@@ -133,10 +139,16 @@
           .addKeyValue("epoch", taken.epoch())
           .addKeyValue("runner", taken.node())
           .log("job: run taken");
+      refreshOwnStreams();
       ownerListeners.forEach(Runnable::run);
     }
   }
 
+  private void refreshOwnStreams() {
+    ownStreams.clear();
+    owners.ownRuns().forEach(run -> ownStreams.add(streamOf(run)));
+  }
+
   private void onJobRecord(JobRecord.OfJob record) {
     JobTable.Effect effect = table.apply(record, context.now());
     if (effect == JobTable.Effect.IGNORED) {
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -33,7 +33,8 @@
     this.context = Objects.requireNonNull(context, "context");
     this.beats = new BeatTable(context.settings().silence().toMillis());
     this.tail =
-        new LogTail(context.log(), context.timers(), STREAM, BETWEEN_READS_MILLIS, this::onRecord);
+        new LogTail(
+            context.log(), context.timers(), STREAM, () -> BETWEEN_READS_MILLIS, this::onRecord);
   }
 
   /** Begins to beat. */
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -53,7 +53,7 @@
     GatewaySettings settings = context.settings();
     this.lease = new OrderLease(settings.node(), context.incarnation(), settings.lease());
     this.planner = new VersionOrderPlanner(settings.loads());
-    this.tail = new LogTail(context.log(), context.timers(), STREAM, 0, this::onRecord);
+    this.tail = new LogTail(context.log(), context.timers(), STREAM, () -> 0, this::onRecord);
   }
 
   /** Begins to follow the lease and, as its holder, to order. */
--- a/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
@@ -16,9 +16,14 @@
   private final ManualTimers timers = new ManualTimers();
   private final MemoryLog log = new MemoryLog(timers);
   private final List<String> seen = new ArrayList<>();
+  private long pauseMillis = 20;
   private final LogTail tail =
       new LogTail(
-          log, timers, "s.0", 20, record -> seen.add(new String(record, StandardCharsets.UTF_8)));
+          log,
+          timers,
+          "s.0",
+          () -> pauseMillis,
+          record -> seen.add(new String(record, StandardCharsets.UTF_8)));
 
   private void add(String text) {
     log.stream("s.0").add(text.getBytes(StandardCharsets.UTF_8));
@@ -36,6 +41,23 @@
     assertThat(tail.isCaughtUp(), is(true));
   }
 
+  @Test
+  void thePauseBetweenReadsIsAskedEachTime() {
+    tail.start(0);
+    timers.advance(10);
+    pauseMillis = 400;
+    add("a");
+    timers.advance(50);
+    add("b");
+    timers.advance(300);
+    assertThat(seen, contains("a"));
+    pauseMillis = 20;
+    timers.advance(100);
+    add("c");
+    timers.advance(30);
+    assertThat(seen, contains("a", "b", "c"));
+  }
+
   @Test
   void anOutageIsWaitedOut() {
     tail.start(0);
