Keep the loss and return of a source in one place

LogTail and TableFollower each had the same pause that doubles and the same two log lines; both are Outage's now. The key `stream` of `log: lost` is `log`, as `table` is for tables, and both name the position.

--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.function.LongSupplier;
 import org.passhaven.spi.LogService;
-import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,8 +20,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(LogTail.class);
   private static final int MOST_RECORDS = 2_000;
   private static final long WAIT_MILLIS = 2_200;
-  private static final long FIRST_PAUSE_MILLIS = 50;
-  private static final long MOST_PAUSE_MILLIS = 400;
 
   /** Takes what is read. */
   public interface Listener {
@@ -41,9 +38,8 @@
   private final List<UniEmitter<? super Boolean>> refreshing = new ArrayList<>();
   private long next;
   private boolean caughtUp;
-  private boolean down;
   private boolean closed;
-  private long pauseMillis = FIRST_PAUSE_MILLIS;
+  private final Outage outage;
 
   /**
    * Creates a tail; {@link #start} begins to read.
@@ -58,6 +54,7 @@
     this.stream = Objects.requireNonNull(stream, "stream");
     this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
+    this.outage = new Outage(LOG, "log", stream);
   }
 
   /** Begins to read at an offset. */
@@ -88,11 +85,7 @@
     if (closed) {
       return;
     }
-    if (down) {
-      LOG.atInfo().addKeyValue("stream", stream).addKeyValue("next", next).log("log: regained");
-    }
-    down = false;
-    pauseMillis = FIRST_PAUSE_MILLIS;
+    outage.onSuccess(next);
     boolean some = deliver(batch);
     long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
     if (pause > 0) {
@@ -136,16 +129,7 @@
     if (closed) {
       return;
     }
-    if (!down) {
-      LOG.atWarn()
-          .addKeyValue("stream", stream)
-          .addKeyValue("next", next)
-          .addKeyValue("reason", PlatformException.from(failure).getMessage())
-          .log("log: lost");
-    }
-    down = true;
-    timers.after(pauseMillis, this::readOn);
-    pauseMillis = Math.min(MOST_PAUSE_MILLIS, pauseMillis * 2);
+    timers.after(outage.onFailure(failure, next), this::readOn);
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
-import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService;
 import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
@@ -16,8 +15,6 @@
 public final class TableFollower {
   private static final Logger LOG = LoggerFactory.getLogger(TableFollower.class);
   private static final long WAIT_MILLIS = 2_200;
-  private static final long FIRST_PAUSE_MILLIS = 50;
-  private static final long MOST_PAUSE_MILLIS = 400;
 
   /** Takes documents. */
   public interface Listener {
@@ -36,8 +33,7 @@
   private long firstEnd;
   private long position;
   private boolean listed;
-  private boolean down;
-  private long pauseMillis = FIRST_PAUSE_MILLIS;
+  private final Outage outage;
 
   /** Creates a follower; {@link #start} begins. */
   public TableFollower(TableService tables, Timers timers, String table, Listener listener) {
@@ -45,6 +41,7 @@
     this.timers = Objects.requireNonNull(timers, "timers");
     this.table = Objects.requireNonNull(table, "table");
     this.listener = Objects.requireNonNull(listener, "listener");
+    this.outage = new Outage(LOG, "table", table);
   }
 
   /** Begins to follow. */
@@ -70,7 +67,7 @@
   }
 
   private void onPage(TableService.Page page, boolean isFirst) {
-    regained();
+    outage.onSuccess(position);
     if (isFirst) {
       firstEnd = page.end();
     }
@@ -101,7 +98,7 @@
   }
 
   private void onChanges(TableService.Changes changes) {
-    regained();
+    outage.onSuccess(position);
     if (changes.truncated()) {
       LOG.atWarn().addKeyValue("table", table).addKeyValue("at", position).log("table: gap");
       listAnew();
@@ -116,23 +113,7 @@
     listener.onDocument(entry.key(), entry.value());
   }
 
-  private void regained() {
-    if (down) {
-      LOG.atInfo().addKeyValue("table", table).log("table: regained");
-    }
-    down = false;
-    pauseMillis = FIRST_PAUSE_MILLIS;
-  }
-
   private void onFailure(Throwable failure, Runnable again) {
-    if (!down) {
-      LOG.atWarn()
-          .addKeyValue("table", table)
-          .addKeyValue("reason", PlatformException.from(failure).getMessage())
-          .log("table: lost");
-    }
-    down = true;
-    timers.after(pauseMillis, again);
-    pauseMillis = Math.min(MOST_PAUSE_MILLIS, pauseMillis * 2);
+    timers.after(outage.onFailure(failure, position), again);
   }
 }
