--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -19,6 +19,7 @@
 import org.passhaven.protocol.job.JobRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** The jobs' partitions: follows them all into one fold, and appends to them. */
 public final class JobLog {
@@ -134,7 +135,7 @@
 
   private void onTaken(JobRecord.RunTaken taken) {
     if (owners.apply(taken)) {
-      LOG.atInfo()
+      LOG.atLevel(newsLevel())
           .addKeyValue("run", taken.run())
           .addKeyValue("epoch", taken.epoch())
           .addKeyValue("runner", taken.node())
@@ -144,6 +145,11 @@
     }
   }
 
+  /** What happened before this start is no news: a node that starts reads minutes of it at once. */
+  private Level newsLevel() {
+    return isCaughtUp() ? Level.INFO : Level.DEBUG;
+  }
+
   private void refreshOwnStreams() {
     ownStreams.clear();
     owners.ownRuns().forEach(run -> ownStreams.add(streamOf(run)));
@@ -163,7 +169,7 @@
       return;
     }
     Job job = table.get(record.job());
-    LOG.atInfo()
+    LOG.atLevel(newsLevel())
         .addKeyValue("job", record.job())
         .addKeyValue("run", job.submission().run())
         .addKeyValue("step", job.submission().step())
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -108,7 +108,7 @@
 
   private void logChange() {
     List<String> now = beats.taking().stream().map(MemberBeat::node).toList();
-    if (!now.equals(lastTaking)) {
+    if (tail.isCaughtUp() && !now.equals(lastTaking)) {
       lastTaking = now;
       LOG.atInfo()
           .addKeyValue("live", now.size())
