Give the order lease up at a planned stop, and let its former holder take it again without waiting

The holder left at 31.8 s; its successor had to wait 5.2 s from its last intent. At 35.5 s all machines lost power. The new start of the holder's node counted as the holder being alive (2 s), and whoever starts reads all records at once and took the oldest of them for new (5.2 s more). Now: a holder that is stopped and whose orders are all answered appends Released, after which 3.1 s suffice; its bound never shortens that for the holder before it. Each intent tells how long the others have been quiet, so the bound for their orders is counted from then and not from the reading. The node that held the lease before its own restart is the first candidate: orders of one machine need no pause. Another start of the holder's node is not the holder.

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -74,10 +74,10 @@
         .anyMatch(beat -> beat.node().equals(node) && beat.incarnation() == incarnation);
   }
 
-  /** Whether a node's newest beat says that it takes no new work. */
-  public boolean isLeaving(String node) {
+  /** Whether one start of a node is leaving, or another start has followed it. */
+  public boolean isOver(String node, long incarnation) {
     Heard heard = members.get(node);
-    return heard != null && !heard.beat().taking();
+    return heard != null && (!heard.beat().taking() || heard.beat().incarnation() != incarnation);
   }
 
   /**
--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -18,12 +18,17 @@
    * Pace of the lease.
    *
    * @param validMillis time for which an intent allows orders, from when it was sent
-   * @param handOverMillis time that must pass between orders of two nodes
+   * @param handOverMillis time that must pass between orders of two nodes, that on the way included
+   * @param releasedMillis the same if the former holder told that it orders no more
    * @param claimAfterMillis silence of a live holder after which another may claim
    * @param rankMillis time that each next candidate waits longer
    */
   public record Settings(
-      long validMillis, long handOverMillis, long claimAfterMillis, long rankMillis) {}
+      long validMillis,
+      long handOverMillis,
+      long releasedMillis,
+      long claimAfterMillis,
+      long rankMillis) {}
 
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final long READ_BACK_MILLIS = 1_000;
@@ -31,11 +36,14 @@
   private final long incarnation;
   private final Settings settings;
   private final Map<Long, Long> sentAtByNumber = new HashMap<>();
+
+  /** Time from which another node may order as far as this one is concerned, by node. */
+  private final Map<String, Long> mayFollowFromMillis = new HashMap<>();
+
   private long epoch;
   private String holder = "";
   private long holderIncarnation;
   private long lastRecordAt = NEVER;
-  private long lastOtherRecordAt = NEVER;
   private long neededSince = NEVER;
   private long notBefore = NEVER;
   private long validUntil = NEVER;
@@ -56,6 +64,8 @@
       onClaim(claim, nowMillis);
     } else if (record instanceof OrderRecord.Intended intent) {
       onIntent(intent, nowMillis);
+    } else if (record instanceof OrderRecord.Released release) {
+      onRelease(release, nowMillis);
     }
   }
 
@@ -68,34 +78,72 @@
     holderIncarnation = claim.incarnation();
     validUntil = NEVER;
     sentAtByNumber.clear();
-    noteRecord(claim.node(), nowMillis);
+    noteActive(claim.node(), nowMillis);
     if (isHolder()) {
-      notBefore = lastOtherRecordAt + settings.validMillis() + settings.handOverMillis();
+      notBefore = othersMayBeFollowedFrom();
     }
   }
 
   private void onIntent(OrderRecord.Intended intent, long nowMillis) {
-    boolean valid =
-        intent.epoch() == epoch
-            && intent.node().equals(holder)
-            && intent.incarnation() == holderIncarnation;
-    if (!valid) {
+    if (!isOfHolder(intent)) {
       return;
     }
-    noteRecord(intent.node(), nowMillis);
+    noteActive(intent.node(), nowMillis);
+    noteOthersQuiet(intent.node(), nowMillis - intent.othersQuietMillis());
     Long sentAt = isHolder() ? sentAtByNumber.remove(intent.number()) : null;
     if (sentAt != null) {
       validUntil = Math.max(validUntil, sentAt + settings.validMillis());
     }
   }
 
-  private void noteRecord(String writer, long nowMillis) {
-    lastRecordAt = nowMillis;
-    if (!writer.equals(node)) {
-      lastOtherRecordAt = nowMillis;
+  private void onRelease(OrderRecord.Released release, long nowMillis) {
+    if (isOfHolder(release)) {
+      validUntil = NEVER;
+      mayFollowFromMillis.put(release.node(), nowMillis + settings.releasedMillis());
     }
   }
 
+  private boolean isOfHolder(OrderRecord record) {
+    return record.epoch() == epoch
+        && record.node().equals(holder)
+        && record.incarnation() == holderIncarnation;
+  }
+
+  private void noteActive(String writer, long atMillis) {
+    lastRecordAt = atMillis;
+    mayFollowFromMillis.put(writer, mayFollowFrom(atMillis));
+  }
+
+  /**
+   * The writer knew when another node can have ordered last. Whoever has just started reads all
+   * records at once, and takes the writer's word for how old those of the others are.
+   */
+  private void noteOthersQuiet(String writer, long quietSinceMillis) {
+    long from = mayFollowFrom(quietSinceMillis);
+    mayFollowFromMillis.replaceAll(
+        (other, known) -> other.equals(writer) ? known : Math.min(known, from));
+  }
+
+  private long mayFollowFrom(long activeAtMillis) {
+    return activeAtMillis + settings.validMillis() + settings.handOverMillis();
+  }
+
+  /** Time from which this node may order without being close to an order of any other. */
+  private long othersMayBeFollowedFrom() {
+    return mayFollowFromMillis.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(node))
+        .mapToLong(Map.Entry::getValue)
+        .max()
+        .orElse(NEVER);
+  }
+
+  private long othersQuietMillis(long nowMillis) {
+    return nowMillis
+        - othersMayBeFollowedFrom()
+        + settings.validMillis()
+        + settings.handOverMillis();
+  }
+
   /** Whether this start of this node holds the lease, by all that was read. */
   public boolean isHolder() {
     return holder.equals(node) && holderIncarnation == incarnation;
@@ -106,6 +154,18 @@
     return holder;
   }
 
+  /** Start of the node that holds the lease. */
+  public long holderIncarnation() {
+    return holderIncarnation;
+  }
+
+  /** The record by which this node, as the holder, gives the lease up; empty if it is not held. */
+  public Optional<OrderRecord> release() {
+    return isHolder()
+        ? Optional.of(new OrderRecord.Released(epoch, node, incarnation))
+        : Optional.empty();
+  }
+
   /** Whether the holder has written lately, so that it is alive whatever else is known of it. */
   public boolean isFresh(long nowMillis) {
     return nowMillis - lastRecordAt < settings.claimAfterMillis();
@@ -148,7 +208,8 @@
     intentSentAt = nowMillis;
     long number = nextNumber++;
     sentAtByNumber.put(number, nowMillis);
-    return Optional.of(new OrderRecord.Intended(epoch, node, incarnation, number));
+    return Optional.of(
+        new OrderRecord.Intended(epoch, node, incarnation, number, othersQuietMillis(nowMillis)));
   }
 
   private Optional<OrderRecord> nextClaim(boolean holderAlive, int rank, long nowMillis) {
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -42,6 +42,18 @@
     assertThat(table.taking(), hasSize(0));
   }
 
+  @Test
+  void aStartIsOverOnceItLeavesOrAnotherStartBeats() {
+    assertThat(table.isOver("a", 1), is(false));
+    table.onBeat(beat("a", "z", 1, true), 0);
+    assertThat(table.isOver("a", 1), is(false));
+    table.onBeat(beat("a", "z", 1, false), 10);
+    assertThat(table.isOver("a", 1), is(true));
+    table.onBeat(beat("a", "z", 2, true), 20);
+    assertThat(table.isOver("a", 1), is(true));
+    assertThat(table.isOver("a", 2), is(false));
+  }
+
   @Test
   void aLateBeatOfAnEarlierStartChangesNothing() {
     table.onBeat(beat("a", "z", 2, true), 0);
--- a/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
+++ b/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
@@ -20,7 +20,7 @@
   private static final long VALID = 1_000;
   private static final long HAND_OVER = 3_000;
   private static final OrderLease.Settings SETTINGS =
-      new OrderLease.Settings(VALID, HAND_OVER, 2_000, 400);
+      new OrderLease.Settings(VALID, HAND_OVER, HAND_OVER, 2_000, 400);
 
   private static OrderLease lease(String node) {
     return new OrderLease(node, 7, SETTINGS);
@@ -49,7 +49,7 @@
   void aSuccessorWaitsUntilItsPredecessorCanHaveOrderedLastAndTheHandOverTimeLonger() {
     OrderLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1), 100);
-    b.onRecord(new Intended(1, "a", 1, 1), 200);
+    b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
     OrderRecord claim = b.next(true, false, 0, 300).orElseThrow();
     b.onRecord(claim, 310);
     long from = 200 + VALID + HAND_OVER;
@@ -92,12 +92,65 @@
     OrderLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1), 0);
     for (long now = 0; now < 10_000; now += 500) {
-      b.onRecord(new Intended(1, "a", 1, now), now);
+      b.onRecord(new Intended(1, "a", 1, now, 0), now);
       assertThat(next(b, now + 1).isPresent(), is(false));
     }
     assertThat(next(b, 9_500 + 2_001).isPresent(), is(true));
   }
 
+  @Test
+  void aReleaseLetsTheSuccessorOrderSooner() {
+    OrderLease b = lease("b");
+    b.onRecord(new Claimed(1, "a", 1), 100);
+    b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
+    b.onRecord(new OrderRecord.Released(1, "a", 1), 300);
+    b.onRecord(b.next(true, false, 0, 310).orElseThrow(), 320);
+    long from = 300 + HAND_OVER;
+    b.onRecord(next(b, from - 50).orElseThrow(), from - 40);
+    assertThat(b.mayOrder(from - 1), is(false));
+    assertThat(b.mayOrder(from), is(true));
+  }
+
+  @Test
+  void aReleaseByAHolderThatWaitedItselfDoesNotShortenTheWaitForTheOneBefore() {
+    OrderLease c = lease("c");
+    c.onRecord(new Claimed(1, "a", 1), 0);
+    c.onRecord(new Intended(1, "a", 1, 1, 0), 1_000);
+    c.onRecord(new Claimed(2, "b", 1), 1_100);
+    c.onRecord(new OrderRecord.Released(2, "b", 1), 1_200);
+    c.onRecord(c.next(true, false, 0, 1_210).orElseThrow(), 1_220);
+    long from = 1_000 + VALID + HAND_OVER;
+    c.onRecord(next(c, from - 50).orElseThrow(), from - 40);
+    assertThat(c.mayOrder(from - 1), is(false));
+    assertThat(c.mayOrder(from), is(true));
+  }
+
+  @Test
+  void aHolderThatStartsAnewNeedNotWaitForWhatWasLongBeforeIt() {
+    OrderLease again = new OrderLease("a", 8, SETTINGS);
+    again.onRecord(new Claimed(1, "b", 1), 50_000);
+    again.onRecord(new Intended(1, "b", 1, 1, 0), 50_000);
+    again.onRecord(new Claimed(2, "a", 7), 50_000);
+    again.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
+    again.onRecord(again.next(true, false, 0, 50_010).orElseThrow(), 50_020);
+    again.onRecord(next(again, 50_030).orElseThrow(), 50_040);
+    assertThat(again.mayOrder(50_040), is(true));
+    OrderLease other = new OrderLease("c", 8, SETTINGS);
+    other.onRecord(new Claimed(2, "a", 7), 50_000);
+    other.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
+    assertThat(other.mayOrder(50_040), is(false));
+  }
+
+  @Test
+  void aHolderThatGaveTheLeaseUpOrdersNoMore() {
+    OrderLease a = lease("a");
+    a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
+    a.onRecord(next(a, 2).orElseThrow(), 3);
+    assertThat(a.mayOrder(4), is(true));
+    a.onRecord(a.release().orElseThrow(), 5);
+    assertThat(a.mayOrder(6), is(false));
+  }
+
   @Test
   void nothingIsWrittenWhileNoOrderIsDue() {
     OrderLease a = lease("a");
@@ -117,7 +170,10 @@
   /** One log, three nodes that read it late, claim eagerly and pause now and then. */
   private static final class Race {
     private final Random random;
-    private final List<OrderLease> leases = List.of(lease("a"), lease("b"), lease("c"));
+    private final List<String> names = List.of("a", "b", "c");
+    private final List<OrderLease> leases =
+        new ArrayList<>(List.of(lease("a"), lease("b"), lease("c")));
+    private long nextIncarnation = 100;
     private final int[] read = new int[3];
     private final long[] pausedUntil = new long[3];
     private final List<OrderRecord> log = new ArrayList<>();
@@ -151,6 +207,18 @@
         pausedUntil[node] = now + random.nextInt(8_000);
         return 0;
       }
+      if (random.nextInt(300) == 0) {
+        // A new start of the node, which reads all that there is at once.
+        leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
+        read[node] = 0;
+        return 0;
+      }
+      if (random.nextInt(200) == 0 && lease.release().isPresent()) {
+        log.add(lease.release().orElseThrow());
+        leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
+        read[node] = 0;
+        return 0;
+      }
       while (read[node] < log.size() && random.nextInt(3) > 0) {
         lease.onRecord(log.get(read[node]++), now);
       }
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.member.BeatTable;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.core.order.VersionOrderPlanner;
 import org.passhaven.core.order.VersionOrderPlanner.Wanted;
@@ -43,6 +44,8 @@
   private final LogTail tail;
   private boolean wasHolder;
   private boolean stopping;
+  private int ordersUnderWay;
+  private long unansweredAtMillis = Long.MIN_VALUE / 2;
 
   /** Creates the agent; {@link #start} begins. */
   public OrderAgent(GatewayContext context, Directory directory, MemberAgent members, JobLog jobs) {
@@ -63,9 +66,18 @@
     directory.addListener(this::decide);
   }
 
-  /** Orders nothing more. */
+  /** Orders nothing more, and says so once all orders under way are answered. */
   public void stop() {
     stopping = true;
+    releaseIfDone();
+  }
+
+  private void releaseIfDone() {
+    long sinceUnanswered = context.now() - unansweredAtMillis;
+    boolean allArrived = sinceUnanswered >= context.settings().lease().handOverMillis();
+    if (stopping && ordersUnderWay == 0 && allArrived) {
+      lease.release().ifPresent(this::append);
+    }
   }
 
   private void onRecord(byte[] bytes) {
@@ -99,10 +111,11 @@
     WeightDemand demand = new WeightDemand(directory.newestVersions(), jobs.openItemsByModel());
     boolean needed =
         members.isSettled() && planner.isNeeded(directory.servers().all(), demand, now);
+    BeatTable beats = members.beats();
     boolean holderAlive =
-        members.beats().isTaking(lease.holder())
-            || (lease.isFresh(now) && !members.beats().isLeaving(lease.holder()));
-    int rank = members.beats().rankByYouth(context.settings().node());
+        beats.isTaking(lease.holder(), lease.holderIncarnation())
+            || (lease.isFresh(now) && !beats.isOver(lease.holder(), lease.holderIncarnation()));
+    int rank = rank();
     Optional<OrderRecord> record = lease.next(needed, holderAlive, rank, now);
     record.ifPresent(this::append);
     if (lease.mayOrder(now)) {
@@ -110,6 +123,19 @@
     }
   }
 
+  /**
+   * Place among the candidates. The node that held the lease before it was started anew comes
+   * first: it alone need not wait for orders of its earlier start.
+   */
+  private int rank() {
+    String node = context.settings().node();
+    if (lease.holder().equals(node)) {
+      return 0;
+    }
+    int behindHolder = members.beats().isTaking(lease.holder()) ? 1 : 0;
+    return behindHolder + members.beats().rankByYouth(node);
+  }
+
   private void append(OrderRecord record) {
     if (record instanceof OrderRecord.Claimed claim) {
       LOG.atInfo()
@@ -168,11 +194,23 @@
         .addKeyValue("sequence", sequence)
         .log("orders: version ordered");
     context.metrics().ordersSent.increment();
+    ordersUnderWay++;
     context
         .backEnds()
         .order(targetOf(wanted.server()), order, CALL_LIMIT_MILLIS)
         .subscribe()
-        .with(outcome -> onOrdered(wanted, outcome), failure -> unreachable(wanted, failure));
+        .with(
+            outcome -> {
+              ordersUnderWay--;
+              onOrdered(wanted, outcome);
+              releaseIfDone();
+            },
+            failure -> {
+              ordersUnderWay--;
+              // It may still be on its way, so the lease can't be given up early any more.
+              unansweredAtMillis = context.now();
+              unreachable(wanted, failure);
+            });
   }
 
   private void onOrdered(Wanted wanted, OrderOutcome outcome) {
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -47,7 +47,7 @@
               Duration.ofMillis(500),
               Duration.ofMillis(1_500),
               Duration.ofMillis(100),
-              new OrderLease.Settings(1_000, 3_000, 2_000, 400),
+              new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400),
               new LoadLimit(2, 0.3),
               Duration.ofSeconds(150),
               262_144,
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -8,6 +8,7 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(value = OrderRecord.Claimed.class, name = "oc"),
   @JsonSubTypes.Type(value = OrderRecord.Intended.class, name = "oi"),
+  @JsonSubTypes.Type(value = OrderRecord.Released.class, name = "ol"),
   @JsonSubTypes.Type(value = OrderRecord.Reached.class, name = "or")
 })
 public sealed interface OrderRecord {
@@ -27,8 +28,14 @@
    * The holder may order for a short while from the moment at which it sent this record.
    *
    * @param number counts the intents of one start of a node
+   * @param othersQuietMillis how long before the sending the writer had last read anything by which
+   *     another node may order
    */
-  record Intended(long epoch, String node, long incarnation, long number) implements OrderRecord {}
+  record Intended(long epoch, String node, long incarnation, long number, long othersQuietMillis)
+      implements OrderRecord {}
+
+  /** The holder orders no more, and each of its orders was answered before it sent this record. */
+  record Released(long epoch, String node, long incarnation) implements OrderRecord {}
 
   /** A server told the holder that it holds a version; its own entry says so only later. */
   record Reached(
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -21,6 +21,7 @@
   private static final int NODES = 6;
   private static final long LEASE_MILLIS = 3_000;
   private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
+  private static final long RELEASED_MILLIS = LEASE_MILLIS + 100;
   private static final long LIST_PERIOD_MILLIS = 300;
   private static final long RESTART_MILLIS = 900;
   private static final long DRAIN_MILLIS = 2_000;
@@ -69,7 +70,7 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, 2_000, 400),
+            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400),
             new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
