--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -1,17 +1,20 @@
 package org.passhaven.core.job;
 
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 
 /**
  * Chooses the server of a generation: one whose weights are allowed and that has a free slot, by
- * pace, load, weights and what it keeps of the group's prompt. Times in monotonic milliseconds. Not
- * thread-safe.
+ * pace, load, weights and what it keeps of the group's prompt. A server that refused gets one
+ * generation at a time until it takes one. Times in monotonic milliseconds. Not thread-safe.
  */
 final class GenerationPicker {
   private static final double AFFINITY_GAIN = 0.3;
@@ -24,6 +27,12 @@
   private final ServerPace pace;
   private final Map<String, String> serverByGroup = new LinkedHashMap<>();
 
+  /** Servers whose last word to a generation was that they do not take it. */
+  private final Set<String> refusing = new HashSet<>();
+
+  /** Generations sent that the server has neither begun nor refused, by server. */
+  private final Map<String, Integer> unanswered = new HashMap<>();
+
   GenerationPicker(String zone, ServerHealth health, ServerPace pace) {
     this.zone = Objects.requireNonNull(zone, "zone");
     this.health = Objects.requireNonNull(health, "health");
@@ -49,6 +58,32 @@
     }
   }
 
+  /** A generation was sent to a server. */
+  void onSent(String instance) {
+    unanswered.merge(instance, 1, Integer::sum);
+  }
+
+  /** A server has begun a generation. */
+  void onTaken(String instance) {
+    onAnswered(instance);
+    refusing.remove(instance);
+  }
+
+  /** A server does not take a generation: it is full, or loads weights. */
+  void onRefused(String instance) {
+    refusing.add(instance);
+  }
+
+  /** A generation that was sent waits for its server no longer, whatever came of it. */
+  void onAnswered(String instance) {
+    unanswered.computeIfPresent(instance, (name, count) -> count > 1 ? count - 1 : null);
+  }
+
+  /** Forgets servers that are not listed any more. */
+  void retain(Set<String> instances) {
+    refusing.retainAll(instances);
+  }
+
   /** Whether a server generates much slower than the middle one of its service. */
   boolean isSlow(String instance, ReadyServers servers, long nowMillis) {
     ServerEntry entry = servers.get(instance);
@@ -60,7 +95,10 @@
     String model = run.job.job.submission().model();
     boolean versionFits =
         model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
+    boolean isProbed =
+        refusing.contains(server.instance()) && unanswered.containsKey(server.instance());
     return versionFits
+        && !isProbed
         && !health.isAvoided(server.instance(), nowMillis)
         && health.inProgress(server.instance()) < Math.max(1, server.slots());
   }
--- a/core/src/main/java/org/passhaven/core/job/ItemRun.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemRun.java
@@ -18,6 +18,10 @@
   Phase phase = Phase.WAITING;
   ItemText text = new ItemText();
   long attempt;
+
+  /** Whether the server of the attempt has begun it. */
+  boolean answered;
+
   String server = "";
   long version;
   long startedAt;
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -197,6 +197,9 @@
   private void leaveServer(ItemRun run) {
     generating.remove(run.attempt);
     health.onEnded(run.server);
+    if (!run.answered) {
+      picker.onAnswered(run.server);
+    }
     run.phase = ItemRun.Phase.WAITING;
   }
 
@@ -211,6 +214,7 @@
     ReadyServers ready = new ReadyServers(servers, newest);
     pace.retain(ready.instances());
     health.retain(ready.instances());
+    picker.retain(ready.instances());
     for (JobWork work : byUrgency()) {
       giveUpOld(work, nowMillis, actions);
       work.runs.values().stream()
@@ -273,6 +277,8 @@
     run.progressAt = nowMillis;
     generating.put(run.attempt, run);
     health.onSent(server.instance());
+    picker.onSent(server.instance());
+    run.answered = false;
     picker.onBegun(run.item.group(), server.instance());
     actions.add(
         new JobAction.Start(
@@ -314,6 +320,10 @@
   public List<JobAction> onBegan(long attempt, long version, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
     ItemRun run = generating.get(attempt);
+    if (run != null && !run.answered) {
+      run.answered = true;
+      picker.onTaken(run.server);
+    }
     // A continuation behind the last event has nothing to name a version for.
     if (run != null && version != 0) {
       onVersion(run, version, nowMillis, actions);
@@ -402,7 +412,10 @@
     leaveServer(run);
     run.notBefore = nowMillis + RETRY_MILLIS;
     switch (failure) {
-      case REFUSED -> health.avoid(run.server, REFUSED_AVOIDED_MILLIS, nowMillis);
+      case REFUSED -> {
+        picker.onRefused(run.server);
+        health.avoid(run.server, REFUSED_AVOIDED_MILLIS, nowMillis);
+      }
       case MISDIRECTED -> health.avoid(run.server, MISDIRECTED_AVOIDED_MILLIS, nowMillis);
       case CUT -> health.onFailure(run.server, nowMillis);
       case SERVER_ERROR -> run.serverErrors++;
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -133,6 +133,19 @@
     assertThat(chosen, contains("a", "b"));
   }
 
+  @Test
+  void aServerThatRefusedGetsOneItemAtATimeUntilItTakesOne() {
+    List<ServerEntry> servers = List.of(server("a", 1));
+    scheduler.take(job("j", 0, 1, item("x", "g", 2, false), item("y", "g", 1, false)), POLICY);
+    List<JobAction.Start> both = starts(scheduler.decide(servers, NOTHING_NAMED, 0));
+    assertThat(both, hasSize(2));
+    both.forEach(start -> scheduler.onFailed(start.attempt(), Failure.REFUSED, 10));
+    JobAction.Start probe = onlyStart(servers, 200);
+    assertThat(scheduler.decide(servers, NOTHING_NAMED, 300), empty());
+    scheduler.onBegan(probe.attempt(), 1, 310);
+    onlyStart(servers, 320);
+  }
+
   @Test
   void textOfAnOlderVersionThanAllowedIsNotTaken() {
     scheduler.take(job("j", 0, 5, item("x", "g", 0, false)), POLICY);
