Name callers as many nodes as their load needs; walk open jobs only

Beats now tell each node's requests a second, and the registry names 6 nodes of a zone, or more by load, in rendezvous order. Sites with 6 nodes a zone or fewer are unchanged.

--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -34,6 +34,7 @@
   private record PartKey(String job, long attempt) {}
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Job> open = new LinkedHashMap<>();
   private final Map<PartKey, List<byte[]>> parts = new HashMap<>();
   private final Map<String, Long> endedUnknown = new HashMap<>();
 
@@ -52,10 +53,22 @@
     if (record instanceof JobRecord.ItemProgress text) {
       return job.advance(text) ? Effect.ADVANCED : Effect.IGNORED;
     }
+    Effect effect;
     if (record instanceof JobRecord.ItemFinished result) {
-      return job.list(result) ? Effect.LISTED : Effect.IGNORED;
+      effect = job.list(result) ? Effect.LISTED : Effect.IGNORED;
+    } else {
+      effect = job.end() ? Effect.ENDED : Effect.IGNORED;
+    }
+    noteOpen(job);
+    return effect;
+  }
+
+  private void noteOpen(Job job) {
+    if (job.isOpen()) {
+      open.put(job.id(), job);
+    } else {
+      open.remove(job.id());
     }
-    return job.end() ? Effect.ENDED : Effect.IGNORED;
   }
 
   private Effect onPart(JobRecord.JobPart part, long nowMillis) {
@@ -84,6 +97,7 @@
       if (endedUnknown.remove(id) != null) {
         job.end();
       }
+      noteOpen(job);
       return Effect.ACCEPTED;
     } catch (CodecException e) {
       return Effect.IGNORED;
@@ -95,9 +109,9 @@
     return jobs.get(id);
   }
 
-  /** All jobs in the order of their acceptance. */
-  public Collection<Job> all() {
-    return jobs.values();
+  /** Jobs with items still to be run, in the order of their acceptance. */
+  public Collection<Job> open() {
+    return open.values();
   }
 
   /** Forgets what was accepted before {@code beforeMillis} and is not open. */
--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -15,6 +15,9 @@
  * milliseconds of the reader. Not thread-safe.
  */
 public final class BeatTable {
+  private static final String CALLERS_KEY_PREFIX = "callers/";
+  private static final int FEWEST_FOR_CALLERS = 6;
+  private static final double REQUESTS_PER_NODE = 15;
   private final long silenceMillis;
   private final Map<String, Heard> members = new TreeMap<>();
   private long newestMillis = Long.MIN_VALUE;
@@ -115,7 +118,9 @@
   }
 
   /**
-   * Addresses at which callers reach live nodes: those of a zone if it has enough, else all.
+   * Addresses at which callers reach live nodes: those of a zone if it has enough, else all. Of
+   * many nodes only as many are named as the callers' load needs, the same ones each time:
+   * connections to back ends then stay in use instead of being opened anew at every node.
    *
    * @param enough nodes of the caller's zone that suffice
    */
@@ -123,6 +128,14 @@
     List<MemberBeat> all = taking();
     List<MemberBeat> near = all.stream().filter(beat -> beat.zone().equals(zone)).toList();
     List<MemberBeat> chosen = near.size() >= enough ? near : all;
-    return chosen.stream().limit(most).map(MemberBeat::address).toList();
+    double load = chosen.stream().mapToDouble(MemberBeat::requestsPerSecond).sum();
+    long needed = Math.max(FEWEST_FOR_CALLERS, (long) Math.ceil(load / REQUESTS_PER_NODE));
+    return chosen.stream()
+        .sorted(
+            Comparator.comparingLong(
+                (MemberBeat beat) -> Rendezvous.weight(CALLERS_KEY_PREFIX + zone, beat.node())))
+        .limit(Math.min(needed, most))
+        .map(MemberBeat::address)
+        .toList();
   }
 }
--- a/core/src/test/java/org/passhaven/core/job/JobTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
@@ -58,6 +59,24 @@
     assertThat(table.apply(new JobPart("j", 1, 1, 2, rest), 0), is(Effect.ACCEPTED));
   }
 
+  private List<String> open() {
+    return table.open().stream().map(Job::id).toList();
+  }
+
+  @Test
+  void aJobIsOpenUntilItEndsOrAllItsItemsHaveResults() {
+    table.apply(new JobEnded("e"), 0);
+    table.apply(whole("e", 1, "x"), 0);
+    table.apply(whole("j", 1, "x", "y"), 0);
+    table.apply(whole("k", 1, "x"), 0);
+    assertThat(open(), contains("j", "k"));
+    table.apply(finished("j", "x", "one"), 0);
+    table.apply(new JobEnded("k"), 0);
+    assertThat(open(), contains("j"));
+    table.apply(finished("j", "y", "two"), 0);
+    assertThat(open(), empty());
+  }
+
   @Test
   void theFirstResultOfAnItemKeepsItsPosition() {
     table.apply(whole("j", 1, "x", "y"), 0);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -25,9 +25,9 @@
   /** Creates a node; {@link #start} begins its work. */
   public Gateway(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
-    this.members = new MemberAgent(context);
     this.directory = new Directory(context);
     this.forwarder = new RequestForwarder(context, directory);
+    this.members = new MemberAgent(context, forwarder::requestsPerSecond);
     this.log = new JobLog(context);
     this.jobs = new JobService(context, log);
     this.runner = new JobRunner(context, directory, members, log, forwarder);
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -88,10 +88,8 @@
   /** Items without a result in open jobs, by the model that generates them. */
   public Map<String, Integer> openItemsByModel() {
     Map<String, Integer> open = new HashMap<>();
-    for (Job job : table.all()) {
-      if (job.isOpen()) {
-        open.merge(job.submission().model(), job.openItems(), Integer::sum);
-      }
+    for (Job job : table.open()) {
+      open.merge(job.submission().model(), job.openItems(), Integer::sum);
     }
     return open;
   }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -166,11 +166,7 @@
     if (stopped || !log.isCaughtUp()) {
       return;
     }
-    for (Job job : log.table().all()) {
-      if (job.isOpen()) {
-        takeOrDrop(job);
-      }
-    }
+    List.copyOf(log.table().open()).forEach(this::takeOrDrop);
     apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
@@ -20,6 +21,7 @@
   private static final long SETTLE_MILLIS = 1_100;
   private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
   private final GatewayContext context;
+  private final DoubleSupplier requestsPerSecond;
   private final BeatTable beats;
   private final LogTail tail;
   private boolean tailing;
@@ -28,13 +30,18 @@
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
   private List<String> lastTaking = List.of();
 
-  /** Creates the agent. */
-  public MemberAgent(GatewayContext context) {
+  /**
+   * Creates the agent.
+   *
+   * @param requestsPerSecond requests that this node lately forwarded
+   */
+  public MemberAgent(GatewayContext context, DoubleSupplier requestsPerSecond) {
     this.context = Objects.requireNonNull(context, "context");
+    this.requestsPerSecond = Objects.requireNonNull(requestsPerSecond, "requestsPerSecond");
     this.beats = new BeatTable(context.settings().silence().toMillis());
     this.tail =
         new LogTail(
-            context.log(), context.timers(), STREAM, () -> BETWEEN_READS_MILLIS, this::onRecord);
+            context.log(), context.timers(), STREAM, () -> BETWEEN_READS_MILLIS, new BeatReader());
   }
 
   /** Begins to beat. */
@@ -68,7 +75,12 @@
     GatewaySettings settings = context.settings();
     MemberBeat beat =
         new MemberBeat(
-            settings.node(), settings.address(), settings.zone(), context.incarnation(), taking);
+            settings.node(),
+            settings.address(),
+            settings.zone(),
+            context.incarnation(),
+            taking,
+            requestsPerSecond.getAsDouble());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
@@ -100,7 +112,6 @@
           && beat.incarnation() == context.incarnation()) {
         ownBeatReadAt = context.now();
       }
-      logChange();
     } catch (CodecException e) {
       LOG.warn("members: a record can't be read: {}", e.getMessage());
     }
@@ -116,4 +127,17 @@
           .log("members: changed");
     }
   }
+
+  /** Changes are told once a read: at many nodes each read brings many beats. */
+  private final class BeatReader implements LogTail.Listener {
+    @Override
+    public void onRecord(byte[] record) {
+      MemberAgent.this.onRecord(record);
+    }
+
+    @Override
+    public void onBatchEnd() {
+      logChange();
+    }
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -14,6 +14,7 @@
 import org.passhaven.core.backend.ServerPicker;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.forward.ForwardPlan.Outcome;
+import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.ShareRotation;
 import org.passhaven.spi.BackEndService;
@@ -38,6 +39,7 @@
   private final ShareRotation rotation;
   private final ServerHealth health = new ServerHealth();
   private final ServerPicker picker;
+  private final RateMeter rate;
   private int inProgress;
 
   /** Creates a forwarder to the servers of the directory. */
@@ -46,6 +48,7 @@
     this.directory = Objects.requireNonNull(directory, "directory");
     this.rotation = new ShareRotation(context.randomBelow());
     this.picker = new ServerPicker(health, context.settings().zone());
+    this.rate = new RateMeter(context.now());
     directory.addListener(
         () ->
             health.retain(
@@ -54,6 +57,11 @@
                     .collect(Collectors.toSet())));
   }
 
+  /** Requests that lately came, a second. */
+  public double requestsPerSecond() {
+    return rate.perSecond(context.now());
+  }
+
   /** Requests that are being forwarded. */
   public int inProgress() {
     return inProgress;
@@ -95,6 +103,7 @@
 
     void begin() {
       inProgress++;
+      rate.mark(context.now());
       deadline = context.timers().after(call.deadlineMillis(), this::onDeadline);
       if (!tryNext()) {
         giveUp("no server");
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -8,9 +8,15 @@
  * @param address host and port at which callers reach it
  * @param incarnation its start; a higher one replaces a lower one
  * @param taking whether it takes new work
+ * @param requestsPerSecond requests that it lately forwarded
  */
 public record MemberBeat(
-    String node, String address, String zone, long incarnation, boolean taking) {
+    String node,
+    String address,
+    String zone,
+    long incarnation,
+    boolean taking,
+    double requestsPerSecond) {
   public MemberBeat {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(address, "address");
