--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -33,7 +33,6 @@
   private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
   private static final long RETRY_MILLIS = 40;
   private static final long SCORE_RETRY_MILLIS = 100;
-  private static final int MOST_KEPT_TEXTS = 512;
 
   /** What is known of a generation that ended without its whole text. */
   public enum Failure {
@@ -49,11 +48,9 @@
     CUT
   }
 
-  private record KeptText(ItemText text, boolean whole) {}
-
   private final Map<String, JobWork> jobs = new LinkedHashMap<>();
   private final Map<Long, ItemRun> generating = new HashMap<>();
-  private final Map<String, KeptText> kept = new LinkedHashMap<>();
+  private final KeptTexts kept = new KeptTexts();
   private final ServerHealth health = new ServerHealth();
   private final ServerPace pace = new ServerPace();
   private final GenerationPicker picker;
@@ -84,8 +81,8 @@
     JobWork work = new JobWork(job, policy);
     jobs.put(job.id(), work);
     for (ItemRun run : work.runs.values()) {
-      useKeptText(run);
-      adoptProgress(run);
+      kept.restore(run);
+      KeptTexts.adoptProgress(run);
     }
   }
 
@@ -94,57 +91,13 @@
     JobWork work = jobs.get(job);
     ItemRun run = work == null ? null : work.runs.get(item);
     if (run != null) {
-      adoptProgress(run);
-    }
-  }
-
-  private void adoptProgress(ItemRun run) {
-    ItemProgress left = run.job.job.progressOf(run.item.id());
-    if (left == null || run.phase != ItemRun.Phase.WAITING) {
-      return;
+      KeptTexts.adoptProgress(run);
     }
-    useText(run, ItemText.of(left), left.whole());
   }
 
   /** Texts that are not in the log as results, for the runner that follows this one. */
   public List<ItemProgress> progress() {
-    List<ItemProgress> left = new ArrayList<>();
-    for (JobWork work : jobs.values()) {
-      for (ItemRun run : work.runs.values()) {
-        boolean unfinished =
-            run.phase != ItemRun.Phase.DONE && run.phase != ItemRun.Phase.FINISHING;
-        if (unfinished && !run.text.isEmpty()) {
-          left.add(
-              new ItemProgress(
-                  work.job.id(),
-                  run.item.id(),
-                  run.text.lastEvent(),
-                  run.text.data(),
-                  run.text.versions(),
-                  run.hasWholeText()));
-        }
-      }
-    }
-    return left;
-  }
-
-  private void useKeptText(ItemRun run) {
-    KeptText left = kept.remove(run.item.id());
-    if (left != null && run.phase == ItemRun.Phase.WAITING) {
-      useText(run, left.text(), left.whole());
-    }
-  }
-
-  /** Takes text that was made before, if its versions fit and it is no shorter than the own one. */
-  private static void useText(ItemRun run, ItemText text, boolean whole) {
-    boolean fits =
-        text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
-    if (fits && text.lastEvent() >= run.text.lastEvent()) {
-      run.text = text;
-      if (whole) {
-        run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
-      }
-    }
+    return jobs.values().stream().flatMap(work -> work.progress().stream()).toList();
   }
 
   /** Runs a job no longer: it was ended, or another node runs it. Its text so far is kept. */
@@ -158,20 +111,13 @@
       boolean whole = run.hasWholeText();
       stop(run, why, actions);
       if (!run.text.isEmpty() && run.phase != ItemRun.Phase.DONE) {
-        keep(run, whole);
+        kept.keep(run, whole);
       }
       run.phase = ItemRun.Phase.DONE;
     }
     return actions;
   }
 
-  private void keep(ItemRun run, boolean whole) {
-    kept.put(run.item.id(), new KeptText(run.text, whole));
-    if (kept.size() > MOST_KEPT_TEXTS) {
-      kept.remove(kept.keySet().iterator().next());
-    }
-  }
-
   /** An item's result was read from the log, whoever wrote it. */
   public List<JobAction> onListed(String job, String item) {
     List<JobAction> actions = new ArrayList<>();
--- a/core/src/main/java/org/passhaven/core/job/JobWork.java
+++ b/core/src/main/java/org/passhaven/core/job/JobWork.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.passhaven.protocol.job.JobRecord.ItemProgress;
 
 /** The items of one job that this node runs. Not thread-safe. */
 final class JobWork {
@@ -45,6 +46,23 @@
         .toList();
   }
 
+  /** Texts that are not in the log as results. */
+  List<ItemProgress> progress() {
+    return runs.values().stream()
+        .filter(run -> run.phase != ItemRun.Phase.DONE && run.phase != ItemRun.Phase.FINISHING)
+        .filter(run -> !run.text.isEmpty())
+        .map(
+            run ->
+                new ItemProgress(
+                    job.id(),
+                    run.item.id(),
+                    run.text.lastEvent(),
+                    run.text.data(),
+                    run.text.versions(),
+                    run.hasWholeText()))
+        .toList();
+  }
+
   boolean isDone() {
     return runs.values().stream().allMatch(run -> run.phase == ItemRun.Phase.DONE);
   }
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/job/KeptTexts.java
@@ -0,0 +1,53 @@
+package org.passhaven.core.job;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.passhaven.protocol.job.JobRecord.ItemProgress;
+
+/**
+ * Texts of items that no longer run here, for the same items in a later job or run, and the rule by
+ * which text that was made before may be used. Not thread-safe.
+ */
+final class KeptTexts {
+  private static final int MAX_TEXTS = 512;
+
+  private record KeptText(ItemText text, boolean whole) {}
+
+  private final Map<String, KeptText> texts = new LinkedHashMap<>();
+
+  /** Keeps an item's text; the oldest one gives way to it. */
+  void keep(ItemRun run, boolean whole) {
+    texts.put(run.item.id(), new KeptText(run.text, whole));
+    if (texts.size() > MAX_TEXTS) {
+      texts.remove(texts.keySet().iterator().next());
+    }
+  }
+
+  /** Gives an item the text that is kept for it, if there is one that it may use. */
+  void restore(ItemRun run) {
+    KeptText left = texts.remove(run.item.id());
+    if (left != null && run.phase == ItemRun.Phase.WAITING) {
+      use(run, left.text(), left.whole());
+    }
+  }
+
+  /** Gives an item the text that an earlier runner left in the log, if it may use it. */
+  static void adoptProgress(ItemRun run) {
+    ItemProgress left = run.job.job.progressOf(run.item.id());
+    if (left != null && run.phase == ItemRun.Phase.WAITING) {
+      use(run, ItemText.of(left), left.whole());
+    }
+  }
+
+  /** Takes text that was made before, if its versions fit and it is no shorter than the own one. */
+  private static void use(ItemRun run, ItemText text, boolean whole) {
+    boolean fits =
+        text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
+    if (fits && text.lastEvent() >= run.text.lastEvent()) {
+      run.text = text;
+      if (whole) {
+        run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
+      }
+    }
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -142,6 +142,8 @@
           .addKeyValue("epoch", claim.epoch())
           .addKeyValue("before", lease.holder())
           .log("orders: lease claimed");
+    } else if (record instanceof OrderRecord.Released release) {
+      LOG.atInfo().addKeyValue("epoch", release.epoch()).log("orders: lease released");
     }
     context
         .log()
