--- a/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
+++ b/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
@@ -207,7 +207,7 @@
         pausedUntil[node] = now + random.nextInt(8_000);
         return 0;
       }
-      if (random.nextInt(300) == 0) {
+      if (random.nextInt(100) == 0) {
         // A new start of the node, which reads all that there is at once.
         leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
         read[node] = 0;
@@ -219,7 +219,8 @@
         read[node] = 0;
         return 0;
       }
-      while (read[node] < log.size() && random.nextInt(3) > 0) {
+      boolean readsAll = random.nextInt(4) == 0;
+      while (read[node] < log.size() && (readsAll || random.nextInt(3) > 0)) {
         lease.onRecord(log.get(read[node]++), now);
       }
       boolean holderAlive = random.nextInt(4) > 0;
