--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayFault.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayFault.java
@@ -20,6 +20,8 @@
     STORE_LOSES_ANSWERS,
     STORE_DOES_LATE,
     STORE_FORGETS,
+    STORE_PARTLY_SILENT,
+    STORE_REFUSES_SOME_NODES,
     SERVER_CRASHES,
     SERVER_DARK,
     SERVER_SLOW,
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.passhaven.core.backend.ServerEntry;
@@ -18,6 +20,8 @@
 /** A site of gateway nodes in virtual time: the same seed and faults give the same run. */
 public final class GatewayWorld {
   private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final List<String> STREAMS =
+      List.of("members.0", "orders.0", "jobs.0", "jobs.1", "table/" + SimulatedDocuments.SERVERS);
   private static final int NODES = 6;
   private static final long LEASE_MILLIS = 3_000;
   private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
@@ -163,6 +167,8 @@
       case STORE_LOSES_ANSWERS -> trouble(SimulatedStore.Manner.LOSES_ANSWERS, LOST_SHARE, fault);
       case STORE_DOES_LATE -> trouble(SimulatedStore.Manner.DOES_LATE, LOST_SHARE, fault);
       case STORE_FORGETS -> store.forgetTables();
+      case STORE_PARTLY_SILENT -> silence(fault);
+      case STORE_REFUSES_SOME_NODES -> refuseSomeNodes(fault);
       case STORE_SLOW -> {
         storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
         store.setSlowness(SLOW_STORE);
@@ -210,6 +216,25 @@
     after(fault.forMillis(), () -> store.setManner(SimulatedStore.Manner.SOUND, 0));
   }
 
+  /** One stream in turn gives no answer, to nobody. */
+  private void silence(GatewayFault fault) {
+    storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
+    String silent = STREAMS.get(fault.target() % STREAMS.size());
+    store.setSilentStreams(silent::equals);
+    after(fault.forMillis(), () -> store.setSilentStreams(name -> false));
+  }
+
+  /** A third of the nodes are turned away. */
+  private void refuseSomeNodes(GatewayFault fault) {
+    storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
+    Set<String> refused = new HashSet<>();
+    for (int i = fault.target(); i < fault.target() + NODES / 3; i++) {
+      refused.add(hosts.get(i % hosts.size()).process().name());
+    }
+    store.setRefusedNodes(refused::contains);
+    after(fault.forMillis(), () -> store.setRefusedNodes(name -> false));
+  }
+
   private void crash(Server server, boolean silently, long forMillis) {
     if (server.down) {
       return;
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -10,6 +10,7 @@
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
@@ -51,6 +52,8 @@
   private Manner manner = Manner.SOUND;
   private double share = 1;
   private long slowness = 1;
+  private Predicate<String> silentStreams = name -> false;
+  private Predicate<String> refusedNodes = name -> false;
 
   /** Creates an empty store. */
   public SimulatedStore(VirtualTime time, UniformRandomProvider random) {
@@ -64,6 +67,16 @@
     share = newShare;
   }
 
+  /** Makes some streams silent while the others are served; {@code table/NAME} names a table. */
+  public void setSilentStreams(Predicate<String> streams) {
+    silentStreams = streams;
+  }
+
+  /** Refuses the calls of some nodes while the others are served. */
+  public void setRefusedNodes(Predicate<String> nodes) {
+    refusedNodes = nodes;
+  }
+
   /** Makes each call take so many times as long. */
   public void setSlowness(long times) {
     slowness = times;
@@ -140,21 +153,25 @@
       time.after(ONE_WAY_MICROS, () -> process.execute(generation, task));
     }
 
-    private boolean isSilent() {
-      return manner == Manner.SILENT || isCut.getAsBoolean();
+    private boolean isSilent(String stream) {
+      return manner == Manner.SILENT || isCut.getAsBoolean() || silentStreams.test(stream);
+    }
+
+    private boolean isRefused() {
+      return manner == Manner.REFUSES || refusedNodes.test(process.name());
     }
 
     /** Begins a call; {@code serve} runs at the store. */
     private <T> Uni<T> call(
-        long limitMillis, java.util.function.Consumer<UniEmitter<? super T>> serve) {
+        String stream, long limitMillis, java.util.function.Consumer<UniEmitter<? super T>> serve) {
       Uni<T> called =
           Uni.createFrom()
               .emitter(
                   emitter -> {
-                    if (isSilent()) {
+                    if (isSilent(stream)) {
                       return;
                     }
-                    if (manner == Manner.REFUSES) {
+                    if (isRefused()) {
                       deliver(() -> emitter.fail(new PlatformException(Kind.NOT_RUN, "busy")));
                       return;
                     }
@@ -165,7 +182,7 @@
 
     @Override
     public Uni<Long> append(String stream, List<byte[]> records) {
-      return call(CALL_LIMIT_MILLIS, emitter -> write(stream, records, emitter));
+      return call(stream, CALL_LIMIT_MILLIS, emitter -> write(stream, records, emitter));
     }
 
     private void write(String stream, List<byte[]> records, UniEmitter<? super Long> emitter) {
@@ -180,7 +197,7 @@
           WRITE_MICROS * slowness,
           () -> {
             long offset = add(stream, records);
-            if (answers && !isSilent()) {
+            if (answers && !isSilent(stream)) {
               deliver(() -> emitter.complete(offset));
             }
           });
@@ -189,6 +206,7 @@
     @Override
     public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
       return call(
+          stream,
           waitMillis + CALL_LIMIT_MILLIS,
           emitter ->
               await(
@@ -214,7 +232,7 @@
       boolean[] served = new boolean[1];
       Runnable once =
           () -> {
-            if (!served[0] && !isSilent()) {
+            if (!served[0] && !isSilent(name)) {
               served[0] = true;
               time.after(ONE_WAY_MICROS * slowness, serve);
             }
@@ -230,6 +248,7 @@
     @Override
     public Uni<Page> list(String table, String afterKey) {
       return call(
+          "table/" + table,
           CALL_LIMIT_MILLIS,
           emitter -> {
             List<Entry> entries = new ArrayList<>();
@@ -245,6 +264,7 @@
     public Uni<Changes> changes(String table, long from, long waitMillis) {
       String name = "table/" + table;
       return call(
+          name,
           waitMillis + CALL_LIMIT_MILLIS,
           emitter ->
               await(
