--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -0,0 +1,103 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.Map;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.order.LoadLimit;
+import org.passhaven.core.order.OrderLease;
+import org.passhaven.core.route.RouteTable;
+import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.TableService;
+
+/** Settings of a gateway node under test, and surroundings that answer nothing. */
+final class GatewayFixture {
+  private GatewayFixture() {}
+
+  /** Settings of node {@code n} in zone {@code z}. */
+  static GatewaySettings settings(int jobPartitions, int maxRecordBytes, int maxAppendBytes) {
+    return new GatewaySettings(
+        "n",
+        "z",
+        "n:1",
+        jobPartitions,
+        Duration.ofMillis(500),
+        Duration.ofMillis(1_500),
+        Duration.ofMillis(100),
+        new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400),
+        new LoadLimit(2, 0.3),
+        Duration.ofSeconds(150),
+        maxRecordBytes,
+        maxAppendBytes);
+  }
+
+  /** Tables that give no answer. */
+  static class NoTables implements TableService {
+    @Override
+    public Uni<Page> list(String table, String afterKey) {
+      return Uni.createFrom().nothing();
+    }
+
+    @Override
+    public Uni<Changes> changes(String table, long from, long waitMillis) {
+      return Uni.createFrom().nothing();
+    }
+  }
+
+  /** Servers that give no answer. */
+  static class NoServers implements BackEndService {
+    @Override
+    public Uni<Answer> call(Target target, Call call) {
+      return Uni.createFrom().nothing();
+    }
+
+    @Override
+    public Multi<Progress> generate(Target target, Generation generation) {
+      return Multi.createFrom().nothing();
+    }
+
+    @Override
+    public Uni<Report> report(Target target, long limitMillis) {
+      return Uni.createFrom().nothing();
+    }
+
+    @Override
+    public Uni<OrderOutcome> order(Target target, Order order, long limitMillis) {
+      return Uni.createFrom().nothing();
+    }
+  }
+
+  /** Documents of which none can be read. */
+  static class NoDocuments implements PlatformDocuments {
+    @Override
+    public String operatorTable() {
+      return "operator";
+    }
+
+    @Override
+    public String serverTable() {
+      return "servers";
+    }
+
+    @Override
+    public boolean isConfiguration(String key) {
+      return false;
+    }
+
+    @Override
+    public RouteTable configuration(byte[] document) {
+      return RouteTable.EMPTY;
+    }
+
+    @Override
+    public Map<String, Long> namedVersion(String key, byte[] document) {
+      return Map.of();
+    }
+
+    @Override
+    public ServerEntry server(String key, byte[] document) {
+      throw new DocumentException("none", null);
+    }
+  }
+}
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -10,15 +10,12 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
-import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
 import org.passhaven.core.route.RequestLimits;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.RouteTable;
@@ -30,7 +27,6 @@
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.spi.BackEndService;
-import org.passhaven.spi.TableService;
 
 class JobRunnerTest {
   private static final String MODEL = "m";
@@ -39,19 +35,7 @@
   private final Servers servers = new Servers();
   private final GatewayContext context =
       new GatewayContext(
-          new GatewaySettings(
-              "n",
-              "z",
-              "n:1",
-              1,
-              Duration.ofMillis(500),
-              Duration.ofMillis(1_500),
-              Duration.ofMillis(100),
-              new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400),
-              new LoadLimit(2, 0.3),
-              Duration.ofSeconds(150),
-              262_144,
-              2_097_152),
+          GatewayFixture.settings(1, 262_144, 2_097_152),
           1,
           timers,
           bound -> 0,
@@ -118,15 +102,10 @@
     assertThat(servers.running, hasSize(1));
   }
 
-  private static final class Servers implements BackEndService {
+  private static final class Servers extends GatewayFixture.NoServers {
     final List<MultiEmitter<? super Progress>> running = new ArrayList<>();
     int cancelled;
 
-    @Override
-    public Uni<Answer> call(Target target, Call call) {
-      return Uni.createFrom().nothing();
-    }
-
     @Override
     public Multi<Progress> generate(Target target, Generation generation) {
       return Multi.createFrom()
@@ -136,19 +115,9 @@
                 emitter.onTermination(() -> cancelled++);
               });
     }
-
-    @Override
-    public Uni<Report> report(Target target, long limitMillis) {
-      return Uni.createFrom().nothing();
-    }
-
-    @Override
-    public Uni<OrderOutcome> order(Target target, Order order, long limitMillis) {
-      return Uni.createFrom().nothing();
-    }
   }
 
-  private static final class Tables implements TableService {
+  private static final class Tables extends GatewayFixture.NoTables {
     @Override
     public Uni<Page> list(String table, String afterKey) {
       return Uni.createFrom()
@@ -156,24 +125,9 @@
               new Page(
                   List.of(new Entry(table, table.getBytes(StandardCharsets.UTF_8))), false, 1));
     }
-
-    @Override
-    public Uni<Changes> changes(String table, long from, long waitMillis) {
-      return Uni.createFrom().nothing();
-    }
   }
 
-  private static final class Documents implements PlatformDocuments {
-    @Override
-    public String operatorTable() {
-      return "operator";
-    }
-
-    @Override
-    public String serverTable() {
-      return "servers";
-    }
-
+  private static final class Documents extends GatewayFixture.NoDocuments {
     @Override
     public boolean isConfiguration(String key) {
       return true;
@@ -198,11 +152,6 @@
       return new RouteTable(1, List.of(route), RequestLimits.DEFAULT);
     }
 
-    @Override
-    public Map<String, Long> namedVersion(String key, byte[] document) {
-      return Map.of();
-    }
-
     @Override
     public ServerEntry server(String key, byte[] document) {
       return new ServerEntry(key, "llm", "s:1", "z", 8, true, Map.of(MODEL, 1L));
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -10,23 +10,15 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.passhaven.core.backend.ServerEntry;
-import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
-import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
-import org.passhaven.spi.BackEndService;
-import org.passhaven.spi.TableService;
 
 class JobServiceTest {
   private final ManualTimers timers = new ManualTimers();
@@ -36,29 +28,15 @@
   private final JobService service = new JobService(context, jobLog);
 
   private GatewayContext context(int mostRecord, int mostAppend) {
-    GatewaySettings settings =
-        new GatewaySettings(
-            "n",
-            "z",
-            "n:1",
-            2,
-            Duration.ofMillis(500),
-            Duration.ofMillis(1_500),
-            Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400),
-            new LoadLimit(2, 0.3),
-            Duration.ofSeconds(150),
-            mostRecord,
-            mostAppend);
     return new GatewayContext(
-        settings,
+        GatewayFixture.settings(2, mostRecord, mostAppend),
         1,
         timers,
         bound -> 0,
         log,
-        new NoTables(),
-        new NoServers(),
-        new NoDocuments(),
+        new GatewayFixture.NoTables(),
+        new GatewayFixture.NoServers(),
+        new GatewayFixture.NoDocuments(),
         new GatewayMetrics(new SimpleMeterRegistry()));
   }
 
@@ -195,70 +173,4 @@
     assertThat(jobLog.table().get("j").ended(), is(true));
     assertThat(ask(service.end("j", 800)), contains(new JobOutcome.Done()));
   }
-
-  private static final class NoTables implements TableService {
-    @Override
-    public Uni<Page> list(String table, String afterKey) {
-      return Uni.createFrom().nothing();
-    }
-
-    @Override
-    public Uni<Changes> changes(String table, long from, long waitMillis) {
-      return Uni.createFrom().nothing();
-    }
-  }
-
-  private static final class NoServers implements BackEndService {
-    @Override
-    public Uni<Answer> call(Target target, Call call) {
-      return Uni.createFrom().nothing();
-    }
-
-    @Override
-    public io.smallrye.mutiny.Multi<Progress> generate(Target target, Generation generation) {
-      return io.smallrye.mutiny.Multi.createFrom().nothing();
-    }
-
-    @Override
-    public Uni<Report> report(Target target, long limitMillis) {
-      return Uni.createFrom().nothing();
-    }
-
-    @Override
-    public Uni<OrderOutcome> order(Target target, Order order, long limitMillis) {
-      return Uni.createFrom().nothing();
-    }
-  }
-
-  private static final class NoDocuments implements PlatformDocuments {
-    @Override
-    public String operatorTable() {
-      return "operator";
-    }
-
-    @Override
-    public String serverTable() {
-      return "servers";
-    }
-
-    @Override
-    public boolean isConfiguration(String key) {
-      return false;
-    }
-
-    @Override
-    public RouteTable configuration(byte[] document) {
-      return RouteTable.EMPTY;
-    }
-
-    @Override
-    public Map<String, Long> namedVersion(String key, byte[] document) {
-      return Map.of();
-    }
-
-    @Override
-    public ServerEntry server(String key, byte[] document) {
-      throw new DocumentException("none", null);
-    }
-  }
 }
