Look into the log before saying that a job has no further results

One partition of the store had been silent until 20 s. A read that waits and was sent in that time hangs for up to 3.4 s, so that node knew the job but none of its results, and answered that there are none. Two tests fail without it. It was never a matter of weights or runners, as supposed before.

--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -96,7 +96,11 @@
 
   /** The stream that holds a run's jobs. */
   public String streamOf(String run) {
-    return STREAM_PREFIX + Math.floorMod(HASH.hashChars(run), tails.size());
+    return STREAM_PREFIX + partitionOf(run);
+  }
+
+  private int partitionOf(String run) {
+    return Math.floorMod(HASH.hashChars(run), tails.size());
   }
 
   /** Appends records that are encoded already. */
@@ -116,6 +120,14 @@
         .map(all -> all.stream().allMatch(Boolean::booleanValue));
   }
 
+  /**
+   * Looks for records of a run that are not known here. Gives whether the answer is sure: its
+   * partition was read to an end later than the call.
+   */
+  public Uni<Boolean> refresh(String run) {
+    return tails.get(partitionOf(run)).refresh();
+  }
+
   private void onRecord(byte[] bytes) {
     JobRecord record;
     try {
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Consumer;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.protocol.Codec;
@@ -104,7 +105,11 @@
             });
   }
 
-  /** Results at position {@code from} and after; waits up to {@code waitMillis} for one. */
+  /**
+   * Results at position {@code from} and after; waits up to {@code waitMillis} for one. That there
+   * are none is said only after the log was read to its end: another node may have told of some
+   * already, and a read that waits here may hang since an outage.
+   */
   public Uni<JobOutcome> read(String id, int from, long waitMillis) {
     return known(id)
         .chain(
@@ -113,12 +118,19 @@
               if (job == null) {
                 return Uni.createFrom().item(unknownJob(sure));
               }
-              return from > job.results().size()
-                  ? refreshed().chain(ignored -> readKnown(job, from, waitMillis))
-                  : readKnown(job, from, waitMillis);
+              return job.results().size() > from
+                  ? Uni.createFrom().item(resultsOf(job, from))
+                  : refreshed(job).chain(isSure -> readSure(job, from, waitMillis, isSure));
             });
   }
 
+  private Uni<JobOutcome> readSure(Job job, int from, long waitMillis, boolean isSure) {
+    if (!isSure && job.results().size() <= from) {
+      return Uni.createFrom().item(unreadable());
+    }
+    return readKnown(job, from, waitMillis);
+  }
+
   private Uni<JobOutcome> readKnown(Job job, int from, long waitMillis) {
     boolean mayCome = job.isOpen() && waitMillis > 0;
     if (job.results().size() > from || !mayCome) {
@@ -130,28 +142,36 @@
   private void awaitResult(
       Job job, int from, long waitMillis, UniEmitter<? super JobOutcome> emitter) {
     boolean[] done = new boolean[1];
-    long until = context.now() + waitMillis;
-    Runnable answer =
-        () -> {
+    Consumer<JobOutcome> answer =
+        outcome -> {
           if (!done[0]) {
             done[0] = true;
-            emitter.complete(resultsOf(job, from));
+            emitter.complete(outcome);
           }
         };
     Runnable[] look = new Runnable[1];
     look[0] =
         () -> {
-          boolean mayCome = job.isOpen() && context.now() < until;
-          if (job.results().size() > from || !mayCome) {
-            answer.run();
+          if (job.results().size() > from || !job.isOpen()) {
+            answer.accept(resultsOf(job, from));
           } else if (!done[0]) {
             waiting.computeIfAbsent(job.id(), id -> new ArrayList<>()).add(look[0]);
           }
         };
-    context.timers().after(waitMillis, answer);
+    context.timers().after(waitMillis, () -> endWait(job, from, answer));
     look[0].run();
   }
 
+  private void endWait(Job job, int from, Consumer<JobOutcome> answer) {
+    refreshed(job)
+        .subscribe()
+        .with(
+            isSure -> {
+              boolean isNothing = job.results().size() <= from;
+              answer.accept(isNothing && !isSure ? unreadable() : resultsOf(job, from));
+            });
+  }
+
   private static JobOutcome resultsOf(Job job, int from) {
     List<ItemFinished> given = new ArrayList<>();
     int bytes = 0;
@@ -187,17 +207,29 @@
   }
 
   private Uni<Boolean> refreshed() {
+    return limited(log.refresh());
+  }
+
+  /** Gives whether all results of a job that were in the log at the call are known now. */
+  private Uni<Boolean> refreshed(Job job) {
+    boolean isWhole = job.openItems() == 0;
+    return isWhole ? Uni.createFrom().item(true) : limited(log.refresh(job.submission().run()));
+  }
+
+  private Uni<Boolean> limited(Uni<Boolean> refresh) {
     return context
         .timers()
-        .limit(log.refresh(), REFRESH_LIMIT_MILLIS, "refresh")
+        .limit(refresh, REFRESH_LIMIT_MILLIS, "refresh")
         .onFailure()
         .recoverWithItem(false);
   }
 
   private static JobOutcome unknownJob(boolean sure) {
-    return sure
-        ? new JobOutcome.NotFound()
-        : new JobOutcome.Refused("the jobs can't be read now", REFUSED_RETRY_AFTER_MILLIS);
+    return sure ? new JobOutcome.NotFound() : unreadable();
+  }
+
+  private static JobOutcome unreadable() {
+    return new JobOutcome.Refused("the jobs can't be read now", REFUSED_RETRY_AFTER_MILLIS);
   }
 
   private record Append(
--- a/node/src/test/java/org/passhaven/node/MemoryLog.java
+++ b/node/src/test/java/org/passhaven/node/MemoryLog.java
@@ -31,6 +31,9 @@
   /** Manner of reads. */
   public Manner reads = Manner.SOUND;
 
+  /** Whether reads that begin now give no answer, ever. */
+  public boolean hangReads;
+
   /** Appends asked for. */
   public int appendCalls;
 
@@ -73,6 +76,9 @@
 
   @Override
   public Uni<Batch> read(String stream, long fromOffset, int most, long waitMillis) {
+    if (hangReads) {
+      return Uni.createFrom().nothing();
+    }
     if (reads != Manner.SOUND) {
       return Uni.createFrom().failure(refused());
     }
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -139,6 +139,36 @@
     assertThat(((JobOutcome.Results) got.get(0)).results(), hasSize(0));
   }
 
+  @Test
+  void resultsThatThisNodeHasNotReadYetAreLookedForBeforeItSaysThatThereAreNone() {
+    begin();
+    ask(service.submit(submission("j", new byte[3]), 2_000));
+    timers.advance(100);
+    log.hangReads = true;
+    timers.advance(2_300);
+    finish("x");
+    log.hangReads = false;
+    // The read that waits was sent while the log was silent and hangs on.
+    List<JobOutcome> got = ask(service.read("j", 0, 0));
+    timers.advance(10);
+    assertThat(((JobOutcome.Results) got.get(0)).next(), is(1));
+  }
+
+  @Test
+  void aNodeThatCanNotReadTheLogDoesNotSayThatThereAreNoResults() {
+    begin();
+    ask(service.submit(submission("j", new byte[3]), 2_000));
+    timers.advance(100);
+    log.reads = MemoryLog.Manner.REFUSES;
+    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
+    log.reads = MemoryLog.Manner.SOUND;
+    timers.advance(1_000);
+    finish("x");
+    timers.advance(1_000);
+    log.reads = MemoryLog.Manner.REFUSES;
+    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Results.class));
+  }
+
   @Test
   void anUnknownJobIsNotFoundOnlyIfTheLogWasReadToItsEnd() {
     begin();
