Keep texts of running generations in the log, take an orphaned run at once, put long texts on fast servers

(2) The claim waited for all four partitions and for 1.1 s of beats. (3) Texts were in no log but at a planned stop. Ruled out: loads of weights do not stall runs under way (39 to 41 ms an event with loads in between); decoding.

Change: TextLog appends what is new of all items of a run every 250 ms, a successor reads it once (TextTable folds by epoch and number); ItemProgress goes. The first candidate reads a partition at once, the others later. A run whose owner is known to be over is claimed without watching beats; the former order holder likewise. The picker compares the expected time of the rest of a text (LengthEstimate) in place of a ratio of paces; the longest item goes first.

--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -13,18 +13,27 @@
 
 /**
  * Chooses the server of a generation: one whose weights are allowed and that has a free slot, by
- * pace, load, weights and what it keeps of the group's prompt. A server that refused gets one
- * generation at a time until it takes one. Times in monotonic milliseconds. Not thread-safe.
+ * the time that the rest of the text is expected to take there, load, weights and what it keeps of
+ * the group's prompt. So long texts go to fast servers and short ones leave them room. A server
+ * that refused gets one generation at a time until it takes one. Times in monotonic milliseconds.
+ * Not thread-safe.
  */
 final class GenerationPicker {
-  private static final double AFFINITY_GAIN = 0.3;
-  private static final double OTHER_ZONE_COST = 0.05;
-  private static final double OVERDUE_WEIGHTS_COST = 0.6;
-  private static final double SLOW_RATIO = 1.8;
+  private static final double AFFINITY_GAIN_MILLIS = 60;
+  private static final double OTHER_ZONE_MILLIS = 15;
+  private static final double OVERDUE_WEIGHTS_MILLIS = 800;
+
+  /** What the last free slot of a server is worth to a longer text that may come. */
+  private static final double FULL_MILLIS = 600;
+
+  private static final double MIN_MOVE_RATIO = 1.15;
+  private static final double MIN_MOVE_GAIN_MILLIS = 300;
   private static final int MAX_GROUPS = 4_096;
   private final String zone;
   private final ServerHealth health;
   private final ServerPace pace;
+  private final LengthEstimate lengths;
+  private Map<String, Double> pausesMillis = Map.of();
   private final Map<String, String> serverByGroup = new LinkedHashMap<>();
 
   /** Servers whose last word to a generation was that they do not take it. */
@@ -33,10 +42,20 @@
   /** Generations sent that the server has neither begun nor refused, by server. */
   private final Map<String, Integer> unanswered = new HashMap<>();
 
-  GenerationPicker(String zone, ServerHealth health, ServerPace pace) {
+  GenerationPicker(String zone, ServerHealth health, ServerPace pace, LengthEstimate lengths) {
     this.zone = Objects.requireNonNull(zone, "zone");
     this.health = Objects.requireNonNull(health, "health");
     this.pace = Objects.requireNonNull(pace, "pace");
+    this.lengths = Objects.requireNonNull(lengths, "lengths");
+  }
+
+  /** Begins a round of decisions: how fast the servers are stays the same in it. */
+  void beginRound(ReadyServers servers, long nowMillis) {
+    Map<String, Double> pauses = new HashMap<>();
+    for (String service : servers.services()) {
+      pauses.putAll(pace.pausesMillis(servers.instancesOf(service), nowMillis));
+    }
+    pausesMillis = pauses;
   }
 
   /** The server for an item; empty if none has room and may serve it. */
@@ -84,11 +103,25 @@
     refusing.retainAll(instances);
   }
 
-  /** Whether a server generates much slower than the middle one of its service. */
-  boolean isSlow(String instance, ReadyServers servers, long nowMillis) {
-    ServerEntry entry = servers.get(instance);
-    return entry != null
-        && pace.ratio(instance, servers.instancesOf(entry.service()), nowMillis) >= SLOW_RATIO;
+  /** A server on which a generation would end so much sooner that it is worth to move it. */
+  Optional<ServerEntry> chooseFaster(ItemRun run, ReadyServers servers, long nowMillis) {
+    double here = pausesMillis.getOrDefault(run.server, 0.0);
+    double remaining = remainingEvents(run);
+    if (here == 0) {
+      return Optional.empty();
+    }
+    return choose(run, servers, nowMillis)
+        .filter(server -> !server.instance().equals(run.server))
+        .filter(server -> here >= MIN_MOVE_RATIO * pauseMillis(server))
+        .filter(server -> remaining * (here - pauseMillis(server)) >= MIN_MOVE_GAIN_MILLIS);
+  }
+
+  private double pauseMillis(ServerEntry server) {
+    return pausesMillis.getOrDefault(server.instance(), 0.0);
+  }
+
+  private double remainingEvents(ItemRun run) {
+    return lengths.remainingEvents(run.item.expectedTokens(), run.text.lastEvent());
   }
 
   private boolean mayServe(ItemRun run, ServerEntry server, long nowMillis) {
@@ -103,19 +136,19 @@
         && health.inProgress(server.instance()) < Math.max(1, server.slots());
   }
 
+  /** Expected time of the rest of a text at a server, and what else speaks against it. */
   private double cost(ItemRun run, ServerEntry server, ReadyServers servers, long nowMillis) {
     String instance = server.instance();
     double load = health.inProgress(instance) / (double) Math.max(1, server.slots());
-    double ratio = pace.ratio(instance, servers.instancesOf(server.service()), nowMillis);
-    double cost = ratio * (1 + load);
+    double cost = remainingEvents(run) * pauseMillis(server) + FULL_MILLIS * load;
     if (instance.equals(serverByGroup.get(run.item.group()))) {
-      cost -= AFFINITY_GAIN;
+      cost -= AFFINITY_GAIN_MILLIS;
     }
     if (!server.zone().equals(zone)) {
-      cost += OTHER_ZONE_COST;
+      cost += OTHER_ZONE_MILLIS;
     }
     if (servers.hasOverdueWeights(server, run.job.job.submission().model(), nowMillis)) {
-      cost += OVERDUE_WEIGHTS_COST;
+      cost += OVERDUE_WEIGHTS_MILLIS;
     }
     return cost;
   }
--- a/core/src/main/java/org/passhaven/core/job/Job.java
+++ b/core/src/main/java/org/passhaven/core/job/Job.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord.ItemFinished;
-import org.passhaven.protocol.job.JobRecord.ItemProgress;
 import org.passhaven.protocol.job.JobSubmission;
 
 /** State of one accepted job: a part of the fold. Changed by {@link JobTable} only. */
@@ -18,7 +17,6 @@
   private final Map<String, JobItem> items = new HashMap<>();
   private final List<ItemFinished> results = new ArrayList<>();
   private final Map<String, Integer> positions = new HashMap<>();
-  private final Map<String, ItemProgress> progress = new HashMap<>();
   private boolean ended;
 
   Job(JobSubmission submission, long acceptedAtMillis) {
@@ -33,19 +31,6 @@
     }
     positions.put(result.item(), results.size());
     results.add(result);
-    progress.remove(result.item());
-    return true;
-  }
-
-  /** Takes the longest text of an item that has no result. */
-  boolean advance(ItemProgress text) {
-    ItemProgress known = progress.get(text.item());
-    boolean longer =
-        known == null || text.lastEvent() > known.lastEvent() || (text.whole() && !known.whole());
-    if (!longer || !items.containsKey(text.item()) || positions.containsKey(text.item())) {
-      return false;
-    }
-    progress.put(text.item(), text);
     return true;
   }
 
@@ -85,11 +70,6 @@
     return items.get(id);
   }
 
-  /** Text of an item that an earlier runner left; null if there is none. */
-  public ItemProgress progressOf(String item) {
-    return progress.get(item);
-  }
-
   /** Whether the caller ended the job. */
   public boolean ended() {
     return ended;
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -13,7 +13,7 @@
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.protocol.job.JobRecord;
-import org.passhaven.protocol.job.JobRecord.ItemProgress;
+import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
  * Decisions of the node that runs jobs: which item generates where, when it moves on to another
@@ -53,12 +53,13 @@
   private final KeptTexts kept = new KeptTexts();
   private final ServerHealth health = new ServerHealth();
   private final ServerPace pace = new ServerPace();
+  private final LengthEstimate lengths = new LengthEstimate();
   private final GenerationPicker picker;
   private long nextAttempt = 1;
 
   /** Creates the scheduler of a node in {@code zone}. */
   public JobScheduler(String zone) {
-    this.picker = new GenerationPicker(zone, health, pace);
+    this.picker = new GenerationPicker(zone, health, pace, lengths);
   }
 
   /** Whether this node runs a job. */
@@ -66,13 +67,30 @@
     return jobs.containsKey(job);
   }
 
+  /** Whether this node runs a job and one of its items has no result yet. */
+  public boolean isOpen(String job, String item) {
+    JobWork work = jobs.get(job);
+    ItemRun run = work == null ? null : work.runs.get(item);
+    return run != null && run.phase != ItemRun.Phase.DONE;
+  }
+
+  /** How an item came to where it is; empty if its job does not run here. */
+  public Optional<ItemHistory> historyOf(String job, String item) {
+    JobWork work = jobs.get(job);
+    return Optional.ofNullable(work == null ? null : work.runs.get(item)).map(ItemRun::history);
+  }
+
   /** Names of the jobs that this node runs. */
   public List<String> running() {
     return List.copyOf(jobs.keySet());
   }
 
-  /** Begins to run a job, or takes in what the configuration now says of it. */
-  public void take(Job job, JobPolicy policy) {
+  /**
+   * Begins to run a job, or takes in what the configuration now says of it.
+   *
+   * @param texts what an earlier runner left in the log
+   */
+  public void take(Job job, JobPolicy policy, TextTable texts) {
     JobWork known = jobs.get(job.id());
     if (known != null) {
       known.policy = policy;
@@ -82,22 +100,30 @@
     jobs.put(job.id(), work);
     for (ItemRun run : work.runs.values()) {
       kept.restore(run);
-      KeptTexts.adoptProgress(run);
+      KeptTexts.adopt(run, texts);
     }
   }
 
-  /** The log has text of an item that an earlier runner left. */
-  public void onProgress(String job, String item) {
-    JobWork work = jobs.get(job);
-    ItemRun run = work == null ? null : work.runs.get(item);
-    if (run != null) {
-      KeptTexts.adoptProgress(run);
-    }
+  /**
+   * Takes what the log lacks of a run's texts, for the runner that follows this one. It counts as
+   * being there unless {@link #onTextsNotSaved} says otherwise.
+   */
+  public List<TextPart> takeUnsavedTexts(String run) {
+    return jobs.values().stream()
+        .filter(work -> work.job.submission().run().equals(run))
+        .flatMap(work -> work.takeUnsaved().stream())
+        .toList();
   }
 
-  /** Texts that are not in the log as results, for the runner that follows this one. */
-  public List<ItemProgress> progress() {
-    return jobs.values().stream().flatMap(work -> work.progress().stream()).toList();
+  /** The log may not have taken parts that {@link #takeUnsavedTexts} gave. */
+  public void onTextsNotSaved(List<TextPart> parts) {
+    for (TextPart part : parts) {
+      JobWork work = jobs.get(part.job());
+      ItemRun run = work == null ? null : work.runs.get(part.item());
+      if (run != null) {
+        run.onUnsaved(part.afterEvent());
+      }
+    }
   }
 
   /** Runs a job no longer: it was ended, or another node runs it. Its text so far is kept. */
@@ -161,6 +187,7 @@
     pace.retain(ready.instances());
     health.retain(ready.instances());
     picker.retain(ready.instances());
+    picker.beginRound(ready, nowMillis);
     for (JobWork work : byUrgency()) {
       giveUpOld(work, nowMillis, actions);
       work.runs.values().stream()
@@ -217,6 +244,8 @@
       ItemRun run, ServerEntry server, int priority, long nowMillis, List<JobAction> actions) {
     run.phase = ItemRun.Phase.GENERATING;
     run.attempt = nextAttempt++;
+    run.attempts++;
+    run.firstBegunAt = run.attempts == 1 ? nowMillis : run.firstBegunAt;
     run.server = server.instance();
     run.version = 0;
     run.startedAt = nowMillis;
@@ -247,14 +276,10 @@
       return;
     }
     boolean settled = nowMillis - run.startedAt >= MOVE_AFTER_MILLIS;
-    if (!settled || run.moves >= MOST_MOVES || !picker.isSlow(run.server, ready, nowMillis)) {
+    if (!settled || run.moves >= MOST_MOVES) {
       return;
     }
-    Optional<ServerEntry> better =
-        picker
-            .choose(run, ready, nowMillis)
-            .filter(server -> !server.instance().equals(run.server))
-            .filter(server -> !picker.isSlow(server.instance(), ready, nowMillis));
+    Optional<ServerEntry> better = picker.chooseFaster(run, ready, nowMillis);
     if (better.isPresent()) {
       stop(run, "slow server", actions);
       run.moves++;
@@ -330,6 +355,8 @@
       return actions;
     }
     health.onSuccess(run.server, nowMillis - run.startedAt, nowMillis);
+    run.wholeAt = nowMillis;
+    lengths.onWhole(run.item.expectedTokens(), run.text.lastEvent());
     leaveServer(run);
     scoreOrFinish(run, actions);
     return actions;
--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -23,8 +23,6 @@
     IGNORED,
     /** The job is accepted. */
     ACCEPTED,
-    /** A runner left the text of an item. */
-    ADVANCED,
     /** An item got its result. */
     LISTED,
     /** The caller ended the job. */
@@ -50,9 +48,6 @@
       }
       return Effect.IGNORED;
     }
-    if (record instanceof JobRecord.ItemProgress text) {
-      return job.advance(text) ? Effect.ADVANCED : Effect.IGNORED;
-    }
     Effect effect;
     if (record instanceof JobRecord.ItemFinished result) {
       effect = job.list(result) ? Effect.LISTED : Effect.IGNORED;
--- a/core/src/main/java/org/passhaven/core/job/JobWork.java
+++ b/core/src/main/java/org/passhaven/core/job/JobWork.java
@@ -2,11 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.passhaven.protocol.job.JobRecord.ItemProgress;
+import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /** The items of one job that this node runs. Not thread-safe. */
 final class JobWork {
@@ -18,8 +17,6 @@
   JobWork(Job job, JobPolicy policy) {
     this.job = job;
     this.policy = policy;
-    Map<String, Long> groupTokens = new HashMap<>();
-    Map<String, Integer> groupPlace = new HashMap<>();
     job.submission()
         .items()
         .forEach(
@@ -29,38 +26,24 @@
                 run.phase = ItemRun.Phase.DONE;
               }
               runs.putIfAbsent(item.id(), run);
-              groupTokens.merge(item.group(), item.expectedTokens(), Math::max);
-              groupPlace.putIfAbsent(item.group(), groupPlace.size());
             });
     startOrder = new ArrayList<>(runs.values());
-    startOrder.sort(
-        Comparator.comparingLong((ItemRun run) -> -groupTokens.get(run.item.group()))
-            .thenComparingInt(run -> groupPlace.get(run.item.group()))
-            .thenComparingLong(run -> -run.item.expectedTokens()));
+    startOrder.sort(Comparator.comparingLong((ItemRun run) -> -run.item.expectedTokens()));
   }
 
-  /** Items that wait for a server: the group with the longest text first, since it ends last. */
+  /**
+   * Items that wait for a server, the longest first: a group ends with its longest item, and the
+   * others of it need not begin before longer ones of other groups.
+   */
   List<ItemRun> waiting(long nowMillis) {
     return startOrder.stream()
         .filter(run -> run.phase == ItemRun.Phase.WAITING && run.notBefore <= nowMillis)
         .toList();
   }
 
-  /** Texts that are not in the log as results. */
-  List<ItemProgress> progress() {
-    return runs.values().stream()
-        .filter(run -> run.phase != ItemRun.Phase.DONE && run.phase != ItemRun.Phase.FINISHING)
-        .filter(run -> !run.text.isEmpty())
-        .map(
-            run ->
-                new ItemProgress(
-                    job.id(),
-                    run.item.id(),
-                    run.text.lastEvent(),
-                    run.text.data(),
-                    run.text.versions(),
-                    run.hasWholeText()))
-        .toList();
+  /** What the log lacks of the texts; counts as being there from now on. */
+  List<TextPart> takeUnsaved() {
+    return runs.values().stream().filter(ItemRun::isUnsaved).map(ItemRun::takeUnsaved).toList();
   }
 
   boolean isDone() {
--- a/core/src/main/java/org/passhaven/core/job/KeptTexts.java
+++ b/core/src/main/java/org/passhaven/core/job/KeptTexts.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.passhaven.protocol.job.JobRecord.ItemProgress;
 
 /**
  * Texts of items that no longer run here, for the same items in a later job or run, and the rule by
@@ -32,10 +31,10 @@
   }
 
   /** Gives an item the text that an earlier runner left in the log, if it may use it. */
-  static void adoptProgress(ItemRun run) {
-    ItemProgress left = run.job.job.progressOf(run.item.id());
+  static void adopt(ItemRun run, TextTable texts) {
+    ItemText left = texts.take(run.job.job.id(), run.item.id());
     if (left != null && run.phase == ItemRun.Phase.WAITING) {
-      use(run, ItemText.of(left), left.whole());
+      use(run, left, left.isWhole());
     }
   }
 
@@ -44,7 +43,7 @@
     boolean fits =
         text.fits(run.job.job.submission().oldestVersion(), run.job.policy.singleVersion());
     if (fits && text.lastEvent() >= run.text.lastEvent()) {
-      run.text = text;
+      run.setText(text);
       if (whole) {
         run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
       }
--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -38,6 +38,10 @@
     return byInstance.get(instance);
   }
 
+  Set<String> services() {
+    return byService.keySet();
+  }
+
   List<ServerEntry> of(String service) {
     return byService.getOrDefault(service, List.of());
   }
--- a/core/src/main/java/org/passhaven/core/job/ServerPace.java
+++ b/core/src/main/java/org/passhaven/core/job/ServerPace.java
@@ -1,18 +1,19 @@
 package org.passhaven.core.job;
 
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * How fast servers generate, by the pauses between events as this node sees them, relative to the
- * middle one. Times in monotonic milliseconds. Not thread-safe.
+ * How fast servers generate, by the pauses between events as this node sees them. Times in
+ * monotonic milliseconds. Not thread-safe.
  */
 final class ServerPace {
   private static final double WEIGHT = 0.25;
   private static final long TRUSTED_MILLIS = 4_000;
   private static final int SAMPLES_NEEDED = 3;
-  private static final double MOST = 10;
+  private static final double UNKNOWN_PAUSE_MILLIS = 40;
   private final Map<String, Seen> seen = new HashMap<>();
 
   private static final class Seen {
@@ -32,17 +33,18 @@
     pace.at = nowMillis;
   }
 
-  /** How many times as long as the middle server a server takes; one if that is not known. */
-  double ratio(String server, Collection<String> servers, long nowMillis) {
-    double own = known(server, nowMillis);
-    double[] all =
+  /** Pause between two events at each server; the middle one's where it is not known. */
+  Map<String, Double> pausesMillis(Collection<String> servers, long nowMillis) {
+    double[] known =
         servers.stream().mapToDouble(name -> known(name, nowMillis)).filter(p -> p > 0).toArray();
-    if (own <= 0 || all.length < 2) {
-      return 1;
+    Arrays.sort(known);
+    double middle = known.length == 0 ? UNKNOWN_PAUSE_MILLIS : known[(known.length - 1) / 2];
+    Map<String, Double> pauses = new HashMap<>();
+    for (String server : servers) {
+      double own = known(server, nowMillis);
+      pauses.put(server, own > 0 ? own : middle);
     }
-    java.util.Arrays.sort(all);
-    double middle = all[(all.length - 1) / 2];
-    return Math.min(MOST, Math.max(1, own / Math.max(1, middle)));
+    return pauses;
   }
 
   private double known(String server, long nowMillis) {
--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -77,10 +77,16 @@
         .anyMatch(beat -> beat.node().equals(node) && beat.incarnation() == incarnation);
   }
 
-  /** Whether one start of a node is leaving, or another start has followed it. */
+  /**
+   * Whether one start of a node is leaving, or a later start has followed it. Of a start that is
+   * later than what was read nothing is known.
+   */
   public boolean isOver(String node, long incarnation) {
     Heard heard = members.get(node);
-    return heard != null && (!heard.beat().taking() || heard.beat().incarnation() != incarnation);
+    if (heard == null || heard.beat().incarnation() < incarnation) {
+      return false;
+    }
+    return !heard.beat().taking() || heard.beat().incarnation() > incarnation;
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -12,6 +12,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
   private static final int NEAR_NODES_ENOUGH = 2;
   private static final int MOST_ADDRESSES = 64;
+
+  /** Jobs can be read although beats can't: then they are followed without knowing the others. */
+  private static final long FOLLOW_ANYWAY_MILLIS = 1_500;
+
   private final GatewayContext context;
   private final MemberAgent members;
   private final Directory directory;
@@ -42,8 +46,8 @@
         .addKeyValue("incarnation", context.incarnation())
         .log("node: starts");
     directory.start();
-    members.start();
-    log.start();
+    members.start(() -> log.start(members.beats()));
+    context.timers().after(FOLLOW_ANYWAY_MILLIS, () -> log.start(members.beats()));
     runner.start();
     orders.start();
   }
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -13,6 +13,7 @@
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.job.RunOwners;
+import org.passhaven.core.member.BeatTable;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
@@ -28,9 +29,13 @@
   private static final long RUNNER_PAUSE_MILLIS = 15;
   private static final long FOLLOWER_PAUSE_MILLIS = 100;
   private static final long FORGET_PERIOD_MILLIS = 10_000;
+  private static final long FIRST_READ_MILLIS = 500;
+  private static final long START_SPACING_MILLIS = 100;
+  private static final long MAX_START_DELAY_MILLIS = 2_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final JobTable table = new JobTable();
+  private boolean started;
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
   private final Set<String> ownStreams = new HashSet<>();
@@ -40,7 +45,7 @@
   /** Creates the log; {@link #start} begins to follow it. */
   public JobLog(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
-    this.owners = new RunOwners(context.settings().node(), context.incarnation());
+    this.owners = new RunOwners(context.settings().node(), context.incarnation(), this::streamOf);
     for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
       String stream = STREAM_PREFIX + partition;
       tails.add(
@@ -54,9 +59,31 @@
     return ownStreams.contains(stream) ? RUNNER_PAUSE_MILLIS : FOLLOWER_PAUSE_MILLIS;
   }
 
-  /** Begins to follow all partitions from their beginnings. */
-  public void start() {
-    tails.forEach(tail -> tail.start(0));
+  /**
+   * Begins to follow all partitions from their beginnings. The first candidates for the runs of a
+   * partition read it first: after the loss of all nodes, each one reads all of it, and together
+   * they share what the log gives a second.
+   *
+   * @param beats live nodes, by which candidates are ranked
+   */
+  public void start(BeatTable beats) {
+    if (started) {
+      return;
+    }
+    started = true;
+    for (int partition = 0; partition < tails.size(); partition++) {
+      LogTail tail = tails.get(partition);
+      int rank = beats.rankOf(STREAM_PREFIX + partition, context.settings().node());
+      long delayMillis =
+          rank == 0
+              ? 0
+              : Math.min(MAX_START_DELAY_MILLIS, FIRST_READ_MILLIS + rank * START_SPACING_MILLIS);
+      if (delayMillis == 0) {
+        tail.start(0);
+      } else {
+        context.timers().after(delayMillis, () -> tail.start(0));
+      }
+    }
     context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
   }
 
@@ -85,6 +112,11 @@
     return tails.stream().allMatch(LogTail::isCaughtUp);
   }
 
+  /** Whether the partition that holds a run's jobs was read to its end once. */
+  public boolean isCaughtUp(String run) {
+    return tails.get(partitionOf(run)).isCaughtUp();
+  }
+
   /** Items without a result in open jobs, by the model that generates them. */
   public Map<String, Integer> openItemsByModel() {
     Map<String, Integer> open = new HashMap<>();
@@ -144,7 +176,7 @@
   }
 
   private void onTaken(JobRecord.RunTaken taken) {
-    if (owners.apply(taken)) {
+    if (owners.apply(taken, context.now())) {
       LOG.atLevel(newsLevel())
           .addKeyValue("run", taken.run())
           .addKeyValue("epoch", taken.epoch())
@@ -175,7 +207,7 @@
   }
 
   private void logEffect(JobRecord.OfJob record, JobTable.Effect effect) {
-    if (effect == JobTable.Effect.LISTED || effect == JobTable.Effect.ADVANCED) {
+    if (effect == JobTable.Effect.LISTED) {
       return;
     }
     Job job = table.get(record.job());
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -3,17 +3,18 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.passhaven.core.job.ItemHistory;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobAction;
 import org.passhaven.core.job.JobPolicy;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.JobTable;
+import org.passhaven.core.job.TextTable;
 import org.passhaven.core.route.Route;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.JobItem;
@@ -39,6 +40,7 @@
   private static final long SCORE_MILLIS = 2_500;
   private static final int SCORES_AT_ONCE = 48;
   private static final long LEAVE_TEXT_MILLIS = 500;
+  private static final long SAVE_TEXTS_MILLIS = 250;
   private static final String POST = "POST";
   private final GatewayContext context;
   private final Directory directory;
@@ -47,6 +49,7 @@
   private final RequestForwarder forwarder;
   private final ResultWriter results;
   private final JobScheduler scheduler;
+  private final TextLog texts;
   private final Map<Long, Cancellable> generations = new HashMap<>();
   private final ArrayDeque<JobAction.Score> scoresWaiting = new ArrayDeque<>();
   private int scoresInProgress;
@@ -68,6 +71,7 @@
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.results = new ResultWriter(context, log);
     this.scheduler = new JobScheduler(context.settings().zone());
+    this.texts = new TextLog(context, scheduler, this::decideSoon);
     log.addListener(this::onRecord);
     log.addOwnerListener(this::decideSoon);
   }
@@ -75,9 +79,18 @@
   /** Begins to run jobs. */
   public void start() {
     context.timers().every(context.settings().tick().toMillis(), this::decide);
+    context.timers().every(SAVE_TEXTS_MILLIS, this::saveTexts);
     directory.addListener(this::decideSoon);
   }
 
+  private void saveTexts() {
+    if (!stopped) {
+      List<String> own = log.owners().ownRuns();
+      texts.retain(own);
+      own.forEach(run -> texts.save(run).subscribe().with(ignored -> {}));
+    }
+  }
+
   /**
    * Takes no further runs and leaves the texts so far to the next runners, but goes on with its own
    * until those have taken them: with the log in trouble that may be late or never. Gives a result
@@ -98,22 +111,13 @@
   }
 
   private Uni<Void> leaveTexts() {
-    Map<String, List<byte[]>> byStream = new HashMap<>();
-    for (JobRecord.ItemProgress text : scheduler.progress()) {
-      JobRecord record = text;
-      String run = log.table().get(text.job()).submission().run();
-      byStream
-          .computeIfAbsent(log.streamOf(run), stream -> new ArrayList<>())
-          .add(Codec.encode(record));
-    }
-    List<Uni<Long>> appends = new ArrayList<>();
-    byStream.forEach((stream, records) -> appends.add(log.append(stream, records)));
-    if (appends.isEmpty()) {
+    List<Uni<Void>> saves = log.owners().ownRuns().stream().map(texts::save).toList();
+    if (saves.isEmpty()) {
       return Uni.createFrom().voidItem();
     }
     return context
         .timers()
-        .limit(Uni.join().all(appends).andCollectFailures(), LEAVE_TEXT_MILLIS, "texts")
+        .limit(Uni.join().all(saves).andCollectFailures(), LEAVE_TEXT_MILLIS, "texts")
         .replaceWithVoid()
         .onFailure()
         .recoverWithNull();
@@ -130,17 +134,33 @@
       String item = ((JobRecord.ItemFinished) record).item();
       context.metrics().resultsListed.increment();
       results.onListed(job, item);
+      scheduler.historyOf(job.id(), item).ifPresent(history -> logListed(job, item, history));
       apply(scheduler.onListed(job.id(), item));
     } else if (effect == JobTable.Effect.ENDED) {
       drop(job.id(), "ended");
       results.drop(job.id());
-    } else if (effect == JobTable.Effect.ADVANCED) {
-      scheduler.onProgress(job.id(), ((JobRecord.ItemProgress) record).item());
     } else {
       decideSoon();
     }
   }
 
+  private void logListed(Job job, String item, ItemHistory history) {
+    long accepted = history.acceptedAtMillis();
+    LOG.atInfo()
+        .addKeyValue("job", job.id())
+        .addKeyValue("item", item)
+        .addKeyValue("group", history.group())
+        .addKeyValue("step", history.step())
+        .addKeyValue("begunAfterMillis", history.firstBegunAtMillis() - accepted)
+        .addKeyValue("wholeAfterMillis", history.wholeAtMillis() - accepted)
+        .addKeyValue("listedAfterMillis", context.now() - accepted)
+        .addKeyValue("events", history.events())
+        .addKeyValue("attempts", history.attempts())
+        .addKeyValue("moves", history.moves())
+        .addKeyValue("server", history.server())
+        .log("job: item listed");
+  }
+
   private void drop(String job, String why) {
     if (scheduler.isRunning(job)) {
       LOG.atInfo().addKeyValue("job", job).addKeyValue("why", why).log("job: run no longer here");
@@ -163,10 +183,12 @@
   }
 
   private void decide() {
-    if (stopped || !log.isCaughtUp()) {
+    if (stopped) {
       return;
     }
-    List.copyOf(log.table().open()).forEach(this::takeOrDrop);
+    List.copyOf(log.table().open()).stream()
+        .filter(job -> log.isCaughtUp(job.submission().run()))
+        .forEach(this::takeOrDrop);
     apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
   }
 
@@ -183,7 +205,11 @@
     if (policy.isEmpty()) {
       return;
     }
-    scheduler.take(job, policy.get());
+    Optional<TextTable> left = texts.leftOf(run, log.owners().epochOf(run));
+    if (left.isEmpty()) {
+      return;
+    }
+    scheduler.take(job, policy.get(), left.get());
     if (!running) {
       LOG.atInfo()
           .addKeyValue("job", job.id())
@@ -196,7 +222,8 @@
   }
 
   private void claim(String run) {
-    if (leaving || !members.isSettled()) {
+    boolean isKnown = members.isSettled() || log.owners().isOwnerOver(run, members.beats());
+    if (leaving || !members.isInTouch() || !isKnown) {
       return;
     }
     Optional<JobRecord.RunTaken> claim = log.owners().claim(run, members.beats(), context.now());
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -29,6 +29,7 @@
   private long startedAt;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
   private List<String> lastTaking = List.of();
+  private Runnable whenFollowing = () -> {};
 
   /**
    * Creates the agent.
@@ -44,8 +45,9 @@
             context.log(), context.timers(), STREAM, () -> BETWEEN_READS_MILLIS, new BeatReader());
   }
 
-  /** Begins to beat. */
-  public void start() {
+  /** Begins to beat; {@code onFollowing} is called once when the other nodes' beats are known. */
+  public void start(Runnable onFollowing) {
+    whenFollowing = Objects.requireNonNull(onFollowing, "onFollowing");
     context.timers().every(context.settings().beat().toMillis(), this::beat);
     beat();
   }
@@ -137,6 +139,11 @@
 
     @Override
     public void onBatchEnd() {
+      if (tail.isCaughtUp()) {
+        Runnable follow = whenFollowing;
+        whenFollowing = () -> {};
+        follow.run();
+      }
       logChange();
     }
   }
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -109,8 +109,10 @@
     }
     long now = context.now();
     WeightDemand demand = new WeightDemand(directory.newestVersions(), jobs.openItemsByModel());
-    boolean needed =
-        members.isSettled() && planner.isNeeded(directory.servers().all(), demand, now);
+    // Whether another holder is alive needs no watching where this node itself was the holder.
+    boolean isFormerHolder = lease.holder().equals(context.settings().node());
+    boolean mayAct = members.isSettled() || (isFormerHolder && members.isInTouch());
+    boolean needed = mayAct && planner.isNeeded(directory.servers().all(), demand, now);
     BeatTable beats = members.beats();
     boolean holderAlive =
         beats.isTaking(lease.holder(), lease.holderIncarnation())
--- a/node/src/test/java/org/passhaven/node/MemoryLog.java
+++ b/node/src/test/java/org/passhaven/node/MemoryLog.java
@@ -42,6 +42,11 @@
     this.timers = timers;
   }
 
+  /** Names of the streams that were used. */
+  public List<String> streams() {
+    return List.copyOf(streams.keySet());
+  }
+
   /** Records of a stream. */
   public List<byte[]> stream(String name) {
     return streams.computeIfAbsent(name, key -> new ArrayList<>());
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -13,7 +13,6 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(value = JobRecord.RunTaken.class, name = "rt"),
   @JsonSubTypes.Type(value = JobRecord.JobPart.class, name = "jp"),
-  @JsonSubTypes.Type(value = JobRecord.ItemProgress.class, name = "ip"),
   @JsonSubTypes.Type(value = JobRecord.ItemFinished.class, name = "if"),
   @JsonSubTypes.Type(value = JobRecord.JobEnded.class, name = "je")
 })
@@ -47,24 +46,6 @@
     }
   }
 
-  /**
-   * Text of an item as far as it is made: a runner that stops hands it to its successor.
-   *
-   * @param lastEvent number of the text's last event
-   * @param versions weight versions that made the text, rising
-   * @param whole whether nothing but the score is missing
-   */
-  record ItemProgress(
-      String job, String item, long lastEvent, String text, List<Long> versions, boolean whole)
-      implements OfJob {
-    public ItemProgress {
-      Objects.requireNonNull(job, "job");
-      Objects.requireNonNull(item, "item");
-      Objects.requireNonNull(text, "text");
-      versions = List.copyOf(versions);
-    }
-  }
-
   /**
    * The result of an item; its place among the job's results is its position.
    *
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -203,6 +203,18 @@
           });
     }
 
+    @Override
+    public Uni<Void> trim(String stream, long beforeOffset) {
+      return call(
+          stream,
+          CALL_LIMIT_MILLIS,
+          emitter -> {
+            Stream trimmed = stream(stream);
+            trimmed.first = Math.max(trimmed.first, beforeOffset);
+            deliver(() -> emitter.complete(null));
+          });
+    }
+
     @Override
     public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
       return call(
--- a/spi/src/main/java/org/passhaven/spi/LogService.java
+++ b/spi/src/main/java/org/passhaven/spi/LogService.java
@@ -29,6 +29,14 @@
    */
   Uni<Long> append(String stream, List<byte[]> records);
 
+  /**
+   * Allows the log to forget the records before an offset. A log that keeps everything does
+   * nothing.
+   */
+  default Uni<Void> trim(String stream, long beforeOffset) {
+    return Uni.createFrom().voidItem();
+  }
+
   /** Reads from an offset; waits up to {@code waitMillis} for a first record. */
   Uni<Batch> read(String stream, long fromOffset, int most, long waitMillis);
 }
