--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -27,7 +27,7 @@
   private static final double FULL_MILLIS = 600;
 
   private static final double MIN_MOVE_RATIO = 1.15;
-  private static final double MIN_MOVE_GAIN_MILLIS = 300;
+  private static final double MIN_MOVE_GAIN_MILLIS = 400;
   private static final int MAX_GROUPS = 4_096;
   private final String zone;
   private final ServerHealth health;
@@ -112,10 +112,17 @@
     }
     return choose(run, servers, nowMillis)
         .filter(server -> !server.instance().equals(run.server))
+        .filter(server -> isSettled(run, server, servers))
         .filter(server -> here >= MIN_MOVE_RATIO * pauseMillis(server))
         .filter(server -> remaining * (here - pauseMillis(server)) >= MIN_MOVE_GAIN_MILLIS);
   }
 
+  /** Whether a server neither loads weights, by all that is known, nor is about to. */
+  private boolean isSettled(ItemRun run, ServerEntry server, ReadyServers servers) {
+    return !refusing.contains(server.instance())
+        && !servers.lacksNewestWeights(server, run.job.job.submission().model());
+  }
+
   private double pauseMillis(ServerEntry server) {
     return pausesMillis.getOrDefault(server.instance(), 0.0);
   }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -25,7 +25,7 @@
   private static final int LATER_PRIORITY = 6;
   private static final int MOST_ROUTE_PRIORITY = 3;
   private static final int MOST_MOVES = 6;
-  private static final long MOVE_AFTER_MILLIS = 250;
+  private static final long MOVE_AFTER_MILLIS = 500;
   private static final long FIRST_EVENT_MILLIS = 1_200;
   private static final long NEXT_EVENT_MILLIS = 700;
   private static final long STALL_AVOIDED_MILLIS = 600;
--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -50,6 +50,12 @@
     return of(service).stream().map(ServerEntry::instance).toList();
   }
 
+  /** Whether a server does not hold the newest weights of a model, so that it will load them. */
+  boolean lacksNewestWeights(ServerEntry server, String model) {
+    NamedVersion newest = named.get(model);
+    return newest != null && server.versionOf(model) < newest.version();
+  }
+
   /** Whether a server still holds older weights of a model though newer ones are overdue. */
   boolean hasOverdueWeights(ServerEntry server, String model, long nowMillis) {
     NamedVersion newest = named.get(model);
--- a/core/src/main/java/org/passhaven/core/job/ServerPace.java
+++ b/core/src/main/java/org/passhaven/core/job/ServerPace.java
@@ -10,9 +10,11 @@
  * monotonic milliseconds. Not thread-safe.
  */
 final class ServerPace {
-  private static final double WEIGHT = 0.25;
+  /** A server makes hundreds of events a second: few of them say little. */
+  private static final double MIN_WEIGHT = 0.03;
+
   private static final long TRUSTED_MILLIS = 4_000;
-  private static final int SAMPLES_NEEDED = 3;
+  private static final int SAMPLES_NEEDED = 8;
   private static final double UNKNOWN_PAUSE_MILLIS = 40;
   private final Map<String, Seen> seen = new HashMap<>();
 
@@ -25,11 +27,11 @@
   void onPause(String server, long pauseMillis, long nowMillis) {
     Seen pace = seen.computeIfAbsent(server, name -> new Seen());
     if (pace.samples == 0 || nowMillis - pace.at > TRUSTED_MILLIS) {
-      pace.pauseMillis = pauseMillis;
       pace.samples = 0;
     }
-    pace.pauseMillis += WEIGHT * (pauseMillis - pace.pauseMillis);
     pace.samples++;
+    double weight = Math.max(MIN_WEIGHT, 1.0 / pace.samples);
+    pace.pauseMillis += weight * (pauseMillis - pace.pauseMillis);
     pace.at = nowMillis;
   }
 
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -87,6 +87,10 @@
     }
     outage.onSuccess(next);
     boolean some = deliver(batch);
+    if (some && !caughtUp && batch.endOffset() - next > batch.records().size()) {
+      readRange(batch.endOffset());
+      return;
+    }
     long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
     if (pause > 0) {
       timers.after(pause, this::readOn);
@@ -95,6 +99,15 @@
     }
   }
 
+  /** Reads much history at once, then goes on as usual. */
+  private void readRange(long endOffset) {
+    long from = next;
+    new RangeReader(log, stream)
+        .read(from, endOffset)
+        .subscribe()
+        .with(records -> onBatch(new LogService.Batch(from, records, endOffset)), this::onFailure);
+  }
+
   /** Gives what was not given before; true if there was something. */
   private boolean deliver(LogService.Batch batch) {
     if (batch.firstOffset() > next) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -237,7 +237,8 @@
       log.append(log.streamOf(run), List.of(Codec.encode(record)))
           .subscribe()
           .with(
-              offset -> {},
+              // Followers read with pauses; who has claimed is to know at once.
+              offset -> log.refresh(run).subscribe().with(isSure -> {}),
               failure ->
                   LOG.atInfo()
                       .addKeyValue("run", run)
--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -10,6 +10,7 @@
 import net.openhft.hashing.LongHashFunction;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.TextTable;
+import org.passhaven.node.follow.RangeReader;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.TextRecord;
@@ -29,7 +30,6 @@
   private static final int TOPICS = 16;
   private static final int MAX_RECORDS = 500;
   private static final int MAX_BATCH_BYTES = 1_000_000;
-  private static final int MAX_READS = 24;
   private static final int PART_OVERHEAD_BYTES = 96;
   private static final int EVENT_OVERHEAD_BYTES = 8;
   private static final long READ_LIMIT_MILLIS = 1_500;
@@ -99,14 +99,15 @@
     long startedAtMillis = context.now();
     context
         .timers()
-        .limit(readFrom(own, 0, MAX_READS), READ_LIMIT_MILLIS, "texts")
+        .limit(readAll(own, 0), READ_LIMIT_MILLIS, "texts")
         .subscribe()
         .with(
             ignored -> endRead(own, startedAtMillis, "read"),
             failure -> endRead(own, startedAtMillis, failure.getMessage()));
   }
 
-  private Uni<Void> readFrom(OwnRun own, long offset, int readsLeft) {
+  /** Reads a first batch, which tells how much there is, and then all the rest. */
+  private Uni<Void> readAll(OwnRun own, long offset) {
     return context
         .log()
         .read(own.stream, offset, MAX_RECORDS, 0)
@@ -114,11 +115,13 @@
             batch -> {
               batch.records().forEach(bytes -> fold(own, bytes));
               long next = batch.firstOffset() + batch.records().size();
-              boolean isForgotten = batch.records().isEmpty() && next > offset;
-              boolean isEnd = next >= batch.endOffset() || (next == offset && !isForgotten);
-              return isEnd || readsLeft == 0
-                  ? Uni.createFrom().voidItem()
-                  : readFrom(own, next, readsLeft - 1);
+              if (batch.records().isEmpty()) {
+                return next > offset ? readAll(own, next) : Uni.createFrom().voidItem();
+              }
+              return new RangeReader(context.log(), own.stream)
+                  .read(next, batch.endOffset())
+                  .invoke(records -> records.forEach(bytes -> fold(own, bytes)))
+                  .replaceWithVoid();
             });
   }
 
