Cut saved texts between events where they are longer than a record

Found by reading the code: a record of texts that is longer than the log takes is refused, and the whole append with it, again every 250 ms, so a run with one such text would have saved none. Parts are now cut between events at a quarter of the log's record size. JobRunnerTest fails without it (one record, refused by a log that checks, was appended).

--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -32,6 +32,10 @@
   private static final int MAX_BATCH_BYTES = 1_000_000;
   private static final int PART_OVERHEAD_BYTES = 96;
   private static final int EVENT_OVERHEAD_BYTES = 8;
+
+  /** A record is filled to this part of what the log takes: characters may need several bytes. */
+  private static final int RECORD_SHARE = 4;
+
   private static final long READ_LIMIT_MILLIS = 1_500;
   private static final long TRIM_PERIOD_MILLIS = 5_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
@@ -189,9 +193,10 @@
     List<byte[]> records = new ArrayList<>();
     List<TextPart> current = new ArrayList<>();
     long bytes = 0;
-    for (TextPart part : parts) {
+    long maxBytes = context.settings().mostRecordBytes() / RECORD_SHARE;
+    for (TextPart part : cut(parts, maxBytes)) {
       long added = sizeBytes(part);
-      if (!current.isEmpty() && bytes + added > context.settings().mostRecordBytes() / 2) {
+      if (!current.isEmpty() && bytes + added > maxBytes) {
         records.add(encodeOne(own, current));
         current = new ArrayList<>();
         bytes = 0;
@@ -203,6 +208,36 @@
     return records;
   }
 
+  /** Parts of which none is longer than a record may be, unless a single event is. */
+  private static List<TextPart> cut(List<TextPart> parts, long maxBytes) {
+    List<TextPart> pieces = new ArrayList<>();
+    for (TextPart part : parts) {
+      int from = 0;
+      long bytes = 0;
+      for (int event = 0; event < part.events().size(); event++) {
+        long added = (long) part.events().get(event).length() + EVENT_OVERHEAD_BYTES;
+        if (event > from && bytes + added + PART_OVERHEAD_BYTES > maxBytes) {
+          pieces.add(piece(part, from, event));
+          from = event;
+          bytes = 0;
+        }
+        bytes += added;
+      }
+      pieces.add(piece(part, from, part.events().size()));
+    }
+    return pieces;
+  }
+
+  private static TextPart piece(TextPart part, int from, int to) {
+    return new TextPart(
+        part.job(),
+        part.item(),
+        part.afterEvent() + from,
+        part.events().subList(from, to),
+        part.versions().subList(from, to),
+        part.isWhole() && to == part.events().size());
+  }
+
   private static byte[] encodeOne(OwnRun own, List<TextPart> parts) {
     own.lastNumber++;
     return Codec.encode(new TextRecord(own.name, own.epoch, own.lastNumber, parts));
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -122,6 +122,20 @@
     assertThat(servers.lastEvents, contains(0L, 0L));
   }
 
+  @Test
+  void aTextLongerThanARecordIsCutBetweenEvents() {
+    String long1 = "a".repeat(60_000);
+    servers.running.get(0).emit(new BackEndService.Progress.Event(2, 0, long1));
+    servers.running.get(0).emit(new BackEndService.Progress.Event(3, 0, long1));
+    timers.advance(300);
+    assertThat(
+        textRecords().stream().map(record -> record.parts().get(0).afterEvent()).toList(),
+        contains(0L, 2L));
+    startAnew();
+    timers.advance(1_000);
+    assertThat(servers.lastEvents, contains(0L, 3L));
+  }
+
   @Test
   void aTextThatCouldNotBeSavedIsSavedAgain() {
     log.appends = MemoryLog.Manner.REFUSES;
