Continue a kept text only where it is the text that the part continues

Each part now carries the hash of the events and versions that it continues; a fold puts it behind nothing else. Ruled out: trimming by the owner itself (it keeps the first part of each open item).

--- a/core/src/main/java/org/passhaven/core/job/ItemText.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemText.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import net.openhft.hashing.LongHashFunction;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -11,8 +12,14 @@
  */
 public final class ItemText {
   private static final String SEPARATOR = "\n";
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
+  private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
   private final List<String> events = new ArrayList<>();
   private final List<Long> versionByEvent = new ArrayList<>();
+
+  /** Hash of the text up to each event. */
+  private final List<Long> hashByEvent = new ArrayList<>();
+
   private boolean whole;
 
   /** Takes the next event; false if it is not the next one. */
@@ -20,21 +27,41 @@
     if (event != lastEvent() + 1) {
       return false;
     }
+    add(data, version);
+    return true;
+  }
+
+  private void add(String data, long version) {
+    hashByEvent.add(hash(hashUpTo(lastEvent()), data, version));
     events.add(data);
     versionByEvent.add(version);
-    return true;
   }
 
-  /** Replaces what is known behind the part's first event; false if there is a gap before it. */
+  /** Hash of a text of which the part before its last event has the hash {@code before}. */
+  private static long hash(long before, String data, long version) {
+    return (before * HASH_FACTOR + version) * HASH_FACTOR + HASH.hashChars(data);
+  }
+
+  private long hashUpTo(long event) {
+    return event == 0 ? 0 : hashByEvent.get((int) event - 1);
+  }
+
+  /**
+   * Replaces what is known behind the part's first event; false if there is a gap before it, or
+   * another text.
+   */
   boolean replaceBehind(TextPart part) {
-    if (part.afterEvent() > lastEvent() || part.afterEvent() < 0) {
+    boolean isGap = part.afterEvent() > lastEvent() || part.afterEvent() < 0;
+    if (isGap || hashUpTo(part.afterEvent()) != part.beforeHash()) {
       return false;
     }
     int kept = (int) part.afterEvent();
     events.subList(kept, events.size()).clear();
     versionByEvent.subList(kept, versionByEvent.size()).clear();
-    events.addAll(part.events());
-    versionByEvent.addAll(part.versions());
+    hashByEvent.subList(kept, hashByEvent.size()).clear();
+    for (int i = 0; i < part.events().size(); i++) {
+      add(part.events().get(i), part.versions().get(i));
+    }
     whole = part.isWhole();
     return true;
   }
@@ -46,11 +73,49 @@
         job,
         item,
         afterEvent,
+        hashUpTo(afterEvent),
         events.subList(from, events.size()),
         versionByEvent.subList(from, events.size()),
         isWhole);
   }
 
+  /**
+   * Cuts a part between events so that no piece is longer than {@code maxChars}, unless a single
+   * event is; {@code eventChars} are added for each event.
+   */
+  public static List<TextPart> cut(TextPart part, long maxChars, int eventChars) {
+    List<TextPart> pieces = new ArrayList<>();
+    int from = 0;
+    long chars = 0;
+    long beforeHash = part.beforeHash();
+    long reachedHash = beforeHash;
+    for (int event = 0; event < part.events().size(); event++) {
+      String data = part.events().get(event);
+      long added = (long) data.length() + eventChars;
+      if (event > from && chars + added > maxChars) {
+        pieces.add(piece(part, from, event, beforeHash));
+        from = event;
+        chars = 0;
+        beforeHash = reachedHash;
+      }
+      chars += added;
+      reachedHash = hash(reachedHash, data, part.versions().get(event));
+    }
+    pieces.add(piece(part, from, part.events().size(), beforeHash));
+    return pieces;
+  }
+
+  private static TextPart piece(TextPart part, int from, int to, long beforeHash) {
+    return new TextPart(
+        part.job(),
+        part.item(),
+        part.afterEvent() + from,
+        beforeHash,
+        part.events().subList(from, to),
+        part.versions().subList(from, to),
+        part.isWhole() && to == part.events().size());
+  }
+
   long lastEvent() {
     return events.size();
   }
--- a/core/src/test/java/org/passhaven/core/job/TextTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/TextTableTest.java
@@ -6,7 +6,6 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.passhaven.protocol.Codec;
@@ -19,13 +18,26 @@
 
   /** Events behind {@code after}, made by one runner under one version. */
   private static TextPart part(String job, long after, String maker, int events, long version) {
-    List<String> data = new ArrayList<>();
-    List<Long> versions = new ArrayList<>();
-    for (int i = 1; i <= events; i++) {
-      data.add(maker + (after + i));
-      versions.add(version);
+    return part(job, new ItemText(), after, maker, events, version);
+  }
+
+  /** The same, made by a runner that continues {@code before}. */
+  private static TextPart part(
+      String job, ItemText before, long after, String maker, int events, long version) {
+    for (long event = before.lastEvent() + 1; event <= after; event++) {
+      before.append(event, version, maker + event);
+    }
+    for (long event = after + 1; event <= after + events; event++) {
+      before.append(event, version, maker + event);
     }
-    return new TextPart(job, "x", after, data, versions, false);
+    return before.partBehind(after, job, "x", false);
+  }
+
+  private static ItemText known(String first, long version, String second, long nextVersion) {
+    ItemText text = new ItemText();
+    text.append(1, version, first);
+    text.append(2, nextVersion, second);
+    return text;
   }
 
   private boolean record(long epoch, long number, TextPart... parts) {
@@ -39,7 +51,7 @@
   @Test
   void partsThatFollowEachOtherAreJoined() {
     record(1, 1, part("j", 0, "a", 2, 3));
-    record(1, 2, part("j", 2, "a", 1, 4));
+    record(1, 2, part("j", known("a1", 3, "a2", 3), 2, "a", 1, 4));
     ItemText text = table.take("j", "x");
     assertThat(text.data(), equalTo("a1\na2\na3"));
     assertThat(text.versions(), contains(3L, 4L));
@@ -49,7 +61,7 @@
   @Test
   void aSuccessorsPartReplacesWhatItsPredecessorMadeBehindIt() {
     record(1, 1, part("j", 0, "a", 4, 1));
-    record(2, 1, part("j", 2, "b", 1, 2));
+    record(2, 1, part("j", known("a1", 1, "a2", 1), 2, "b", 1, 2));
     ItemText text = table.take("j", "x");
     assertThat(text.data(), equalTo("a1\na2\nb3"));
     assertThat(text.versions(), contains(1L, 2L));
@@ -58,7 +70,7 @@
   @Test
   void whatAFormerRunnerWritesAfterItsSuccessorIsIgnored() {
     record(1, 1, part("j", 0, "a", 2, 1));
-    record(2, 1, part("j", 2, "b", 1, 1));
+    record(2, 1, part("j", known("a1", 1, "a2", 1), 2, "b", 1, 1));
     assertThat(record(1, 2, part("j", 2, "a", 3, 1)), is(false));
     assertThat(text(), equalTo("a1\na2\nb3"));
   }
@@ -78,6 +90,13 @@
     assertThat(text(), equalTo("a1"));
   }
 
+  @Test
+  void aPartOfAnotherTextIsLeftOut() {
+    record(1, 1, part("j", 0, "a", 2, 1));
+    record(1, 2, part("j", 2, "b", 1, 1));
+    assertThat(text(), equalTo("a1\na2"));
+  }
+
   @Test
   void anItemThatALaterJobCarriesOverKeepsItsText() {
     record(1, 1, part("j", 0, "a", 2, 1));
--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
+import org.passhaven.core.job.ItemText;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.TextTable;
 import org.passhaven.node.follow.RangeReader;
@@ -194,7 +195,11 @@
     List<TextPart> current = new ArrayList<>();
     long bytes = 0;
     long maxBytes = context.settings().mostRecordBytes() / RECORD_SHARE;
-    for (TextPart part : cut(parts, maxBytes)) {
+    List<TextPart> pieces =
+        parts.stream()
+            .flatMap(part -> ItemText.cut(part, maxBytes, EVENT_OVERHEAD_BYTES).stream())
+            .toList();
+    for (TextPart part : pieces) {
       long added = sizeBytes(part);
       if (!current.isEmpty() && bytes + added > maxBytes) {
         records.add(encodeOne(own, current));
@@ -208,36 +213,6 @@
     return records;
   }
 
-  /** Parts of which none is longer than a record may be, unless a single event is. */
-  private static List<TextPart> cut(List<TextPart> parts, long maxBytes) {
-    List<TextPart> pieces = new ArrayList<>();
-    for (TextPart part : parts) {
-      int from = 0;
-      long bytes = 0;
-      for (int event = 0; event < part.events().size(); event++) {
-        long added = (long) part.events().get(event).length() + EVENT_OVERHEAD_BYTES;
-        if (event > from && bytes + added + PART_OVERHEAD_BYTES > maxBytes) {
-          pieces.add(piece(part, from, event));
-          from = event;
-          bytes = 0;
-        }
-        bytes += added;
-      }
-      pieces.add(piece(part, from, part.events().size()));
-    }
-    return pieces;
-  }
-
-  private static TextPart piece(TextPart part, int from, int to) {
-    return new TextPart(
-        part.job(),
-        part.item(),
-        part.afterEvent() + from,
-        part.events().subList(from, to),
-        part.versions().subList(from, to),
-        part.isWhole() && to == part.events().size());
-  }
-
   private static byte[] encodeOne(OwnRun own, List<TextPart> parts) {
     own.lastNumber++;
     return Codec.encode(new TextRecord(own.name, own.epoch, own.lastNumber, parts));
--- a/protocol/src/main/java/org/passhaven/protocol/job/TextRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/TextRecord.java
@@ -22,9 +22,10 @@
 
   /**
    * Events of one item that follow one another. They replace what is known behind {@code
-   * afterEvent}.
+   * afterEvent}, if what is known up to there is the text that they continue.
    *
    * @param afterEvent number of the event before the first one given; zero for the beginning
+   * @param beforeHash hash of the events up to {@code afterEvent} and their versions; zero for none
    * @param events data of the events
    * @param versions weight version that made each event
    * @param isWhole whether the text is complete with the last event
@@ -33,6 +34,7 @@
       String job,
       String item,
       long afterEvent,
+      long beforeHash,
       List<String> events,
       List<Long> versions,
       boolean isWhole) {
