--- a/core/src/main/java/org/passhaven/core/job/TextTable.java
+++ b/core/src/main/java/org/passhaven/core/job/TextTable.java
@@ -7,8 +7,9 @@
 
 /**
  * Fold of the text records of one run: what a new owner goes on from. A record that its writer had
- * superseded, or that follows a newer owner's, changes nothing; a part behind a gap is left out, so
- * no text ever joins events of generations that did not continue each other. Not thread-safe.
+ * superseded, or that follows a newer owner's, changes nothing; a part behind a gap, or behind
+ * another text than its writer had, is left out. So no text ever joins events of generations that
+ * did not continue each other. Not thread-safe.
  */
 public final class TextTable {
   private record Key(String job, String item) {}
