Follow jobs at once where a node's first beat is refused; tell followers once when the end is reached

Not load: the test's store refuses every append. Now a refused first beat lets the node read, as before; the callback is given once by LogTail. FrontServerTest failed before and passes.

--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -28,6 +28,9 @@
 
     /** All records of one read were given. */
     default void onBatchEnd() {}
+
+    /** The end of the stream was reached for the first time; called once, after its records. */
+    default void onCaughtUp() {}
   }
 
   private final LogService log;
@@ -128,13 +131,17 @@
       }
       offset++;
     }
-    if (!caughtUp && next >= batch.endOffset()) {
+    boolean isFirstEnd = !caughtUp && next >= batch.endOffset();
+    if (isFirstEnd) {
       caughtUp = true;
       LOG.atInfo().addKeyValue("stream", stream).addKeyValue("next", next).log("log: caught up");
     }
     if (some) {
       listener.onBatchEnd();
     }
+    if (isFirstEnd) {
+      listener.onCaughtUp();
+    }
     return some;
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -102,6 +102,8 @@
   private void onBeatFailed(Throwable failure) {
     LOG.debug("members: a beat failed: {}", PlatformException.from(failure).getMessage());
     if (!tailing) {
+      // A node that may not write can still read, though it does not know the others.
+      whenFollowing.run();
       context.timers().after(FIRST_BEAT_PAUSE_MILLIS, this::beat);
     }
   }
@@ -132,6 +134,11 @@
 
   /** Changes are told once a read: at many nodes each read brings many beats. */
   private final class BeatReader implements LogTail.Listener {
+    @Override
+    public void onCaughtUp() {
+      whenFollowing.run();
+    }
+
     @Override
     public void onRecord(byte[] record) {
       MemberAgent.this.onRecord(record);
@@ -139,11 +146,6 @@
 
     @Override
     public void onBatchEnd() {
-      if (tail.isCaughtUp()) {
-        Runnable follow = whenFollowing;
-        whenFollowing = () -> {};
-        follow.run();
-      }
       logChange();
     }
   }
