--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.passhaven.spi.LogService;
 import org.passhaven.spi.Timers;
@@ -42,6 +43,11 @@
   private long next;
   private boolean caughtUp;
   private boolean closed;
+  private long startedAtMillis;
+  private long answeredAtMillis = Long.MIN_VALUE;
+  private long records;
+  private long bytes;
+  private long failedReads;
   private final Outage outage;
 
   /**
@@ -63,6 +69,7 @@
   /** Begins to read at an offset. */
   public void start(long offset) {
     next = offset;
+    startedAtMillis = timers.nowMillis();
     readOn();
   }
 
@@ -71,6 +78,18 @@
     return caughtUp;
   }
 
+  /** The stream's name. */
+  public String stream() {
+    return stream;
+  }
+
+  /** How long ago the log last answered a read of this stream; empty if it never did. */
+  public OptionalLong silentMillis() {
+    return answeredAtMillis == Long.MIN_VALUE
+        ? OptionalLong.empty()
+        : OptionalLong.of(timers.nowMillis() - answeredAtMillis);
+  }
+
   /** Reads no more. */
   public void close() {
     closed = true;
@@ -113,6 +132,7 @@
 
   /** Gives what was not given before; true if there was something. */
   private boolean deliver(LogService.Batch batch) {
+    answeredAtMillis = timers.nowMillis();
     if (batch.firstOffset() > next) {
       LOG.atWarn()
           .addKeyValue("stream", stream)
@@ -127,6 +147,8 @@
       if (offset == next) {
         next++;
         some = true;
+        records++;
+        bytes += record.length;
         listener.onRecord(record);
       }
       offset++;
@@ -134,7 +156,14 @@
     boolean isFirstEnd = !caughtUp && next >= batch.endOffset();
     if (isFirstEnd) {
       caughtUp = true;
-      LOG.atInfo().addKeyValue("stream", stream).addKeyValue("next", next).log("log: caught up");
+      LOG.atInfo()
+          .addKeyValue("stream", stream)
+          .addKeyValue("next", next)
+          .addKeyValue("records", records)
+          .addKeyValue("bytes", bytes)
+          .addKeyValue("failedReads", failedReads)
+          .addKeyValue("tookMillis", timers.nowMillis() - startedAtMillis)
+          .log("log: caught up");
     }
     if (some) {
       listener.onBatchEnd();
@@ -149,6 +178,7 @@
     if (closed) {
       return;
     }
+    failedReads++;
     timers.after(outage.onFailure(failure, next), this::readOn);
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -48,6 +48,7 @@
     directory.start();
     members.start(() -> log.start(members.beats()));
     context.timers().after(FOLLOW_ANYWAY_MILLIS, () -> log.start(members.beats()));
+    context.metrics().showPartitionsBehind(log);
     runner.start();
     orders.start();
   }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 /** Counters and latency histograms of a gateway node, named as docs/OPERATIONS.md lists them. */
@@ -49,10 +50,12 @@
   /** Version orders sent. */
   public final Counter ordersSent;
 
+  private final MeterRegistry registry;
   private final Timer requestLatency;
 
   /** Creates the meters in {@code registry}. */
   public GatewayMetrics(MeterRegistry registry) {
+    this.registry = Objects.requireNonNull(registry, "registry");
     requestsAnswered = registry.counter("passhaven.gateway.requests", "outcome", "answered");
     requestsRefused = registry.counter("passhaven.gateway.requests", "outcome", "refused-not-run");
     requestsUnknown = registry.counter("passhaven.gateway.requests", "outcome", "outcome-unknown");
@@ -69,6 +72,11 @@
             .register(registry);
   }
 
+  /** Shows how many partitions of jobs this node has not read to their ends since its start. */
+  public void showPartitionsBehind(JobLog log) {
+    registry.gauge("passhaven.gateway.partitions.behind", log, read -> read.behind().size());
+  }
+
   /** A request has ended, whatever its outcome. */
   public void onRequest(ForwardOutcome outcome, long tookMillis) {
     requestLatency.record(tookMillis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import net.openhft.hashing.LongHashFunction;
@@ -117,6 +119,19 @@
     return tails.get(partitionOf(run)).isCaughtUp();
   }
 
+  /** Partitions that were never read to their ends, and how long the log has not answered there. */
+  public Map<String, String> behind() {
+    Map<String, String> behind = new LinkedHashMap<>();
+    for (LogTail tail : tails) {
+      if (!tail.isCaughtUp()) {
+        OptionalLong silent = tail.silentMillis();
+        behind.put(
+            tail.stream(), silent.isPresent() ? silent.getAsLong() + " ms" : "no answer yet");
+      }
+    }
+    return behind;
+  }
+
   /** Items without a result in open jobs, by the model that generates them. */
   public Map<String, Integer> openItemsByModel() {
     Map<String, Integer> open = new HashMap<>();
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -93,7 +93,7 @@
             sure -> {
               Job job = log.table().get(id);
               if (job == null) {
-                return Uni.createFrom().item(unknownJob(sure));
+                return Uni.createFrom().item(unknownJob(id, sure));
               }
               if (job.ended()) {
                 return Uni.createFrom().item(new JobOutcome.Done());
@@ -120,7 +120,7 @@
             sure -> {
               Job job = log.table().get(id);
               if (job == null) {
-                return Uni.createFrom().item(unknownJob(sure));
+                return Uni.createFrom().item(unknownJob(id, sure));
               }
               return job.results().size() > from
                   ? Uni.createFrom().item(resultsOf(job, from))
@@ -130,7 +130,7 @@
 
   private Uni<JobOutcome> readSure(Job job, int from, long waitMillis, boolean isSure) {
     if (!isSure && job.results().size() <= from) {
-      return Uni.createFrom().item(unreadable());
+      return Uni.createFrom().item(unreadable(job.id()));
     }
     return readKnown(job, from, waitMillis);
   }
@@ -172,7 +172,7 @@
         .with(
             isSure -> {
               boolean isNothing = job.results().size() <= from;
-              answer.accept(isNothing && !isSure ? unreadable() : resultsOf(job, from));
+              answer.accept(isNothing && !isSure ? unreadable(job.id()) : resultsOf(job, from));
             });
   }
 
@@ -198,7 +198,7 @@
             sure -> {
               Job job = log.table().get(id);
               if (job == null) {
-                return unknownJob(sure);
+                return unknownJob(id, sure);
               }
               JobItem found = job.item(item);
               return found == null ? new JobOutcome.NotFound() : new JobOutcome.Body(found.body());
@@ -228,11 +228,16 @@
         .recoverWithItem(false);
   }
 
-  private static JobOutcome unknownJob(boolean sure) {
-    return sure ? new JobOutcome.NotFound() : unreadable();
+  private JobOutcome unknownJob(String id, boolean sure) {
+    return sure ? new JobOutcome.NotFound() : unreadable(id);
   }
 
-  private static JobOutcome unreadable() {
+  private JobOutcome unreadable(String id) {
+    LOG.atInfo()
+        .addKeyValue("job", id)
+        .addKeyValue("known", log.table().get(id) != null)
+        .addKeyValue("behind", log.behind())
+        .log("job: can't be read here now");
     return new JobOutcome.Refused("the jobs can't be read now", UNREADABLE_RETRY_AFTER_MILLIS);
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -30,6 +30,9 @@
   private static final long LATE_FROM_MILLIS = 1_000;
   private static final int LATE_SPREAD_MILLIS = 5_000;
 
+  /** What one read gives at most, as the users' store does unless it is asked for less. */
+  private static final int MAX_READ_BYTES = 1_048_576;
+
   /** How the store behaves. */
   public enum Manner {
     SOUND,
@@ -54,6 +57,8 @@
   private long slowness = 1;
   private Predicate<String> silentStreams = name -> false;
   private Predicate<String> refusedNodes = name -> false;
+  private SimulatedPipe bandwidth;
+  private long readBytes;
 
   /** Creates an empty store. */
   public SimulatedStore(VirtualTime time, UniformRandomProvider random) {
@@ -82,6 +87,21 @@
     slowness = times;
   }
 
+  /** Bounds what all reads of streams together give; without a bound they take no time. */
+  public void setReadBandwidth(long bytesPerMilli) {
+    bandwidth = new SimulatedPipe(time, bytesPerMilli);
+  }
+
+  /** Bytes of records that reads were given, whether they waited for them or not. */
+  public long readBytes() {
+    return readBytes;
+  }
+
+  /** Fills a stream, as appends of earlier processes would have. */
+  public void fill(String name, List<byte[]> records) {
+    add(name, records);
+  }
+
   private Stream stream(String name) {
     return streams.computeIfAbsent(name, key -> new Stream());
   }
@@ -134,7 +154,12 @@
 
   /** The store as one process reaches it. */
   public Client clientOf(SimulatedProcess process, BooleanSupplier isCut) {
-    return new Client(process, isCut);
+    return new Client(process, isCut, null);
+  }
+
+  /** The store as one process reaches it over a link of its own bandwidth. */
+  public Client clientOf(SimulatedProcess process, long linkBytesPerMilli) {
+    return new Client(process, () -> false, new SimulatedPipe(time, linkBytesPerMilli));
   }
 
   /** One process's way to the store. */
@@ -142,10 +167,12 @@
     private final SimulatedProcess process;
     private final BooleanSupplier isCut;
     private final long generation;
+    private final SimulatedPipe link;
 
-    Client(SimulatedProcess process, BooleanSupplier isCut) {
+    Client(SimulatedProcess process, BooleanSupplier isCut, SimulatedPipe link) {
       this.process = process;
       this.isCut = isCut;
+      this.link = link;
       this.generation = process.generation();
     }
 
@@ -220,22 +247,52 @@
       return call(
           stream,
           waitMillis + CALL_LIMIT_MILLIS,
-          emitter ->
-              await(
-                  stream,
-                  from,
-                  waitMillis,
-                  () -> {
-                    Stream kept = stream(stream);
-                    long first = Math.max(from, kept.first);
-                    int size = kept.records.size();
-                    int end = (int) Math.min(size, first + most);
-                    List<byte[]> records =
-                        first < end
-                            ? List.copyOf(kept.records.subList((int) first, end))
-                            : List.of();
-                    deliver(() -> emitter.complete(new Batch(first, records, size)));
-                  }));
+          emitter -> await(stream, from, waitMillis, () -> give(stream, from, most, emitter)));
+    }
+
+    private void give(String stream, long from, int most, UniEmitter<? super Batch> emitter) {
+      Stream kept = stream(stream);
+      long first = Math.max(from, kept.first);
+      int size = kept.records.size();
+      List<byte[]> records = new ArrayList<>();
+      long bytes = 0;
+      for (long at = first; at < size && records.size() < most; at++) {
+        byte[] record = kept.records.get((int) at);
+        if (!records.isEmpty() && bytes + record.length > MAX_READ_BYTES) {
+          break;
+        }
+        records.add(record);
+        bytes += record.length;
+      }
+      Batch batch = new Batch(first, records, size);
+      boolean[] over = new boolean[1];
+      emitter.onTermination(() -> over[0] = true);
+      transfer(bytes, () -> over[0], () -> deliver(() -> emitter.complete(batch)));
+    }
+
+    private void transfer(long bytes, BooleanSupplier isAbandoned, Runnable then) {
+      if (bandwidth == null) {
+        then.run();
+        return;
+      }
+      bandwidth.send(
+          bytes,
+          isAbandoned,
+          (chunk, isLast) -> {
+            readBytes += chunk;
+            if (link == null) {
+              runIf(isLast, then);
+            } else {
+              link.send(
+                  chunk, isAbandoned, (part, isLastPart) -> runIf(isLast && isLastPart, then));
+            }
+          });
+    }
+
+    private static void runIf(boolean isDue, Runnable task) {
+      if (isDue) {
+        task.run();
+      }
     }
 
     /** Serves a read once there is something to read, or the wait is over. */
