--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -36,6 +36,7 @@
 
   private final LogService log;
   private final Timers timers;
+  private final HistoryReads history;
   private final String stream;
   private final LongSupplier betweenMillis;
   private final Listener listener;
@@ -50,16 +51,29 @@
   private long failedReads;
   private final Outage outage;
 
+  /** Creates a tail of a stream whose history is short. */
+  public LogTail(
+      LogService log, Timers timers, String stream, LongSupplier betweenMillis, Listener listener) {
+    this(log, timers, new HistoryReads(log, timers), stream, betweenMillis, listener);
+  }
+
   /**
    * Creates a tail; {@link #start} begins to read.
    *
+   * @param history reads of the node's history, shared by all its tails
    * @param betweenMillis pause after records, so that a busy stream is read in batches; asked each
    *     time
    */
   public LogTail(
-      LogService log, Timers timers, String stream, LongSupplier betweenMillis, Listener listener) {
+      LogService log,
+      Timers timers,
+      HistoryReads history,
+      String stream,
+      LongSupplier betweenMillis,
+      Listener listener) {
     this.log = Objects.requireNonNull(log, "log");
     this.timers = Objects.requireNonNull(timers, "timers");
+    this.history = Objects.requireNonNull(history, "history");
     this.stream = Objects.requireNonNull(stream, "stream");
     this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
@@ -99,8 +113,9 @@
     if (closed) {
       return;
     }
-    long wait = caughtUp ? WAIT_MILLIS : 0;
-    log.read(stream, next, MOST_RECORDS, wait).subscribe().with(this::onBatch, this::onFailure);
+    Uni<LogService.Batch> read =
+        caughtUp ? log.read(stream, next, MOST_RECORDS, WAIT_MILLIS) : history.read(stream, next);
+    read.subscribe().with(this::onBatch, this::onFailure);
   }
 
   private void onBatch(LogService.Batch batch) {
@@ -110,7 +125,7 @@
     outage.onSuccess(next);
     boolean some = deliver(batch);
     if (some && !caughtUp && batch.endOffset() - next > batch.records().size()) {
-      readRange(batch.endOffset());
+      readRange(batch.endOffset(), batch.records().size());
       return;
     }
     long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
@@ -121,13 +136,16 @@
     }
   }
 
-  /** Reads much history at once, then goes on as usual. */
-  private void readRange(long endOffset) {
-    long from = next;
-    new RangeReader(log, stream)
-        .read(from, endOffset)
+  /** Reads much history in pieces, then goes on as usual. */
+  private void readRange(long endOffset, int pieceRecords) {
+    new RangeReader(history, timers, stream, outage)
+        .read(
+            next,
+            endOffset,
+            pieceRecords,
+            records -> deliver(new LogService.Batch(next, records, endOffset)))
         .subscribe()
-        .with(records -> onBatch(new LogService.Batch(from, records, endOffset)), this::onFailure);
+        .with(ignored -> readOn(), this::onFailure);
   }
 
   /** Gives what was not given before; true if there was something. */
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -16,6 +16,7 @@
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.job.RunOwners;
 import org.passhaven.core.member.BeatTable;
+import org.passhaven.node.follow.HistoryReads;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
@@ -36,6 +37,7 @@
   private static final long MAX_START_DELAY_MILLIS = 2_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
+  private final HistoryReads history;
   private final JobTable table = new JobTable();
   private boolean started;
   private final RunOwners owners;
@@ -47,12 +49,18 @@
   /** Creates the log; {@link #start} begins to follow it. */
   public JobLog(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
+    this.history = new HistoryReads(context.log(), context.timers());
     this.owners = new RunOwners(context.settings().node(), context.incarnation(), this::streamOf);
     for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
       String stream = STREAM_PREFIX + partition;
       tails.add(
           new LogTail(
-              context.log(), context.timers(), stream, () -> pauseMillis(stream), this::onRecord));
+              context.log(),
+              context.timers(),
+              history,
+              stream,
+              () -> pauseMillis(stream),
+              this::onRecord));
     }
   }
 
@@ -99,6 +107,11 @@
     ownerListeners.add(listener);
   }
 
+  /** This node's reads of history. */
+  HistoryReads history() {
+    return history;
+  }
+
   /** Which node runs which run. */
   public RunOwners owners() {
     return owners;
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -71,7 +71,7 @@
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.results = new ResultWriter(context, log);
     this.scheduler = new JobScheduler(context.settings().zone());
-    this.texts = new TextLog(context, scheduler, this::decideSoon);
+    this.texts = new TextLog(context, log.history(), scheduler, this::decideSoon);
     log.addListener(this::onRecord);
     log.addOwnerListener(this::decideSoon);
   }
--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -11,6 +11,7 @@
 import org.passhaven.core.job.ItemText;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.TextTable;
+import org.passhaven.node.follow.HistoryReads;
 import org.passhaven.node.follow.RangeReader;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
@@ -29,7 +30,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(TextLog.class);
   private static final String STREAM_PREFIX = "texts";
   private static final int TOPICS = 16;
-  private static final int MAX_RECORDS = 500;
   private static final int MAX_BATCH_BYTES = 1_000_000;
   private static final int PART_OVERHEAD_BYTES = 96;
   private static final int EVENT_OVERHEAD_BYTES = 8;
@@ -41,6 +41,7 @@
   private static final long TRIM_PERIOD_MILLIS = 5_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
+  private final HistoryReads history;
   private final JobScheduler scheduler;
   private final Runnable onRead;
   private final Map<String, OwnRun> runs = new HashMap<>();
@@ -71,10 +72,12 @@
   /**
    * Creates the log of texts.
    *
+   * @param history reads of this node's history
    * @param onRead called when a predecessor's texts were read, or are given up
    */
-  TextLog(GatewayContext context, JobScheduler scheduler, Runnable onRead) {
+  TextLog(GatewayContext context, HistoryReads history, JobScheduler scheduler, Runnable onRead) {
     this.context = Objects.requireNonNull(context, "context");
+    this.history = Objects.requireNonNull(history, "history");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.onRead = Objects.requireNonNull(onRead, "onRead");
   }
@@ -113,20 +116,22 @@
 
   /** Reads a first batch, which tells how much there is, and then all the rest. */
   private Uni<Void> readAll(OwnRun own, long offset) {
-    return context
-        .log()
-        .read(own.stream, offset, MAX_RECORDS, 0)
+    return history
+        .read(own.stream, offset)
         .chain(
             batch -> {
               batch.records().forEach(bytes -> fold(own, bytes));
-              long next = batch.firstOffset() + batch.records().size();
-              if (batch.records().isEmpty()) {
+              int read = batch.records().size();
+              long next = batch.firstOffset() + read;
+              if (read == 0) {
                 return next > offset ? readAll(own, next) : Uni.createFrom().voidItem();
               }
-              return new RangeReader(context.log(), own.stream)
-                  .read(next, batch.endOffset())
-                  .invoke(records -> records.forEach(bytes -> fold(own, bytes)))
-                  .replaceWithVoid();
+              return new RangeReader(history, context.timers(), own.stream)
+                  .read(
+                      next,
+                      batch.endOffset(),
+                      read,
+                      records -> records.forEach(bytes -> fold(own, bytes)));
             });
   }
 
--- a/node/src/test/java/org/passhaven/node/follow/RangeReaderTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/RangeReaderTest.java
@@ -16,6 +16,8 @@
   private final ManualTimers timers = new ManualTimers();
   private final MemoryLog log = new MemoryLog(timers);
 
+  private final List<String> ends = new ArrayList<>();
+
   private void fill(int records) {
     for (int i = 0; i < records; i++) {
       log.stream("s.0").add(new byte[] {(byte) i});
@@ -24,10 +26,10 @@
 
   private List<Byte> read(long from, long to) {
     List<Byte> read = new ArrayList<>();
-    new RangeReader(log, "s.0")
-        .read(from, to)
+    new RangeReader(new HistoryReads(log, timers), timers, "s.0")
+        .read(from, to, 3, records -> records.forEach(record -> read.add(record[0])))
         .subscribe()
-        .with(records -> records.forEach(record -> read.add(record[0])), failure -> {});
+        .with(ignored -> ends.add("whole"), failure -> ends.add(failure.getMessage()));
     timers.advance(10);
     return read;
   }
@@ -50,6 +52,21 @@
     log.truncate("s.0", 4);
     assertThat(read(2, 10), empty());
     assertThat(read(8, 10), contains((byte) 8, (byte) 9));
+    assertThat(ends, contains("s.0 has no record at offset 2", "whole"));
+  }
+
+  @Test
+  void whatWasReadBeforeATroubleIsNotReadAgain() {
+    fill(30);
+    log.reads = MemoryLog.Manner.REFUSES;
+    List<Byte> got = read(0, 30);
+    assertThat(got, empty());
+    log.reads = MemoryLog.Manner.SOUND;
+    timers.advance(1_000);
+    assertThat(got, hasSize(30));
+    for (int i = 0; i < 30; i++) {
+      assertThat(got.get(i), equalTo((byte) i));
+    }
   }
 
   @Test
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.simulator.time.SimulatedProcess;
@@ -42,6 +44,9 @@
     DOES_LATE
   }
 
+  /** What a read asks for. */
+  private record Wanted(String stream, long from, int maxRecords, int maxBytes) {}
+
   private static final class Stream {
     final List<byte[]> records = new ArrayList<>();
     final List<Runnable> waiting = new ArrayList<>();
@@ -190,21 +195,31 @@
 
     /** Begins a call; {@code serve} runs at the store. */
     private <T> Uni<T> call(
-        String stream, long limitMillis, java.util.function.Consumer<UniEmitter<? super T>> serve) {
-      Uni<T> called =
-          Uni.createFrom()
-              .emitter(
-                  emitter -> {
-                    if (isSilent(stream)) {
-                      return;
-                    }
-                    if (isRefused()) {
-                      deliver(() -> emitter.fail(new PlatformException(Kind.NOT_RUN, "busy")));
-                      return;
-                    }
-                    time.after(ONE_WAY_MICROS, () -> serve.accept(emitter));
-                  });
-      return process.timers().limit(called, limitMillis, "store");
+        String stream, long limitMillis, Consumer<UniEmitter<? super T>> serve) {
+      return call(stream, limitMillis, (emitter, signOfLife) -> serve.accept(emitter));
+    }
+
+    private <T> Uni<T> call(
+        String stream, long silenceMillis, BiConsumer<UniEmitter<? super T>, Runnable> serve) {
+      return process
+          .timers()
+          .limitSilence(signOfLife -> begin(stream, signOfLife, serve), silenceMillis, "store");
+    }
+
+    private <T> Uni<T> begin(
+        String stream, Runnable signOfLife, BiConsumer<UniEmitter<? super T>, Runnable> serve) {
+      return Uni.createFrom()
+          .emitter(
+              emitter -> {
+                if (isSilent(stream)) {
+                  return;
+                }
+                if (isRefused()) {
+                  deliver(() -> emitter.fail(new PlatformException(Kind.NOT_RUN, "busy")));
+                  return;
+                }
+                time.after(ONE_WAY_MICROS, () -> serve.accept(emitter, signOfLife));
+              });
     }
 
     @Override
@@ -244,21 +259,35 @@
 
     @Override
     public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
+      return read(new Wanted(stream, from, most, MAX_READ_BYTES), waitMillis);
+    }
+
+    @Override
+    public Uni<Batch> readHistory(String stream, long from, int maxBytes) {
+      return read(new Wanted(stream, from, Integer.MAX_VALUE, maxBytes), 0);
+    }
+
+    private Uni<Batch> read(Wanted wanted, long waitMillis) {
       return call(
-          stream,
+          wanted.stream(),
           waitMillis + CALL_LIMIT_MILLIS,
-          emitter -> await(stream, from, waitMillis, () -> give(stream, from, most, emitter)));
+          (emitter, signOfLife) ->
+              await(
+                  wanted.stream(),
+                  wanted.from(),
+                  waitMillis,
+                  () -> give(wanted, emitter, signOfLife)));
     }
 
-    private void give(String stream, long from, int most, UniEmitter<? super Batch> emitter) {
-      Stream kept = stream(stream);
-      long first = Math.max(from, kept.first);
+    private void give(Wanted wanted, UniEmitter<? super Batch> emitter, Runnable signOfLife) {
+      Stream kept = stream(wanted.stream());
+      long first = Math.max(wanted.from(), kept.first);
       int size = kept.records.size();
       List<byte[]> records = new ArrayList<>();
       long bytes = 0;
-      for (long at = first; at < size && records.size() < most; at++) {
+      for (long at = first; at < size && records.size() < wanted.maxRecords(); at++) {
         byte[] record = kept.records.get((int) at);
-        if (!records.isEmpty() && bytes + record.length > MAX_READ_BYTES) {
+        if (!records.isEmpty() && bytes + record.length > wanted.maxBytes()) {
           break;
         }
         records.add(record);
@@ -267,34 +296,37 @@
       Batch batch = new Batch(first, records, size);
       boolean[] over = new boolean[1];
       emitter.onTermination(() -> over[0] = true);
-      transfer(bytes, () -> over[0], () -> deliver(() -> emitter.complete(batch)));
-    }
-
-    private void transfer(long bytes, BooleanSupplier isAbandoned, Runnable then) {
+      Runnable then = () -> deliver(() -> emitter.complete(batch));
       if (bandwidth == null) {
         then.run();
-        return;
+      } else {
+        transfer(bytes, () -> over[0], signOfLife, then);
       }
+    }
+
+    private void transfer(
+        long bytes, BooleanSupplier isAbandoned, Runnable signOfLife, Runnable then) {
+      SimulatedPipe.Chunks arrived =
+          (chunk, isLast) -> {
+            signOfLife.run();
+            if (isLast) {
+              then.run();
+            }
+          };
       bandwidth.send(
           bytes,
           isAbandoned,
           (chunk, isLast) -> {
             readBytes += chunk;
             if (link == null) {
-              runIf(isLast, then);
+              arrived.onChunk(chunk, isLast);
             } else {
               link.send(
-                  chunk, isAbandoned, (part, isLastPart) -> runIf(isLast && isLastPart, then));
+                  chunk, isAbandoned, (part, isWhole) -> arrived.onChunk(part, isLast && isWhole));
             }
           });
     }
 
-    private static void runIf(boolean isDue, Runnable task) {
-      if (isDue) {
-        task.run();
-      }
-    }
-
     /** Serves a read once there is something to read, or the wait is over. */
     private void await(String name, long from, long waitMillis, Runnable serve) {
       Stream stream = stream(name);
--- a/spi/src/main/java/org/passhaven/spi/LogService.java
+++ b/spi/src/main/java/org/passhaven/spi/LogService.java
@@ -37,6 +37,14 @@
     return Uni.createFrom().voidItem();
   }
 
+  /**
+   * Reads what is there from an offset, some {@code maxBytes} of it and at least one record. A long
+   * answer over a slow link may take its time: such a read is given up after a silence only.
+   */
+  default Uni<Batch> readHistory(String stream, long fromOffset, int maxBytes) {
+    return read(stream, fromOffset, Integer.MAX_VALUE, 0);
+  }
+
   /** Reads from an offset; waits up to {@code waitMillis} for a first record. */
   Uni<Batch> read(String stream, long fromOffset, int most, long waitMillis);
 }
--- a/spi/src/main/java/org/passhaven/spi/Timers.java
+++ b/spi/src/main/java/org/passhaven/spi/Timers.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 
 /**
  * Monotonic clock and timers of one node; virtual in the simulator. Callbacks run on the node's own
@@ -36,43 +37,23 @@
   }
 
   /**
-   * {@code uni} with a time limit: past it the outcome is unknown, and {@code uni} is cancelled.
+   * {@code uni} with a time limit: past it the outcome is unknown, and {@code uni} is cancelled, as
+   * it is when nobody waits for the outcome any more.
    */
   default <T> Uni<T> limit(Uni<T> uni, long limitMillis, String what) {
+    return limitSilence(signOfLife -> uni, limitMillis, what);
+  }
+
+  /**
+   * A call that may take as long as it likes as long as there are signs of life: after a silence of
+   * {@code silenceMillis} the outcome is unknown, and the call is cancelled, as it is when nobody
+   * waits for the outcome any more.
+   *
+   * @param call begins the call; it is given what to run at each sign of life
+   */
+  default <T> Uni<T> limitSilence(
+      Function<Runnable, Uni<T>> call, long silenceMillis, String what) {
     return Uni.createFrom()
-        .emitter(
-            emitter -> {
-              AtomicBoolean done = new AtomicBoolean();
-              io.smallrye.mutiny.subscription.Cancellable[] running =
-                  new io.smallrye.mutiny.subscription.Cancellable[1];
-              Timer timer =
-                  after(
-                      limitMillis,
-                      () -> {
-                        if (done.compareAndSet(false, true)) {
-                          if (running[0] != null) {
-                            running[0].cancel();
-                          }
-                          emitter.fail(
-                              new PlatformException(
-                                  PlatformException.Kind.OUTCOME_UNKNOWN, what + " timed out"));
-                        }
-                      });
-              running[0] =
-                  uni.subscribe()
-                      .with(
-                          item -> {
-                            if (done.compareAndSet(false, true)) {
-                              timer.cancel();
-                              emitter.complete(item);
-                            }
-                          },
-                          failure -> {
-                            if (done.compareAndSet(false, true)) {
-                              timer.cancel();
-                              emitter.fail(failure);
-                            }
-                          });
-            });
+        .emitter(emitter -> new LimitedCall<T>(this, silenceMillis, what, emitter).begin(call));
   }
 }
