--- a/core/src/main/java/org/passhaven/core/job/JobAction.java
+++ b/core/src/main/java/org/passhaven/core/job/JobAction.java
@@ -1,8 +1,8 @@
 package org.passhaven.core.job;
 
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
-import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
 
 /** What the runner of jobs is to do. */
@@ -30,5 +30,5 @@
   record Score(JobSubmission job, JobItem item) implements JobAction {}
 
   /** Append the result of an item. */
-  record Finish(JobRecord.ItemFinished result) implements JobAction {}
+  record Finish(ItemResult result) implements JobAction {}
 }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -12,7 +12,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
-import org.passhaven.protocol.job.JobRecord;
+import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -444,7 +444,7 @@
     run.phase = ItemRun.Phase.FINISHING;
     actions.add(
         new JobAction.Finish(
-            new JobRecord.ItemFinished(
+            new ItemResult(
                 run.job.job.id(),
                 run.item.id(),
                 completed,
--- a/core/src/test/java/org/passhaven/core/job/JobTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobTableTest.java
@@ -18,6 +18,7 @@
 import org.passhaven.protocol.job.JobRecord.JobEnded;
 import org.passhaven.protocol.job.JobRecord.JobPart;
 import org.passhaven.protocol.job.JobSubmission;
+import org.passhaven.protocol.job.TextPlace;
 
 class JobTableTest {
   private final JobTable table = new JobTable();
@@ -36,8 +37,8 @@
     return new JobPart(id, attempt, 0, 1, Codec.encode(submission(id, 0, 0, made)));
   }
 
-  private static ItemFinished finished(String job, String item, String text) {
-    return new ItemFinished(job, item, true, text, List.of(1L), "s");
+  private static ItemFinished finished(String job, String item, String score) {
+    return new ItemFinished(job, item, true, new TextPlace(7, 10), List.of(1L), score);
   }
 
   @Test
@@ -84,7 +85,7 @@
     assertThat(table.apply(finished("j", "y", "two"), 0), is(Effect.IGNORED));
     assertThat(table.apply(finished("j", "x", "three"), 0), is(Effect.LISTED));
     assertThat(
-        table.get("j").results().stream().map(ItemFinished::text).toList(),
+        table.get("j").results().stream().map(ItemFinished::score).toList(),
         contains("one", "three"));
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -29,6 +29,7 @@
 public final class JobLog {
   private static final Logger LOG = LoggerFactory.getLogger(JobLog.class);
   private static final String STREAM_PREFIX = "jobs.";
+  private static final String TEXT_STREAM_PREFIX = "results.";
   private static final long RUNNER_PAUSE_MILLIS = 15;
   private static final long FOLLOWER_PAUSE_MILLIS = 100;
   private static final long FORGET_PERIOD_MILLIS = 10_000;
@@ -38,6 +39,7 @@
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final HistoryReads history;
+  private final ResultTexts texts;
   private final JobTable table = new JobTable();
   private boolean started;
   private final RunOwners owners;
@@ -50,6 +52,7 @@
   public JobLog(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
     this.history = new HistoryReads(context.log(), context.timers());
+    this.texts = new ResultTexts(context);
     this.owners = new RunOwners(context.settings().node(), context.incarnation(), this::streamOf);
     for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
       String stream = STREAM_PREFIX + partition;
@@ -112,6 +115,11 @@
     return history;
   }
 
+  /** Texts of results. */
+  ResultTexts texts() {
+    return texts;
+  }
+
   /** Which node runs which run. */
   public RunOwners owners() {
     return owners;
@@ -159,6 +167,11 @@
     return STREAM_PREFIX + partitionOf(run);
   }
 
+  /** The stream that holds the texts of a run's results. */
+  public String textStreamOf(String run) {
+    return TEXT_STREAM_PREFIX + partitionOf(run);
+  }
+
   private int partitionOf(String run) {
     return Math.floorMod(HASH.hashChars(run), tails.size());
   }
--- a/node/src/main/java/org/passhaven/node/gateway/JobOutcome.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobOutcome.java
@@ -1,7 +1,7 @@
 package org.passhaven.node.gateway;
 
 import java.util.List;
-import org.passhaven.protocol.job.JobRecord.ItemFinished;
+import org.passhaven.protocol.job.ItemResult;
 
 /** What callers of batch jobs are told. */
 public sealed interface JobOutcome {
@@ -23,7 +23,7 @@
    * @param total number of the job's items
    * @param next position after the last result given
    */
-  record Results(int total, List<ItemFinished> results, int next) implements JobOutcome {
+  record Results(int total, List<ItemResult> results, int next) implements JobOutcome {
     public Results {
       results = List.copyOf(results);
     }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -17,6 +17,7 @@
 import org.passhaven.core.job.TextTable;
 import org.passhaven.core.route.Route;
 import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
@@ -276,7 +277,7 @@
     }
   }
 
-  private void finish(JobRecord.ItemFinished result) {
+  private void finish(ItemResult result) {
     Job job = log.table().get(result.job());
     if (job == null) {
       return;
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -12,6 +12,7 @@
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobRecord.ItemFinished;
@@ -37,13 +38,22 @@
   private static final int RECORD_OVERHEAD_BYTES = 1_024;
   private final GatewayContext context;
   private final JobLog log;
+  private final CalledJobs called;
   private final Map<String, List<Runnable>> waiting = new HashMap<>();
 
   /** Creates the service over a log that is followed. */
   public JobService(GatewayContext context, JobLog log) {
     this.context = Objects.requireNonNull(context, "context");
     this.log = Objects.requireNonNull(log, "log");
-    log.addListener((record, effect) -> wake(record.job()));
+    this.called = new CalledJobs(log);
+    log.addListener(this::onRecord);
+  }
+
+  private void onRecord(JobRecord.OfJob record, JobTable.Effect effect) {
+    if (effect == JobTable.Effect.LISTED) {
+      called.onListed(record.job());
+    }
+    wake(record.job());
   }
 
   private void wake(String job) {
@@ -55,6 +65,7 @@
 
   /** Hands a job in; gives the outcome within {@code limitMillis}. */
   public Uni<JobOutcome> submit(JobSubmission submission, long limitMillis) {
+    called.onCall(submission.id(), 0);
     byte[] content = Codec.encode(submission);
     long attempt = context.incarnation() ^ context.randomBelow().applyAsInt(Integer.MAX_VALUE);
     List<List<byte[]>> appends = split(submission.id(), attempt, content);
@@ -122,8 +133,9 @@
               if (job == null) {
                 return Uni.createFrom().item(unknownJob(id, sure));
               }
+              called.onCall(id, Math.max(0, from));
               return job.results().size() > from
-                  ? Uni.createFrom().item(resultsOf(job, from))
+                  ? resultsOf(job, from)
                   : refreshed(job).chain(isSure -> readSure(job, from, waitMillis, isSure));
             });
   }
@@ -138,57 +150,85 @@
   private Uni<JobOutcome> readKnown(Job job, int from, long waitMillis) {
     boolean mayCome = job.isOpen() && waitMillis > 0;
     if (job.results().size() > from || !mayCome) {
-      return Uni.createFrom().item(resultsOf(job, from));
+      return resultsOf(job, from);
     }
-    return Uni.createFrom().emitter(emitter -> awaitResult(job, from, waitMillis, emitter));
+    return this.<Boolean>awaited(emitter -> awaitResult(job, from, waitMillis, emitter))
+        .chain(isSure -> endWait(job, from, isSure));
+  }
+
+  private <T> Uni<T> awaited(Consumer<UniEmitter<? super T>> wait) {
+    return Uni.createFrom().emitter(wait);
   }
 
+  /** Gives true once there is a result or none will come, false when the wait is over. */
   private void awaitResult(
-      Job job, int from, long waitMillis, UniEmitter<? super JobOutcome> emitter) {
+      Job job, int from, long waitMillis, UniEmitter<? super Boolean> emitter) {
     boolean[] done = new boolean[1];
-    Consumer<JobOutcome> answer =
-        outcome -> {
-          if (!done[0]) {
-            done[0] = true;
-            emitter.complete(outcome);
-          }
-        };
+    emitter.onTermination(() -> done[0] = true);
     Runnable[] look = new Runnable[1];
     look[0] =
         () -> {
+          if (done[0]) {
+            return;
+          }
           if (job.results().size() > from || !job.isOpen()) {
-            answer.accept(resultsOf(job, from));
-          } else if (!done[0]) {
+            emitter.complete(true);
+          } else {
             waiting.computeIfAbsent(job.id(), id -> new ArrayList<>()).add(look[0]);
           }
         };
-    context.timers().after(waitMillis, () -> endWait(job, from, answer));
+    context.timers().after(waitMillis, () -> emitter.complete(false));
     look[0].run();
   }
 
-  private void endWait(Job job, int from, Consumer<JobOutcome> answer) {
-    refreshed(job)
-        .subscribe()
-        .with(
-            isSure -> {
-              boolean isNothing = job.results().size() <= from;
-              answer.accept(isNothing && !isSure ? unreadable(job.id()) : resultsOf(job, from));
-            });
+  private Uni<JobOutcome> endWait(Job job, int from, boolean isSure) {
+    return isSure
+        ? resultsOf(job, from)
+        : refreshed(job)
+            .chain(
+                isSureNow -> {
+                  boolean isNothing = job.results().size() <= from;
+                  return isNothing && !isSureNow
+                      ? Uni.createFrom().item(unreadable(job.id()))
+                      : resultsOf(job, from);
+                });
   }
 
-  private static JobOutcome resultsOf(Job job, int from) {
+  private Uni<JobOutcome> resultsOf(Job job, int from) {
     List<ItemFinished> given = new ArrayList<>();
     int bytes = 0;
     for (int position = from; position < job.results().size(); position++) {
       ItemFinished result = job.results().get(position);
-      bytes += result.text().length() + RECORD_OVERHEAD_BYTES;
+      bytes += (result.text() == null ? 0 : result.text().bytes()) + RECORD_OVERHEAD_BYTES;
       if (!given.isEmpty() && bytes > MOST_RESULT_BYTES) {
         break;
       }
       given.add(result);
     }
+    return log.texts()
+        .read(log.textStreamOf(job.submission().run()), given)
+        .map(texts -> results(job, from, given, texts))
+        .onFailure()
+        .recoverWithItem(failure -> unreadable(job.id(), failure));
+  }
+
+  /** Results as far as their texts are known. */
+  private static JobOutcome results(
+      Job job, int from, List<ItemFinished> given, List<String> texts) {
+    List<ItemResult> results = new ArrayList<>();
+    for (int i = 0; i < texts.size(); i++) {
+      ItemFinished result = given.get(i);
+      results.add(
+          new ItemResult(
+              result.job(),
+              result.item(),
+              result.completed(),
+              texts.get(i),
+              result.versions(),
+              result.score()));
+    }
     return new JobOutcome.Results(
-        job.submission().items().size(), given, Math.max(from, 0) + given.size());
+        job.submission().items().size(), results, Math.max(from, 0) + results.size());
   }
 
   /** Body of an item. */
@@ -233,10 +273,15 @@
   }
 
   private JobOutcome unreadable(String id) {
+    return unreadable(id, null);
+  }
+
+  private JobOutcome unreadable(String id, Throwable failure) {
     LOG.atInfo()
         .addKeyValue("job", id)
         .addKeyValue("known", log.table().get(id) != null)
         .addKeyValue("behind", log.behind())
+        .addKeyValue("reason", failure == null ? "" : failure.getMessage())
         .log("job: can't be read here now");
     return new JobOutcome.Refused("the jobs can't be read now", UNREADABLE_RETRY_AFTER_MILLIS);
   }
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -20,6 +20,8 @@
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
+import org.passhaven.protocol.job.ResultText;
+import org.passhaven.protocol.job.TextPlace;
 
 class JobServiceTest {
   private final ManualTimers timers = new ManualTimers();
@@ -53,7 +55,15 @@
   }
 
   private void finish(String item) {
-    JobRecord record = new JobRecord.ItemFinished("j", item, true, "t", List.of(1L), "s");
+    finish(item, "t");
+  }
+
+  private void finish(String item, String text) {
+    List<byte[]> texts = log.stream(jobLog.textStreamOf("m"));
+    byte[] encoded = Codec.encode(new ResultText("j", item, text));
+    texts.add(encoded);
+    TextPlace place = new TextPlace(texts.size() - 1, encoded.length);
+    JobRecord record = new JobRecord.ItemFinished("j", item, true, place, List.of(1L), "s");
     log.stream(jobLog.streamOf("m")).add(Codec.encode(record));
   }
 
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultTextsTest.java
@@ -0,0 +1,147 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.job.JobRecord.ItemFinished;
+import org.passhaven.protocol.job.ResultText;
+import org.passhaven.protocol.job.TextPlace;
+import org.passhaven.spi.LogService;
+
+class ResultTextsTest {
+  private static final String STREAM = "results.0";
+  private final ManualTimers timers = new ManualTimers();
+  private final MemoryLog log = new MemoryLog(timers);
+  private final CountingLog counting = new CountingLog(log);
+  private final ResultTexts texts =
+      new ResultTexts(
+          new GatewayContext(
+              GatewayFixture.settings(1, 262_144, 2_097_152),
+              1,
+              timers,
+              bound -> 0,
+              counting,
+              new GatewayFixture.NoTables(),
+              new GatewayFixture.NoServers(),
+              new GatewayFixture.NoDocuments(),
+              new GatewayMetrics(new SimpleMeterRegistry())));
+  private final List<String> failures = new ArrayList<>();
+
+  /** A log that counts reads; each gives at most so many records. */
+  private static final class CountingLog implements LogService {
+    private final MemoryLog log;
+    private int maxRecords = 1_000;
+    private int reads;
+
+    CountingLog(MemoryLog log) {
+      this.log = log;
+    }
+
+    @Override
+    public Uni<Long> append(String stream, List<byte[]> records) {
+      return log.append(stream, records);
+    }
+
+    @Override
+    public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
+      reads++;
+      return log.read(stream, from, Math.min(maxRecords, most), waitMillis);
+    }
+  }
+
+  private ItemFinished listed(String item, String text) {
+    byte[] record = Codec.encode(new ResultText("j", item, text));
+    log.stream(STREAM).add(record);
+    TextPlace place = new TextPlace(log.stream(STREAM).size() - 1, record.length);
+    return new ItemFinished("j", item, true, place, List.of(1L), "s");
+  }
+
+  private List<ItemFinished> listed(int items) {
+    return IntStream.range(0, items).mapToObj(i -> listed("x" + i, "t" + i)).toList();
+  }
+
+  private List<List<String>> read(List<ItemFinished> wanted) {
+    List<List<String>> got = new ArrayList<>();
+    texts
+        .read(STREAM, wanted)
+        .subscribe()
+        .with(got::add, failure -> failures.add(failure.getMessage()));
+    return got;
+  }
+
+  @Test
+  void textsComeInTheOrderOfTheResultsWhereverTheyLie() {
+    ItemFinished first = listed("a", "one");
+    ItemFinished second = listed("b", "two");
+    ItemFinished givenUp = new ItemFinished("j", "c", false, null, List.of(), "");
+    assertThat(read(List.of(second, givenUp, first)), contains(equalTo(List.of("two", "", "one"))));
+  }
+
+  @Test
+  void whatOneReadDoesNotGiveIsReadOn() {
+    counting.maxRecords = 3;
+    List<String> got = read(listed(10)).get(0);
+    assertThat(got, hasSize(10));
+    assertThat(got.get(9), equalTo("t9"));
+  }
+
+  @Test
+  void whatIsKnownNeedsNoRead() {
+    List<ItemFinished> wanted = listed(5);
+    read(wanted);
+    int reads = counting.reads;
+    log.reads = MemoryLog.Manner.REFUSES;
+    assertThat(read(wanted).get(0), hasSize(5));
+    assertThat(counting.reads, equalTo(reads));
+  }
+
+  @Test
+  void theOnesThatAreKnownAreGivenWhereTheOthersCanNotBeRead() {
+    List<ItemFinished> wanted = listed(5);
+    read(wanted.subList(0, 2));
+    log.reads = MemoryLog.Manner.REFUSES;
+    List<ItemFinished> more = new ArrayList<>(wanted);
+    more.add(listed("y", "new"));
+    assertThat(read(more).get(0).size(), equalTo(5));
+    assertThat(read(List.of(listed("z", "newer"))), empty());
+    assertThat(failures, contains("refused"));
+  }
+
+  @Test
+  void aTextThatIsGoneIsAFailure() {
+    List<ItemFinished> wanted = listed(3);
+    log.truncate(STREAM, 2);
+    assertThat(read(wanted), empty());
+    assertThat(failures, contains("results.0 has no text at 0"));
+  }
+
+  @Test
+  void textsLongAgoAreReadAgain() {
+    String large = "x".repeat(1_000_000);
+    List<ItemFinished> wanted = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      wanted.add(listed("x" + i, large));
+    }
+    for (ItemFinished result : wanted) {
+      assertThat(read(List.of(result)).get(0), contains(large));
+    }
+    int reads = counting.reads;
+    read(wanted.subList(11, 12));
+    assertThat(counting.reads, equalTo(reads));
+    assertThat(read(wanted.subList(0, 1)).get(0), contains(large));
+    assertThat(reads, lessThan(counting.reads));
+  }
+}
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -47,20 +47,21 @@
   }
 
   /**
-   * The result of an item; its place among the job's results is its position.
+   * The result of an item; its place among the job's results is its position. The text itself is a
+   * {@link ResultText} in a stream of its own, since every node reads these records and hardly any
+   * one the text.
    *
    * @param completed whether the item has its whole text; else it is given up
-   * @param text data of all events in order, separated by line feeds
+   * @param text where the text is; null if it is empty
    * @param versions weight versions that made the text, rising
    * @param score what the scorer gave; empty if there is none
    */
   record ItemFinished(
-      String job, String item, boolean completed, String text, List<Long> versions, String score)
+      String job, String item, boolean completed, TextPlace text, List<Long> versions, String score)
       implements OfJob {
     public ItemFinished {
       Objects.requireNonNull(job, "job");
       Objects.requireNonNull(item, "item");
-      Objects.requireNonNull(text, "text");
       versions = List.copyOf(versions);
       Objects.requireNonNull(score, "score");
     }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayChecker.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayChecker.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
-import org.passhaven.protocol.job.JobRecord.ItemFinished;
+import org.passhaven.protocol.job.ItemResult;
 
 /** Sees all that servers and callers see, and notes each broken promise. */
 public final class GatewayChecker {
@@ -15,7 +15,7 @@
 
   private final long handOverMillis;
   private final List<String> violations = new ArrayList<>();
-  private final Map<String, List<ItemFinished>> resultsByJob = new HashMap<>();
+  private final Map<String, List<ItemResult>> resultsByJob = new HashMap<>();
   private final Map<String, LastOrder> lastOrderByServer = new HashMap<>();
   private int orders;
   private int handOvers;
@@ -75,8 +75,8 @@
   }
 
   /** A caller read results at a position. */
-  public void onRead(String job, int from, List<ItemFinished> results) {
-    List<ItemFinished> known = resultsByJob.computeIfAbsent(job, id -> new ArrayList<>());
+  public void onRead(String job, int from, List<ItemResult> results) {
+    List<ItemResult> known = resultsByJob.computeIfAbsent(job, id -> new ArrayList<>());
     for (int i = 0; i < results.size(); i++) {
       int position = from + i;
       if (position < known.size()) {
@@ -90,14 +90,14 @@
         broken("job " + job + ": position " + position + " came before an earlier one");
       }
     }
-    long items = known.stream().map(ItemFinished::item).distinct().count();
+    long items = known.stream().map(ItemResult::item).distinct().count();
     if (items != known.size()) {
       broken("job " + job + ": an item stands at two positions");
     }
   }
 
   /** The text of {@link SimulatedServers} names item, event and version in each line. */
-  private void checkResult(String job, ItemFinished result) {
+  private void checkResult(String job, ItemResult result) {
     if (!result.completed()) {
       return;
     }
