--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayChecker.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayChecker.java
@@ -74,6 +74,11 @@
     }
   }
 
+  /** Number of a job's results that callers have read. */
+  int readResults(String job) {
+    return resultsByJob.getOrDefault(job, List.of()).size();
+  }
+
   /** A caller read results at a position. */
   public void onRead(String job, int from, List<ItemResult> results) {
     List<ItemResult> known = resultsByJob.computeIfAbsent(job, id -> new ArrayList<>());
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -12,7 +12,9 @@
 import org.passhaven.core.order.LoadLimit;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.node.gateway.GatewaySettings;
+import org.passhaven.node.gateway.JobOutcome;
 import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.simulator.gateway.SimulatedServers.Server;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
@@ -35,6 +37,11 @@
   private static final double LOST_SHARE = 0.35;
   private static final long ADDRESS_AFTER_MILLIS = 15_000;
 
+  /** Time after the end of all trouble in which every job can be read at every node again. */
+  private static final long READ_BACK_MILLIS = 15_000;
+
+  private static final long READ_AGAIN_MILLIS = 500;
+
   /**
    * What came of a run.
    *
@@ -83,6 +90,11 @@
     return new GatewayHost(time, settings, process, store, servers, random);
   }
 
+  /** Bounds what all reads of the store's streams together give. */
+  public void setReadBandwidth(long bytesPerMilli) {
+    store.setReadBandwidth(bytesPerMilli);
+  }
+
   /** Draws faults that begin within a time. */
   public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
     UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
@@ -109,11 +121,9 @@
     hosts.forEach(GatewayHost::start);
     after(3_000, trainer::start);
     faults.forEach(fault -> after(fault.atMillis(), () -> begin(fault)));
-    long limit = forMillis * VirtualTime.MICROS_PER_MILLI;
-    boolean more = true;
-    while (more) {
-      more = time.runNext(limit);
-    }
+    playUntil(forMillis);
+    readBack(forMillis + READ_BACK_MILLIS);
+    playUntil(forMillis + READ_BACK_MILLIS);
     return new Report(
         checker.violations(),
         trainer.steps(),
@@ -122,6 +132,70 @@
         checker.handOvers());
   }
 
+  private void playUntil(long millis) {
+    boolean more = true;
+    while (more) {
+      more = time.runNext(millis * VirtualTime.MICROS_PER_MILLI);
+    }
+  }
+
+  /** Reads all accepted jobs from their beginnings at every node, and again after each failure. */
+  private void readBack(long untilMillis) {
+    for (GatewayHost host : hosts) {
+      for (JobSubmission job : trainer.acceptedJobs()) {
+        new ReadBack(host, job.id(), untilMillis).read(0);
+      }
+    }
+  }
+
+  /** Reading of one job at one node. */
+  private final class ReadBack {
+    private final GatewayHost host;
+    private final String job;
+    private final long untilMillis;
+
+    ReadBack(GatewayHost host, String job, long untilMillis) {
+      this.host = host;
+      this.job = job;
+      this.untilMillis = untilMillis;
+    }
+
+    void read(int from) {
+      if (time.nowMillis() + READ_AGAIN_MILLIS >= untilMillis) {
+        checker.broken(job + " can't be read at the end at " + host.process().name());
+        return;
+      }
+      if (!host.isRunning()) {
+        after(READ_AGAIN_MILLIS, () -> read(from));
+        return;
+      }
+      host.process()
+          .execute(
+              host.process().generation(),
+              () ->
+                  host.gateway()
+                      .jobs()
+                      .read(job, from, 0)
+                      .subscribe()
+                      .with(outcome -> onRead(from, outcome)));
+    }
+
+    private void onRead(int from, JobOutcome outcome) {
+      if (outcome instanceof JobOutcome.Results results) {
+        checker.onRead(job, from, results.results());
+        if (!results.results().isEmpty()) {
+          read(results.next());
+        } else if (from < checker.readResults(job)) {
+          checker.broken(job + " lacks results at the end at " + host.process().name());
+        }
+      } else if (outcome instanceof JobOutcome.NotFound) {
+        checker.broken(job + " is unknown at the end at " + host.process().name());
+      } else {
+        after(READ_AGAIN_MILLIS, () -> read(from));
+      }
+    }
+  }
+
   private void after(long millis, Runnable task) {
     time.after(millis * VirtualTime.MICROS_PER_MILLI, task);
   }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -30,6 +30,7 @@
   private int step;
   private int wholeSteps;
   private JobSubmission job;
+  private final List<JobSubmission> acceptedJobs = new ArrayList<>();
   private boolean accepted;
   private long acceptedAt;
   private long submittedAt;
@@ -51,6 +52,11 @@
     return step;
   }
 
+  /** Jobs that were accepted: they are kept, whatever became of them. */
+  List<JobSubmission> acceptedJobs() {
+    return List.copyOf(acceptedJobs);
+  }
+
   void start() {
     beginStep();
   }
@@ -123,6 +129,7 @@
   private void onSubmitted(JobSubmission submitted, JobOutcome outcome) {
     if (isCurrent(submitted) && outcome instanceof JobOutcome.Done && !accepted) {
       accepted = true;
+      acceptedJobs.add(submitted);
       acceptedAt = time.nowMillis();
       poll(submitted);
     }
--- a/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
@@ -19,6 +19,11 @@
   private static final int SEEDS = 40;
   private static final int FAULTS = 6;
 
+  /**
+   * All reads together get 300 KB a second: a day's history of some 0.5 MB at six nodes takes 10 s.
+   */
+  private static final long NARROW_BYTES_PER_MILLI = 300;
+
   private static Report play(long seed, List<GatewayFault> faults) {
     return new GatewayWorld(seed).play(faults, LENGTH_MILLIS);
   }
@@ -52,6 +57,18 @@
     }
   }
 
+  @Test
+  void afterTheLossOfAllNodesEveryJobCanBeReadAtEveryNodeThoughTheStoreIsNarrow() {
+    GatewayWorld world = new GatewayWorld(3);
+    world.setReadBandwidth(NARROW_BYTES_PER_MILLI);
+    Report report =
+        world.play(
+            List.of(new GatewayFault(GatewayFault.Kind.ALL_NODES_KILLED, 50_000, 1_000, 0)),
+            LENGTH_MILLIS);
+    assertThat(report.toString(), report.violations(), empty());
+    assertThat(report.toString(), report.wholeSteps(), greaterThan(10));
+  }
+
   @Test
   void drawnFaultsBreakNothing() {
     int handOvers = 0;
