--- a/node/src/main/java/org/passhaven/node/follow/HistoryReads.java
+++ b/node/src/main/java/org/passhaven/node/follow/HistoryReads.java
@@ -1,10 +1,11 @@
 package org.passhaven.node.follow;
 
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.Cancellable;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Objects;
-import java.util.Queue;
 import org.passhaven.core.log.ReadWindow;
 import org.passhaven.spi.LogService;
 import org.passhaven.spi.LogService.Batch;
@@ -14,32 +15,21 @@
 /**
  * A node's reads of history, over all streams: in pieces, and as many at a time as the way to the
  * log carries ({@link ReadWindow}). After the loss of all nodes each one reads, and together they
- * share what the log gives; reads that are given up have used their part of it all the same. Used
- * on the node's thread.
+ * share what the log gives; reads that are given up have used their part of it all the same. Each
+ * stream has one read under way, whose records are all kept. Used on the node's thread.
  */
 public final class HistoryReads {
-  /** A second's worth of a 2 Mbit/s link, and some 40 results: one lost piece costs little. */
+  /**
+   * A second's worth of a 2 Mbit/s link, and more than one submission: a lost piece costs little.
+   */
   private static final int PIECE_BYTES = 262_144;
 
   private final LogService log;
   private final Timers timers;
   private final ReadWindow window = new ReadWindow();
-  private final Queue<Waiting> waiting = new ArrayDeque<>();
+  private final Deque<Read> waiting = new ArrayDeque<>();
   private int underWay;
 
-  private static final class Waiting {
-    final String stream;
-    final long from;
-    final UniEmitter<? super Batch> emitter;
-    boolean over;
-
-    Waiting(String stream, long from, UniEmitter<? super Batch> emitter) {
-      this.stream = stream;
-      this.from = from;
-      this.emitter = emitter;
-    }
-  }
-
   /** Creates the reads of one node. */
   public HistoryReads(LogService log, Timers timers) {
     this.log = Objects.requireNonNull(log, "log");
@@ -51,41 +41,91 @@
     return Uni.createFrom()
         .emitter(
             emitter -> {
-              Waiting read = new Waiting(stream, from, emitter);
-              emitter.onTermination(() -> read.over = true);
-              waiting.add(read);
+              waiting.addLast(new Read(stream, from, emitter));
+              beginReads();
+            });
+  }
+
+  /** Reads a piece before all others that wait: somebody's work stands still until it is read. */
+  public Uni<Batch> readFirst(String stream, long from) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              waiting.addFirst(new Read(stream, from, emitter));
               beginReads();
             });
   }
 
   private void beginReads() {
     while (underWay < window.reads() && !waiting.isEmpty()) {
-      Waiting next = waiting.poll();
-      if (!next.over) {
-        begin(next);
-      }
+      waiting.pollFirst().begin();
     }
   }
 
-  private void begin(Waiting read) {
-    underWay++;
-    long begunAtMillis = timers.nowMillis();
-    log.readHistory(read.stream, read.from, PIECE_BYTES)
-        .subscribe()
-        .with(
-            batch -> {
-              underWay--;
-              window.onAnswered(timers.nowMillis() - begunAtMillis);
-              read.emitter.complete(batch);
-              beginReads();
-            },
-            failure -> {
-              underWay--;
-              if (PlatformException.from(failure).kind() != PlatformException.Kind.NOT_RUN) {
-                window.onLost(begunAtMillis, timers.nowMillis());
-              }
-              read.emitter.fail(failure);
-              beginReads();
-            });
+  private final class Read {
+    private final String stream;
+    private final long from;
+    private final UniEmitter<? super Batch> emitter;
+    private Cancellable running;
+    private boolean begun;
+    private boolean over;
+
+    Read(String stream, long from, UniEmitter<? super Batch> emitter) {
+      this.stream = stream;
+      this.from = from;
+      this.emitter = emitter;
+      emitter.onTermination(this::abandon);
+    }
+
+    void begin() {
+      begun = true;
+      underWay++;
+      long begunAtMillis = timers.nowMillis();
+      running =
+          log.readHistory(stream, from, PIECE_BYTES)
+              .subscribe()
+              .with(
+                  batch -> onBatch(batch, begunAtMillis),
+                  failure -> onLost(failure, begunAtMillis));
+    }
+
+    private void onBatch(Batch batch, long begunAtMillis) {
+      if (end()) {
+        window.onAnswered(timers.nowMillis() - begunAtMillis);
+        emitter.complete(batch);
+        beginReads();
+      }
+    }
+
+    private void onLost(Throwable failure, long begunAtMillis) {
+      if (end()) {
+        if (PlatformException.from(failure).kind() != PlatformException.Kind.NOT_RUN) {
+          window.onLost(begunAtMillis, timers.nowMillis());
+        }
+        emitter.fail(failure);
+        beginReads();
+      }
+    }
+
+    /** Nobody waits for it any more. */
+    private void abandon() {
+      if (!begun) {
+        waiting.remove(this);
+      } else if (end()) {
+        if (running != null) {
+          running.cancel();
+        }
+        beginReads();
+      }
+    }
+
+    private boolean end() {
+      if (over) {
+        return false;
+      }
+      over = true;
+      underWay--;
+      return true;
+    }
   }
 }
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -124,10 +124,6 @@
     }
     outage.onSuccess(next);
     boolean some = deliver(batch);
-    if (some && !caughtUp && batch.endOffset() - next > batch.records().size()) {
-      readRange(batch.endOffset(), batch.records().size());
-      return;
-    }
     long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
     if (pause > 0) {
       timers.after(pause, this::readOn);
@@ -136,18 +132,6 @@
     }
   }
 
-  /** Reads much history in pieces, then goes on as usual. */
-  private void readRange(long endOffset, int pieceRecords) {
-    new RangeReader(history, timers, stream, outage)
-        .read(
-            next,
-            endOffset,
-            pieceRecords,
-            records -> deliver(new LogService.Batch(next, records, endOffset)))
-        .subscribe()
-        .with(ignored -> readOn(), this::onFailure);
-  }
-
   /** Gives what was not given before; true if there was something. */
   private boolean deliver(LogService.Batch batch) {
     answeredAtMillis = timers.nowMillis();
@@ -167,7 +151,7 @@
         some = true;
         records++;
         bytes += record.length;
-        listener.onRecord(record);
+        give(record);
       }
       offset++;
     }
@@ -192,6 +176,19 @@
     return some;
   }
 
+  /** A record that its listener can't take must not end the reading of all that follow. */
+  private void give(byte[] record) {
+    try {
+      listener.onRecord(record);
+    } catch (RuntimeException e) {
+      LOG.atError()
+          .addKeyValue("stream", stream)
+          .addKeyValue("offset", next - 1)
+          .setCause(e)
+          .log("log: a record was not taken");
+    }
+  }
+
   private void onFailure(Throwable failure) {
     if (closed) {
       return;
--- a/node/src/main/java/org/passhaven/node/gateway/CalledJobs.java
+++ b/node/src/main/java/org/passhaven/node/gateway/CalledJobs.java
@@ -21,6 +21,13 @@
   /** Past this many, jobs that are over are forgotten; trainers have a few open ones each. */
   private static final int MANY_JOBS = 64;
 
+  /** A read that failed is repeated this much later, as long as its job is open. */
+  private static final long RETRY_MILLIS = 300;
+
+  /** The texts of some results; what is not there by then is tried again. */
+  private static final long READ_LIMIT_MILLIS = 3_000;
+
+  private final GatewayContext context;
   private final JobLog log;
   private final Map<String, Called> called = new HashMap<>();
 
@@ -34,7 +41,8 @@
     }
   }
 
-  CalledJobs(JobLog log) {
+  CalledJobs(GatewayContext context, JobLog log) {
+    this.context = Objects.requireNonNull(context, "context");
     this.log = Objects.requireNonNull(log, "log");
   }
 
@@ -68,7 +76,8 @@
     log.texts()
         .read(
             log.textStreamOf(job.submission().run()),
-            List.copyOf(results.subList(state.position, results.size())))
+            List.copyOf(results.subList(state.position, results.size())),
+            context.now() + READ_LIMIT_MILLIS)
         .subscribe()
         .with(
             texts -> {
@@ -77,9 +86,13 @@
               onListed(job.id());
             },
             failure -> {
-              // The next result, or the next caller, makes it try again.
-              state.reading = false;
               LOG.debug("job: texts: {}", PlatformException.from(failure).getMessage());
+              context.timers().after(RETRY_MILLIS, () -> readAgain(job, state));
             });
   }
+
+  private void readAgain(Job job, Called state) {
+    state.reading = false;
+    onListed(job.id());
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.Consumer;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.protocol.Codec;
@@ -35,6 +34,10 @@
   private static final long UNREADABLE_RETRY_AFTER_MILLIS = 100;
 
   private static final long REFRESH_LIMIT_MILLIS = 900;
+
+  /** Callers wait 1,500 ms longer than they allow: an answer is under way by then. */
+  private static final long ANSWER_MARGIN_MILLIS = 1_200;
+
   private static final int RECORD_OVERHEAD_BYTES = 1_024;
   private final GatewayContext context;
   private final JobLog log;
@@ -45,7 +48,7 @@
   public JobService(GatewayContext context, JobLog log) {
     this.context = Objects.requireNonNull(context, "context");
     this.log = Objects.requireNonNull(log, "log");
-    this.called = new CalledJobs(log);
+    this.called = new CalledJobs(context, log);
     log.addListener(this::onRecord);
   }
 
@@ -126,6 +129,7 @@
    * already, and a read that waits here may hang since an outage.
    */
   public Uni<JobOutcome> read(String id, int from, long waitMillis) {
+    long untilMillis = context.now() + waitMillis + ANSWER_MARGIN_MILLIS;
     return known(id)
         .chain(
             sure -> {
@@ -135,32 +139,26 @@
               }
               called.onCall(id, Math.max(0, from));
               return job.results().size() > from
-                  ? resultsOf(job, from)
-                  : refreshed(job).chain(isSure -> readSure(job, from, waitMillis, isSure));
+                  ? resultsOf(job, from, untilMillis)
+                  : refreshed(job).chain(isSure -> readSure(job, from, untilMillis, isSure));
             });
   }
 
-  private Uni<JobOutcome> readSure(Job job, int from, long waitMillis, boolean isSure) {
+  private Uni<JobOutcome> readSure(Job job, int from, long untilMillis, boolean isSure) {
     if (!isSure && job.results().size() <= from) {
       return Uni.createFrom().item(unreadable(job.id()));
     }
-    return readKnown(job, from, waitMillis);
-  }
-
-  private Uni<JobOutcome> readKnown(Job job, int from, long waitMillis) {
+    long waitMillis = untilMillis - ANSWER_MARGIN_MILLIS - context.now();
     boolean mayCome = job.isOpen() && waitMillis > 0;
     if (job.results().size() > from || !mayCome) {
-      return resultsOf(job, from);
+      return resultsOf(job, from, untilMillis);
     }
-    return this.<Boolean>awaited(emitter -> awaitResult(job, from, waitMillis, emitter))
-        .chain(isSure -> endWait(job, from, isSure));
-  }
-
-  private <T> Uni<T> awaited(Consumer<UniEmitter<? super T>> wait) {
-    return Uni.createFrom().emitter(wait);
+    return Uni.createFrom()
+        .<Boolean>emitter(emitter -> awaitResult(job, from, waitMillis, emitter))
+        .chain(hasCome -> endWait(job, from, untilMillis, hasCome));
   }
 
-  /** Gives true once there is a result or none will come, false when the wait is over. */
+  /** Gives true once there is a result, false when none will come or the wait is over. */
   private void awaitResult(
       Job job, int from, long waitMillis, UniEmitter<? super Boolean> emitter) {
     boolean[] done = new boolean[1];
@@ -171,8 +169,9 @@
           if (done[0]) {
             return;
           }
-          if (job.results().size() > from || !job.isOpen()) {
-            emitter.complete(true);
+          boolean hasCome = job.results().size() > from;
+          if (hasCome || !job.isOpen()) {
+            emitter.complete(hasCome);
           } else {
             waiting.computeIfAbsent(job.id(), id -> new ArrayList<>()).add(look[0]);
           }
@@ -181,20 +180,21 @@
     look[0].run();
   }
 
-  private Uni<JobOutcome> endWait(Job job, int from, boolean isSure) {
-    return isSure
-        ? resultsOf(job, from)
+  /**
+   * Without a result the log is looked into: a job's end may stand before results of the same read.
+   */
+  private Uni<JobOutcome> endWait(Job job, int from, long untilMillis, boolean hasCome) {
+    return hasCome
+        ? resultsOf(job, from, untilMillis)
         : refreshed(job)
             .chain(
-                isSureNow -> {
-                  boolean isNothing = job.results().size() <= from;
-                  return isNothing && !isSureNow
-                      ? Uni.createFrom().item(unreadable(job.id()))
-                      : resultsOf(job, from);
-                });
+                isSure ->
+                    !isSure && job.results().size() <= from
+                        ? Uni.createFrom().item(unreadable(job.id()))
+                        : resultsOf(job, from, untilMillis));
   }
 
-  private Uni<JobOutcome> resultsOf(Job job, int from) {
+  private Uni<JobOutcome> resultsOf(Job job, int from, long untilMillis) {
     List<ItemFinished> given = new ArrayList<>();
     int bytes = 0;
     for (int position = from; position < job.results().size(); position++) {
@@ -206,7 +206,7 @@
       given.add(result);
     }
     return log.texts()
-        .read(log.textStreamOf(job.submission().run()), given)
+        .read(log.textStreamOf(job.submission().run()), given, untilMillis)
         .map(texts -> results(job, from, given, texts))
         .onFailure()
         .recoverWithItem(failure -> unreadable(job.id(), failure));
--- a/node/src/main/java/org/passhaven/node/gateway/ResultTexts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ResultTexts.java
@@ -30,12 +30,9 @@
   /** As for history: a second's worth of a 2 Mbit/s link. */
   private static final int PIECE_BYTES = 262_144;
 
-  /** Callers wait 1,500 ms longer than they allow; a piece more may take some 300 ms. */
-  private static final long READ_ON_MILLIS = 600;
-
   private final GatewayContext context;
-  private final Map<Key, String> kept = new LinkedHashMap<>(16, 0.75f, true);
-  private final Map<Key, Uni<Map<Long, String>>> underWay = new HashMap<>();
+  private final Map<Key, ResultText> kept = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<Key, Uni<Map<Long, ResultText>>> underWay = new HashMap<>();
   private long keptBytes;
 
   private record Key(String stream, long offset) {}
@@ -45,69 +42,86 @@
   }
 
   /** Keeps a text that was just written or read. */
-  void keep(String stream, long offset, String text) {
+  void keep(String stream, long offset, ResultText text) {
     if (kept.put(new Key(stream, offset), text) == null) {
-      keptBytes += text.length();
+      keptBytes += text.text().length();
     }
     var eldest = kept.entrySet().iterator();
     while (keptBytes > MAX_KEPT_BYTES && eldest.hasNext()) {
-      keptBytes -= eldest.next().getValue().length();
+      keptBytes -= eldest.next().getValue().text().length();
       eldest.remove();
     }
   }
 
   /**
    * Texts of the first ones of {@code wanted}, in order: of all of them, or of at least one where
-   * the others take too long. Fails with {@link PlatformException} if not even the first can be
-   * read.
+   * the time is over. Fails with {@link PlatformException} if not even the first is there by then.
    */
-  Uni<List<String>> read(String stream, List<ItemFinished> wanted) {
-    return readOn(stream, wanted, new HashMap<>(), context.now());
+  Uni<List<String>> read(String stream, List<ItemFinished> wanted, long untilMillis) {
+    return Uni.createFrom().deferred(() -> readOn(stream, wanted, new HashMap<>(), untilMillis));
   }
 
   private Uni<List<String>> readOn(
-      String stream, List<ItemFinished> wanted, Map<Long, String> read, long begunAtMillis) {
+      String stream, List<ItemFinished> wanted, Map<Long, ResultText> read, long untilMillis) {
     List<String> known = known(stream, wanted, read);
-    boolean isLate = context.now() - begunAtMillis >= READ_ON_MILLIS;
-    if (known.size() == wanted.size() || (isLate && !known.isEmpty())) {
+    if (known.size() == wanted.size()) {
       return Uni.createFrom().item(known);
     }
-    return piece(stream, wanted.subList(known.size(), wanted.size()))
+    // The read itself goes on past the time, for whoever asks next.
+    long leftMillis = Math.max(1, untilMillis - context.now());
+    return context
+        .timers()
+        .limit(piece(stream, wanted.subList(known.size(), wanted.size())), leftMillis, "texts")
         .invoke(read::putAll)
-        .chain(() -> readOn(stream, wanted, read, begunAtMillis))
+        .chain(() -> readOn(stream, wanted, read, untilMillis))
         .onFailure(failure -> !known.isEmpty())
         .recoverWithItem(known);
   }
 
   /** The longest beginning of {@code wanted} of which the texts are known. */
-  private List<String> known(String stream, List<ItemFinished> wanted, Map<Long, String> read) {
+  private List<String> known(String stream, List<ItemFinished> wanted, Map<Long, ResultText> read) {
     List<String> known = new ArrayList<>();
     for (ItemFinished result : wanted) {
-      String text = result.text() == null ? "" : text(stream, result.text().offset(), read);
+      if (result.text() == null) {
+        known.add("");
+        continue;
+      }
+      long offset = result.text().offset();
+      ResultText text = read.getOrDefault(offset, kept.get(new Key(stream, offset)));
       if (text == null) {
         break;
       }
-      known.add(text);
+      known.add(checked(result, text));
     }
     return known;
   }
 
-  private String text(String stream, long offset, Map<Long, String> read) {
-    String text = read.get(offset);
-    return text != null ? text : kept.get(new Key(stream, offset));
+  private static String checked(ItemFinished result, ResultText text) {
+    if (!text.job().equals(result.job()) || !text.item().equals(result.item())) {
+      LOG.atError()
+          .addKeyValue("job", result.job())
+          .addKeyValue("item", result.item())
+          .addKeyValue("offset", result.text().offset())
+          .addKeyValue("found", text.job() + " " + text.item())
+          .log("job: a place names the text of another item");
+      throw new PlatformException(
+          PlatformException.Kind.NOT_RUN,
+          "the text of " + result.item() + " is not at " + result.text().offset());
+    }
+    return text.text();
   }
 
   /**
    * Reads from the first missing text on; texts of others that lie between come along. Callers that
    * miss the same text share one read.
    */
-  private Uni<Map<Long, String>> piece(String stream, List<ItemFinished> missing) {
+  private Uni<Map<Long, ResultText>> piece(String stream, List<ItemFinished> missing) {
     Key first = new Key(stream, missing.get(0).text().offset());
-    Uni<Map<Long, String>> known = underWay.get(first);
+    Uni<Map<Long, ResultText>> known = underWay.get(first);
     if (known != null) {
       return known;
     }
-    Uni<Map<Long, String>> begun =
+    Uni<Map<Long, ResultText>> begun =
         context
             .log()
             .readHistory(stream, first.offset(), pieceBytes(missing))
@@ -134,7 +148,7 @@
     return (int) Math.min(PIECE_BYTES, bytes);
   }
 
-  private Map<Long, String> texts(Key first, LogService.Batch batch) {
+  private Map<Long, ResultText> texts(Key first, LogService.Batch batch) {
     if (batch.firstOffset() != first.offset() || batch.records().isEmpty()) {
       LOG.atError()
           .addKeyValue("stream", first.stream())
@@ -144,10 +158,10 @@
       throw new PlatformException(
           PlatformException.Kind.NOT_RUN, first.stream() + " has no text at " + first.offset());
     }
-    Map<Long, String> read = new HashMap<>();
+    Map<Long, ResultText> read = new HashMap<>();
     long offset = first.offset();
     for (byte[] record : batch.records()) {
-      String text = decode(first.stream(), offset, record);
+      ResultText text = decode(first.stream(), offset, record);
       read.put(offset, text);
       keep(first.stream(), offset, text);
       offset++;
@@ -155,9 +169,9 @@
     return read;
   }
 
-  private static String decode(String stream, long offset, byte[] record) {
+  private static ResultText decode(String stream, long offset, byte[] record) {
     try {
-      return Codec.decode(record, ResultText.class).text();
+      return Codec.decode(record, ResultText.class);
     } catch (CodecException e) {
       throw new PlatformException(
           PlatformException.Kind.NOT_RUN, stream + " has no text that can be read at " + offset, e);
--- a/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
@@ -39,15 +39,14 @@
   /** A result on its way to the log. */
   private static final class Pending {
     final ItemResult result;
+    final ResultText resultText;
     final byte[] text;
     TextPlace place;
 
     Pending(ItemResult result) {
       this.result = result;
-      this.text =
-          result.text().isEmpty()
-              ? new byte[0]
-              : Codec.encode(new ResultText(result.job(), result.item(), result.text()));
+      this.resultText = new ResultText(result.job(), result.item(), result.text());
+      this.text = result.text().isEmpty() ? new byte[0] : Codec.encode(resultText);
     }
 
     boolean needsText() {
@@ -152,7 +151,7 @@
     long offset = firstOffset;
     for (Pending pending : batch) {
       pending.place = new TextPlace(offset, pending.text.length);
-      log.texts().keep(lane.textStream, offset, pending.result.text());
+      log.texts().keep(lane.textStream, offset, pending.resultText);
       offset++;
     }
   }
--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -12,7 +12,6 @@
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.TextTable;
 import org.passhaven.node.follow.HistoryReads;
-import org.passhaven.node.follow.RangeReader;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.TextRecord;
@@ -37,7 +36,9 @@
   /** A record is filled to this part of what the log takes: characters may need several bytes. */
   private static final int RECORD_SHARE = 4;
 
-  private static final long READ_LIMIT_MILLIS = 1_500;
+  /** Silence after which a predecessor's texts are given up: what is left begins anew. */
+  private static final long READ_SILENCE_MILLIS = 1_500;
+
   private static final long TRIM_PERIOD_MILLIS = 5_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
@@ -107,31 +108,24 @@
     long startedAtMillis = context.now();
     context
         .timers()
-        .limit(readAll(own, 0), READ_LIMIT_MILLIS, "texts")
+        .limitSilence(signOfLife -> readAll(own, 0, signOfLife), READ_SILENCE_MILLIS, "texts")
         .subscribe()
         .with(
             ignored -> endRead(own, startedAtMillis, "read"),
             failure -> endRead(own, startedAtMillis, failure.getMessage()));
   }
 
-  /** Reads a first batch, which tells how much there is, and then all the rest. */
-  private Uni<Void> readAll(OwnRun own, long offset) {
+  /** Reads piece after piece up to the end that the first one told. */
+  private Uni<Void> readAll(OwnRun own, long offset, Runnable signOfLife) {
     return history
-        .read(own.stream, offset)
+        .readFirst(own.stream, offset)
         .chain(
             batch -> {
+              signOfLife.run();
               batch.records().forEach(bytes -> fold(own, bytes));
-              int read = batch.records().size();
-              long next = batch.firstOffset() + read;
-              if (read == 0) {
-                return next > offset ? readAll(own, next) : Uni.createFrom().voidItem();
-              }
-              return new RangeReader(history, context.timers(), own.stream)
-                  .read(
-                      next,
-                      batch.endOffset(),
-                      read,
-                      records -> records.forEach(bytes -> fold(own, bytes)));
+              long next = batch.firstOffset() + batch.records().size();
+              boolean isEnd = next >= batch.endOffset() || next <= offset;
+              return isEnd ? Uni.createFrom().voidItem() : readAll(own, next, signOfLife);
             });
   }
 
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -165,6 +165,44 @@
     assertThat(((JobOutcome.Results) got.get(0)).next(), is(1));
   }
 
+  @Test
+  void anEndAndAResultOfOneReadAreNotAnsweredAsNothing() {
+    begin();
+    ask(service.submit(submission("j", new byte[3]), 2_000));
+    timers.advance(100);
+    List<JobOutcome> got = ask(service.read("j", 0, 1_000));
+    timers.advance(10);
+    log.stream(jobLog.streamOf("m")).add(Codec.encode((JobRecord) new JobRecord.JobEnded("j")));
+    finish("x");
+    timers.advance(200);
+    assertThat(((JobOutcome.Results) got.get(0)).next(), is(1));
+  }
+
+  @Test
+  void theTextOfAnotherItemIsNeverGiven() {
+    begin();
+    ask(service.submit(submission("j", new byte[3]), 2_000));
+    log.stream(jobLog.textStreamOf("m")).add(Codec.encode(new ResultText("j", "y", "another")));
+    JobRecord record =
+        new JobRecord.ItemFinished("j", "x", true, new TextPlace(0, 30), List.of(1L), "s");
+    log.stream(jobLog.streamOf("m")).add(Codec.encode(record));
+    timers.advance(200);
+    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
+  }
+
+  @Test
+  void aCallerGetsItsAnswerInTimeThoughTheTextIsSlow() {
+    begin();
+    ask(service.submit(submission("j", new byte[3]), 2_000));
+    timers.advance(100);
+    log.hangReads = true;
+    finish("x");
+    timers.advance(50);
+    List<JobOutcome> got = ask(service.read("j", 0, 0));
+    timers.advance(1_300);
+    assertThat(got.get(0), instanceOf(JobOutcome.Refused.class));
+  }
+
   @Test
   void aNodeThatCanNotReadTheLogDoesNotSayThatThereAreNoResults() {
     begin();
--- a/node/src/test/java/org/passhaven/node/gateway/ResultTextsTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultTextsTest.java
@@ -76,7 +76,7 @@
   private List<List<String>> read(List<ItemFinished> wanted) {
     List<List<String>> got = new ArrayList<>();
     texts
-        .read(STREAM, wanted)
+        .read(STREAM, wanted, timers.nowMillis() + 1_000)
         .subscribe()
         .with(got::add, failure -> failures.add(failure.getMessage()));
     return got;
--- a/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
@@ -70,7 +70,10 @@
 
   private List<List<String>> texts() {
     List<List<String>> got = new ArrayList<>();
-    new ResultTexts(context).read("results.0", job().results()).subscribe().with(got::add);
+    new ResultTexts(context)
+        .read("results.0", job().results(), timers.nowMillis() + 1_000)
+        .subscribe()
+        .with(got::add);
     timers.advance(10);
     return got;
   }
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -13,7 +13,7 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(value = JobRecord.RunTaken.class, name = "rt"),
   @JsonSubTypes.Type(value = JobRecord.JobPart.class, name = "jp"),
-  @JsonSubTypes.Type(value = JobRecord.ItemFinished.class, name = "if"),
+  @JsonSubTypes.Type(value = JobRecord.ItemFinished.class, name = "il"),
   @JsonSubTypes.Type(value = JobRecord.JobEnded.class, name = "je")
 })
 public sealed interface JobRecord {
