--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -35,7 +35,7 @@
   private static final long FORGET_PERIOD_MILLIS = 10_000;
   private static final long FIRST_READ_MILLIS = 350;
   private static final long START_SPACING_MILLIS = 50;
-  private static final long MAX_START_DELAY_MILLIS = 2_000;
+  private static final int MAX_START_DELAY_MILLIS = 2_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final HistoryReads history;
@@ -86,11 +86,7 @@
     started = true;
     for (int partition = 0; partition < tails.size(); partition++) {
       LogTail tail = tails.get(partition);
-      int rank = beats.rankOf(STREAM_PREFIX + partition, context.settings().node());
-      long delayMillis =
-          rank == 0
-              ? 0
-              : Math.min(MAX_START_DELAY_MILLIS, FIRST_READ_MILLIS + rank * START_SPACING_MILLIS);
+      long delayMillis = startDelayMillis(STREAM_PREFIX + partition, beats);
       if (delayMillis == 0) {
         tail.start(0);
       } else {
@@ -100,6 +96,17 @@
     context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
   }
 
+  /** A node that knows nobody yet may be one of many that start: it can't tell its place. */
+  private long startDelayMillis(String stream, BeatTable beats) {
+    if (beats.taking().isEmpty()) {
+      return context.randomBelow().applyAsInt(MAX_START_DELAY_MILLIS);
+    }
+    int rank = beats.rankOf(stream, context.settings().node());
+    return rank == 0
+        ? 0
+        : Math.min(MAX_START_DELAY_MILLIS, FIRST_READ_MILLIS + rank * START_SPACING_MILLIS);
+  }
+
   /** Calls {@code listener} with each record that changed a job. */
   public void addListener(BiConsumer<JobRecord.OfJob, JobTable.Effect> listener) {
     listeners.add(listener);
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -1,22 +1,22 @@
 package org.passhaven.node.gateway;
 
+import static org.passhaven.node.gateway.DurableAppend.RECORD_OVERHEAD_BYTES;
+
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobTable;
+import org.passhaven.node.gateway.DurableAppend.Change;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobRecord.ItemFinished;
 import org.passhaven.protocol.job.JobSubmission;
-import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,8 +27,6 @@
 public final class JobService {
   private static final Logger LOG = LoggerFactory.getLogger(JobService.class);
   private static final int MOST_RESULT_BYTES = 900_000;
-  private static final long RETRY_MILLIS = 120;
-  private static final long REFUSED_RETRY_AFTER_MILLIS = 300;
 
   /** Another node may be able to tell at once. */
   private static final long UNREADABLE_RETRY_AFTER_MILLIS = 100;
@@ -38,11 +36,10 @@
   /** Callers wait 1,500 ms longer than they allow: an answer is under way by then. */
   private static final long ANSWER_MARGIN_MILLIS = 1_200;
 
-  private static final int RECORD_OVERHEAD_BYTES = 1_024;
   private final GatewayContext context;
   private final JobLog log;
   private final CalledJobs called;
-  private final Map<String, List<Runnable>> waiting = new HashMap<>();
+  private final JobWaiters waiters = new JobWaiters();
 
   /** Creates the service over a log that is followed. */
   public JobService(GatewayContext context, JobLog log) {
@@ -56,48 +53,38 @@
     if (effect == JobTable.Effect.LISTED) {
       called.onListed(record.job());
     }
-    wake(record.job());
-  }
-
-  private void wake(String job) {
-    List<Runnable> woken = waiting.remove(job);
-    if (woken != null) {
-      woken.forEach(Runnable::run);
-    }
+    waiters.wake(record.job());
   }
 
   /** Hands a job in; gives the outcome within {@code limitMillis}. */
   public Uni<JobOutcome> submit(JobSubmission submission, long limitMillis) {
     called.onCall(submission.id(), 0);
-    byte[] content = Codec.encode(submission);
     long attempt = context.incarnation() ^ context.randomBelow().applyAsInt(Integer.MAX_VALUE);
-    List<List<byte[]>> appends = split(submission.id(), attempt, content);
-    String stream = log.streamOf(submission.run());
     return durable(
-        new Append(stream, submission.id(), appends, JobTable.Effect.ACCEPTED), limitMillis);
+        new Change(
+            log.streamOf(submission.run()),
+            submission.id(),
+            split(submission.id(), attempt, Codec.encode(submission)),
+            JobTable.Effect.ACCEPTED),
+        limitMillis);
+  }
+
+  private Uni<JobOutcome> durable(Change change, long limitMillis) {
+    return new DurableAppend(context, log, waiters, change).begin(limitMillis);
   }
 
-  private List<List<byte[]>> split(String id, long attempt, byte[] content) {
+  /** Pieces that fit into a record each. */
+  private List<byte[]> split(String id, long attempt, byte[] content) {
     int piece = context.settings().mostRecordBytes() - RECORD_OVERHEAD_BYTES;
     int parts = Math.max(1, (content.length + piece - 1) / piece);
-    List<List<byte[]>> appends = new ArrayList<>();
-    List<byte[]> current = new ArrayList<>();
-    int bytes = 0;
+    List<byte[]> records = new ArrayList<>();
     for (int part = 0; part < parts; part++) {
-      byte[] bytesOfPart =
+      byte[] bytes =
           Arrays.copyOfRange(content, part * piece, Math.min(content.length, (part + 1) * piece));
-      JobRecord record = new JobRecord.JobPart(id, attempt, part, parts, bytesOfPart);
-      byte[] encoded = Codec.encode(record);
-      if (bytes + encoded.length > context.settings().mostAppendBytes() - RECORD_OVERHEAD_BYTES) {
-        appends.add(current);
-        current = new ArrayList<>();
-        bytes = 0;
-      }
-      current.add(encoded);
-      bytes += encoded.length;
+      JobRecord record = new JobRecord.JobPart(id, attempt, part, parts, bytes);
+      records.add(Codec.encode(record));
     }
-    appends.add(current);
-    return appends;
+    return records;
   }
 
   /** Ends a job; gives the outcome within {@code limitMillis}. */
@@ -113,13 +100,13 @@
                 return Uni.createFrom().item(new JobOutcome.Done());
               }
               JobRecord record = new JobRecord.JobEnded(id);
-              Append append =
-                  new Append(
+              Change change =
+                  new Change(
                       log.streamOf(job.submission().run()),
                       id,
-                      List.of(List.of(Codec.encode(record))),
+                      List.of(Codec.encode(record)),
                       JobTable.Effect.ENDED);
-              return durable(append, limitMillis);
+              return durable(change, limitMillis);
             });
   }
 
@@ -161,21 +148,17 @@
   /** Gives true once there is a result, false when none will come or the wait is over. */
   private void awaitResult(
       Job job, int from, long waitMillis, UniEmitter<? super Boolean> emitter) {
-    boolean[] done = new boolean[1];
-    emitter.onTermination(() -> done[0] = true);
     Runnable[] look = new Runnable[1];
     look[0] =
         () -> {
-          if (done[0]) {
-            return;
-          }
           boolean hasCome = job.results().size() > from;
           if (hasCome || !job.isOpen()) {
             emitter.complete(hasCome);
           } else {
-            waiting.computeIfAbsent(job.id(), id -> new ArrayList<>()).add(look[0]);
+            waiters.add(job.id(), look[0]);
           }
         };
+    emitter.onTermination(() -> waiters.remove(job.id(), look[0]));
     context.timers().after(waitMillis, () -> emitter.complete(false));
     look[0].run();
   }
@@ -285,110 +268,4 @@
         .log("job: can't be read here now");
     return new JobOutcome.Refused("the jobs can't be read now", UNREADABLE_RETRY_AFTER_MILLIS);
   }
-
-  private record Append(
-      String stream, String job, List<List<byte[]>> batches, JobTable.Effect wanted) {}
-
-  private Uni<JobOutcome> durable(Append append, long limitMillis) {
-    return Uni.createFrom()
-        .emitter(
-            emitter -> new DurableAppend(append, context.now() + limitMillis, emitter).begin());
-  }
-
-  private boolean isInEffect(Append append) {
-    Job job = log.table().get(append.job());
-    return job != null && (append.wanted() == JobTable.Effect.ACCEPTED || job.ended());
-  }
-
-  /** Repeats an append until it is acknowledged or read back, or the time is over. */
-  private final class DurableAppend {
-    private final Append append;
-    private final long untilMillis;
-    private final UniEmitter<? super JobOutcome> emitter;
-    private final long beganAt = context.now();
-    private int nextBatch;
-    private int tries;
-    private boolean underWay;
-    private boolean mayBeDone;
-    private boolean done;
-
-    DurableAppend(Append append, long untilMillis, UniEmitter<? super JobOutcome> emitter) {
-      this.append = append;
-      this.untilMillis = untilMillis;
-      this.emitter = emitter;
-    }
-
-    void begin() {
-      context.timers().after(Math.max(1, untilMillis - context.now()), this::giveUp);
-      awaitFold();
-      tryNext();
-    }
-
-    private void awaitFold() {
-      if (done) {
-        return;
-      }
-      if (isInEffect(append)) {
-        finish(new JobOutcome.Done(), "read back");
-        return;
-      }
-      waiting.computeIfAbsent(append.job(), id -> new ArrayList<>()).add(this::awaitFold);
-    }
-
-    private void tryNext() {
-      if (done) {
-        return;
-      }
-      tries++;
-      underWay = true;
-      log.append(append.stream(), append.batches().get(nextBatch))
-          .subscribe()
-          .with(offset -> onAppended(), this::onFailure);
-    }
-
-    private void onAppended() {
-      underWay = false;
-      mayBeDone = true;
-      nextBatch++;
-      if (nextBatch < append.batches().size()) {
-        tryNext();
-      } else {
-        finish(new JobOutcome.Done(), "acknowledged");
-      }
-    }
-
-    private void onFailure(Throwable failure) {
-      underWay = false;
-      PlatformException known = PlatformException.from(failure);
-      mayBeDone |= known.kind() != PlatformException.Kind.NOT_RUN;
-      if (!done) {
-        context.timers().after(RETRY_MILLIS, this::tryNext);
-      }
-    }
-
-    private void giveUp() {
-      if (mayBeDone || underWay) {
-        finish(new JobOutcome.Unknown("the log gave no answer"), "unknown");
-      } else {
-        finish(
-            new JobOutcome.Refused("the log takes nothing now", REFUSED_RETRY_AFTER_MILLIS),
-            "refused");
-      }
-    }
-
-    private void finish(JobOutcome outcome, String how) {
-      if (done) {
-        return;
-      }
-      done = true;
-      LOG.atInfo()
-          .addKeyValue("job", append.job())
-          .addKeyValue("wanted", append.wanted())
-          .addKeyValue("outcome", how)
-          .addKeyValue("tries", tries)
-          .addKeyValue("tookMillis", context.now() - beganAt)
-          .log("job: append decided");
-      emitter.complete(outcome);
-    }
-  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -25,6 +25,7 @@
   private final BeatTable beats;
   private final LogTail tail;
   private boolean tailing;
+  private boolean beating;
   private boolean taking = true;
   private long startedAt;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
@@ -70,10 +71,20 @@
   /** Tells everybody that this node takes no new work. */
   public void announceLeaving() {
     taking = false;
-    beat();
+    append();
   }
 
+  /**
+   * A beat that is still under way tells as much as a second one; a slow log gets no more of them.
+   */
   private void beat() {
+    if (!beating) {
+      append();
+    }
+  }
+
+  private void append() {
+    beating = true;
     GatewaySettings settings = context.settings();
     MemberBeat beat =
         new MemberBeat(
@@ -91,6 +102,7 @@
   }
 
   private void onAppended(long offset) {
+    beating = false;
     if (!tailing) {
       tailing = true;
       startedAt = context.now();
@@ -100,6 +112,7 @@
   }
 
   private void onBeatFailed(Throwable failure) {
+    beating = false;
     LOG.debug("members: a beat failed: {}", PlatformException.from(failure).getMessage());
     if (!tailing) {
       // A node that may not write can still read, though it does not know the others.
--- a/node/src/main/java/org/passhaven/node/gateway/TextLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/TextLog.java
@@ -30,6 +30,10 @@
   private static final String STREAM_PREFIX = "texts";
   private static final int TOPICS = 16;
   private static final int MAX_BATCH_BYTES = 1_000_000;
+
+  /** Passes any link in time; smaller batches would only cost calls. */
+  private static final int MIN_BATCH_BYTES = 65_536;
+
   private static final int PART_OVERHEAD_BYTES = 96;
   private static final int EVENT_OVERHEAD_BYTES = 8;
 
@@ -56,6 +60,7 @@
     final long epoch;
     final TextTable left;
     final Map<Item, Long> firstOffsetByItem = new HashMap<>();
+    long maxBatchBytes = MAX_BATCH_BYTES;
     boolean isRead;
     boolean isAppending;
     long lastNumber;
@@ -161,7 +166,7 @@
     if (own == null || !own.isRead || own.isAppending) {
       return Uni.createFrom().voidItem();
     }
-    List<TextPart> parts = limited(scheduler.takeUnsavedTexts(run));
+    List<TextPart> parts = limited(own, scheduler.takeUnsavedTexts(run));
     if (parts.isEmpty()) {
       return Uni.createFrom().voidItem();
     }
@@ -177,13 +182,13 @@
   }
 
   /** As many parts as fit into one append; the others wait for the next one. */
-  private List<TextPart> limited(List<TextPart> parts) {
+  private List<TextPart> limited(OwnRun own, List<TextPart> parts) {
     List<TextPart> fitting = new ArrayList<>();
     List<TextPart> others = new ArrayList<>();
     long bytes = 0;
     for (TextPart part : parts) {
       bytes += sizeBytes(part);
-      (bytes <= MAX_BATCH_BYTES ? fitting : others).add(part);
+      (fitting.isEmpty() || bytes <= own.maxBatchBytes ? fitting : others).add(part);
     }
     scheduler.onTextsNotSaved(others);
     return fitting;
@@ -225,6 +230,8 @@
   private void onAppended(OwnRun own, List<TextPart> parts, Long offset, Throwable failure) {
     own.isAppending = false;
     if (failure != null) {
+      // It may have been too long for the way there: the same again would be lost again.
+      own.maxBatchBytes = Math.max(MIN_BATCH_BYTES, own.maxBatchBytes / 2);
       scheduler.onTextsNotSaved(parts);
       LOG.atInfo()
           .addKeyValue("run", own.name)
@@ -233,6 +240,7 @@
           .log("texts: an append failed");
       return;
     }
+    own.maxBatchBytes = Math.min(MAX_BATCH_BYTES, own.maxBatchBytes * 2);
     for (TextPart part : parts) {
       if (part.afterEvent() == 0) {
         own.firstOffsetByItem.put(new Item(part.job(), part.item()), offset);
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -125,6 +125,25 @@
     assertThat(smallLog.table().get("j").item("x").body(), equalTo(body));
   }
 
+  @Test
+  void aLargeSubmissionThatIsLostGoesInSmallerAppends() {
+    GatewayContext small = context(2_048, 65_536);
+    JobLog smallLog = new JobLog(small);
+    JobService smallService = new JobService(small, smallLog);
+    smallLog.start(new BeatTable(1_500));
+    timers.advance(10);
+    log.appends = MemoryLog.Manner.SILENT;
+    List<JobOutcome> got = ask(smallService.submit(submission("j", new byte[50_000]), 10_000));
+    timers.advance(5_000);
+    int calls = log.appendCalls;
+    log.appends = MemoryLog.Manner.SOUND;
+    timers.advance(2_000);
+    assertThat(got, contains(new JobOutcome.Done()));
+    assertThat(log.appendCalls - calls, greaterThan(8));
+    timers.advance(200);
+    assertThat(smallLog.table().get("j").item("x").body().length, is(50_000));
+  }
+
   @Test
   void aReaderWaitsForAResult() {
     begin();
