--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -80,6 +80,11 @@
     return Optional.ofNullable(work == null ? null : work.runs.get(item)).map(ItemRun::history);
   }
 
+  /** Whether this node runs any job. */
+  public boolean hasJobs() {
+    return !jobs.isEmpty();
+  }
+
   /** Names of the jobs that this node runs. */
   public List<String> running() {
     return List.copyOf(jobs.keySet());
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -44,6 +44,7 @@
   private long next;
   private boolean caughtUp;
   private boolean closed;
+  private Timers.Timer pausing;
   private long startedAtMillis;
   private long answeredAtMillis = Long.MIN_VALUE;
   private long records;
@@ -126,12 +127,25 @@
     boolean some = deliver(batch);
     long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
     if (pause > 0) {
-      timers.after(pause, this::readOn);
+      pausing = timers.after(pause, this::endPause);
     } else {
       readOn();
     }
   }
 
+  private void endPause() {
+    pausing = null;
+    readOn();
+  }
+
+  /** Somebody waits for news of the stream: a pause between reads ends now. */
+  public void hurry() {
+    if (pausing != null) {
+      pausing.cancel();
+      endPause();
+    }
+  }
+
   /** Gives what was not given before; true if there was something. */
   private boolean deliver(LogService.Batch batch) {
     answeredAtMillis = timers.nowMillis();
--- a/node/src/main/java/org/passhaven/node/gateway/CalledJobs.java
+++ b/node/src/main/java/org/passhaven/node/gateway/CalledJobs.java
@@ -52,6 +52,10 @@
       called.keySet().removeIf(this::isOver);
     }
     called.computeIfAbsent(job, id -> new Called(from));
+    Job known = log.table().get(job);
+    if (known != null && known.isOpen()) {
+      log.onCall(known.submission().run());
+    }
     onListed(job);
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -2,6 +2,8 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -32,6 +34,17 @@
   private static final String TEXT_STREAM_PREFIX = "results.";
   private static final long RUNNER_PAUSE_MILLIS = 15;
   private static final long FOLLOWER_PAUSE_MILLIS = 100;
+
+  /** Pause where neither a caller nor a coming owner needs news: reads on demand look for it. */
+  private static final long IDLE_PAUSE_MILLIS = 1_000;
+
+  /** A caller that came this lately is likely to come again: trainers read twice a second. */
+  private static final long CALLED_MILLIS = 5_000;
+
+  /** Candidates behind these are patient for longer than {@link #IDLE_PAUSE_MILLIS}. */
+  private static final int CLOSE_CANDIDATES = 6;
+
+  private static final long RANK_AGAIN_MILLIS = 2_000;
   private static final long FORGET_PERIOD_MILLIS = 10_000;
   private static final long FIRST_READ_MILLIS = 350;
   private static final long START_SPACING_MILLIS = 50;
@@ -41,7 +54,10 @@
   private final HistoryReads history;
   private final ResultTexts texts;
   private final JobTable table = new JobTable();
-  private boolean started;
+  private final long[] calledAtMillis;
+  private final BitSet closeTo = new BitSet();
+  private long rankedAtMillis = Long.MIN_VALUE / 2;
+  private BeatTable beats;
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
   private final Set<String> ownStreams = new HashSet<>();
@@ -54,22 +70,48 @@
     this.history = new HistoryReads(context.log(), context.timers());
     this.texts = new ResultTexts(context);
     this.owners = new RunOwners(context.settings().node(), context.incarnation(), this::streamOf);
-    for (int partition = 0; partition < context.settings().jobPartitions(); partition++) {
-      String stream = STREAM_PREFIX + partition;
+    int partitions = context.settings().jobPartitions();
+    this.calledAtMillis = new long[partitions];
+    Arrays.fill(calledAtMillis, Long.MIN_VALUE / 2);
+    for (int partition = 0; partition < partitions; partition++) {
+      int followed = partition;
       tails.add(
           new LogTail(
               context.log(),
               context.timers(),
               history,
-              stream,
-              () -> pauseMillis(stream),
+              STREAM_PREFIX + partition,
+              () -> pauseMillis(followed),
               this::onRecord));
     }
   }
 
-  /** A node that runs nothing of a partition reads it for others' callers only: less often. */
-  private long pauseMillis(String stream) {
-    return ownStreams.contains(stream) ? RUNNER_PAUSE_MILLIS : FOLLOWER_PAUSE_MILLIS;
+  /** A node that runs nothing of a partition reads it less often, the less it is asked for it. */
+  private long pauseMillis(int partition) {
+    if (ownStreams.contains(STREAM_PREFIX + partition)) {
+      return RUNNER_PAUSE_MILLIS;
+    }
+    boolean isCalled = context.now() - calledAtMillis[partition] < CALLED_MILLIS;
+    return isCalled || isCloseCandidate(partition) ? FOLLOWER_PAUSE_MILLIS : IDLE_PAUSE_MILLIS;
+  }
+
+  private boolean isCloseCandidate(int partition) {
+    if (context.now() - rankedAtMillis >= RANK_AGAIN_MILLIS) {
+      rankedAtMillis = context.now();
+      closeTo.clear();
+      for (int each = 0; each < tails.size(); each++) {
+        String node = context.settings().node();
+        closeTo.set(each, beats.rankOf(STREAM_PREFIX + each, node) < CLOSE_CANDIDATES);
+      }
+    }
+    return closeTo.get(partition);
+  }
+
+  /** A caller has come for a job of a run: its partition is followed closely for a while. */
+  void onCall(String run) {
+    int partition = partitionOf(run);
+    calledAtMillis[partition] = context.now();
+    tails.get(partition).hurry();
   }
 
   /**
@@ -77,16 +119,16 @@
    * partition read it first: after the loss of all nodes, each one reads all of it, and together
    * they share what the log gives a second.
    *
-   * @param beats live nodes, by which candidates are ranked
+   * @param liveNodes live nodes, by which candidates are ranked
    */
-  public void start(BeatTable beats) {
-    if (started) {
+  public void start(BeatTable liveNodes) {
+    if (beats != null) {
       return;
     }
-    started = true;
+    beats = Objects.requireNonNull(liveNodes, "liveNodes");
     for (int partition = 0; partition < tails.size(); partition++) {
       LogTail tail = tails.get(partition);
-      long delayMillis = startDelayMillis(STREAM_PREFIX + partition, beats);
+      long delayMillis = startDelayMillis(STREAM_PREFIX + partition);
       if (delayMillis == 0) {
         tail.start(0);
       } else {
@@ -97,7 +139,7 @@
   }
 
   /** A node that knows nobody yet may be one of many that start: it can't tell its place. */
-  private long startDelayMillis(String stream, BeatTable beats) {
+  private long startDelayMillis(String stream) {
     if (beats.taking().isEmpty()) {
       return context.randomBelow().applyAsInt(MAX_START_DELAY_MILLIS);
     }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -190,7 +190,9 @@
     List.copyOf(log.table().open()).stream()
         .filter(job -> log.isCaughtUp(job.submission().run()))
         .forEach(this::takeOrDrop);
-    apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
+    if (scheduler.hasJobs()) {
+      apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
+    }
   }
 
   private void takeOrDrop(Job job) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -59,6 +59,7 @@
   /** Hands a job in; gives the outcome within {@code limitMillis}. */
   public Uni<JobOutcome> submit(JobSubmission submission, long limitMillis) {
     called.onCall(submission.id(), 0);
+    log.onCall(submission.run());
     long attempt = context.incarnation() ^ context.randomBelow().applyAsInt(Integer.MAX_VALUE);
     return durable(
         new Change(
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -35,6 +35,10 @@
   private static final long LOAD_LIMIT_MILLIS = 5_000;
   private static final long RETRY_MILLIS = 400;
   private static final long UNREACHABLE_MILLIS = 1_500;
+
+  /** Below the spacing of candidates, so that nobody is overtaken by one who looks later. */
+  private static final long STANDBY_MILLIS = 300;
+
   private final GatewayContext context;
   private final Directory directory;
   private final MemberAgent members;
@@ -42,6 +46,7 @@
   private final OrderLease lease;
   private final VersionOrderPlanner planner;
   private final LogTail tail;
+  private long decidedAtMillis = Long.MIN_VALUE / 2;
   private boolean wasHolder;
   private boolean stopping;
   private int ordersUnderWay;
@@ -103,11 +108,22 @@
     decide();
   }
 
+  /** Who neither orders nor is about to take over looks less often whether orders are due. */
+  private boolean isOnStandby(long nowMillis) {
+    return !lease.isHolder()
+        && members.beats().isTaking(lease.holder(), lease.holderIncarnation())
+        && nowMillis - decidedAtMillis < STANDBY_MILLIS;
+  }
+
   private void decide() {
     if (stopping || !tail.isCaughtUp()) {
       return;
     }
     long now = context.now();
+    if (isOnStandby(now)) {
+      return;
+    }
+    decidedAtMillis = now;
     WeightDemand demand = new WeightDemand(directory.newestVersions(), jobs.openItemsByModel());
     // Whether another holder is alive needs no watching where this node itself was the holder.
     boolean isFormerHolder = lease.holder().equals(context.settings().node());
