--- a/node/src/test/java/org/passhaven/node/follow/SharedStore.java
+++ b/node/src/test/java/org/passhaven/node/follow/SharedStore.java
@@ -14,13 +14,16 @@
  * A log whose readers share what it gives a second, as the users' platform does, and each of which
  * has a link of its own: answers leave in the order of the calls, and go over their reader's link
  * one after another. Each is as large as the platform's largest one, whatever number of records is
- * asked for. An answer that its caller has given up is sent all the same. While more than a while
- * of answers is waiting, calls are refused.
+ * asked for, unless fewer bytes are. An answer that its caller has given up is sent all the same.
+ * While more than a while of answers is waiting, calls are refused.
  */
 final class SharedStore {
   private static final int MAX_ANSWER_BYTES = 1 << 20;
   private static final long CALL_LIMIT_MILLIS = 1_200;
   private static final long MAX_QUEUE_MILLIS = 2_000;
+
+  private record Wanted(String stream, int from, int maxBytes) {}
+
   private final ManualTimers timers;
   private final double bytesPerMilli;
   private final Map<String, List<byte[]>> streams = new HashMap<>();
@@ -70,20 +73,28 @@
 
     @Override
     public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
+      return read(new Wanted(stream, (int) from, MAX_ANSWER_BYTES), waitMillis);
+    }
+
+    @Override
+    public Uni<Batch> readHistory(String stream, long from, int maxBytes) {
+      return read(new Wanted(stream, (int) from, Math.min(maxBytes, MAX_ANSWER_BYTES)), 0);
+    }
+
+    private Uni<Batch> read(Wanted wanted, long waitMillis) {
       long until = timers.nowMillis() + waitMillis;
-      Uni<Batch> answer =
-          Uni.createFrom().emitter(emitter -> answer(stream, (int) from, until, emitter));
+      Uni<Batch> answer = Uni.createFrom().emitter(emitter -> answer(wanted, until, emitter));
       return timers.limit(answer, waitMillis + CALL_LIMIT_MILLIS, "read");
     }
 
-    private void answer(String stream, int from, long until, UniEmitter<? super Batch> emitter) {
+    private void answer(Wanted wanted, long until, UniEmitter<? super Batch> emitter) {
       long now = timers.nowMillis();
-      if (from >= stream(stream).size() && now < until) {
-        timers.after(10, () -> answer(stream, from, until, emitter));
+      if (wanted.from() >= stream(wanted.stream()).size() && now < until) {
+        timers.after(10, () -> answer(wanted, until, emitter));
       } else if (busyUntilMillis - now > MAX_QUEUE_MILLIS) {
         emitter.fail(new PlatformException(PlatformException.Kind.NOT_RUN, "read: status 503"));
       } else {
-        send(answerFrom(stream, from), emitter);
+        send(answerTo(wanted), emitter);
       }
     }
 
@@ -98,11 +109,12 @@
     }
   }
 
-  private LogService.Batch answerFrom(String stream, int from) {
-    List<byte[]> all = stream(stream);
+  private LogService.Batch answerTo(Wanted wanted) {
+    List<byte[]> all = stream(wanted.stream());
+    int from = wanted.from();
     int end = Math.min(from, all.size());
     int bytes = 0;
-    while (end < all.size() && (end == from || bytes + all.get(end).length <= MAX_ANSWER_BYTES)) {
+    while (end < all.size() && (end == from || bytes + all.get(end).length <= wanted.maxBytes())) {
       bytes += all.get(end).length;
       end++;
     }
