--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -2,7 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,13 +14,11 @@
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.job.TextTable;
-import org.passhaven.core.route.Route;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
-import org.passhaven.protocol.job.ScoreCall;
 import org.passhaven.spi.BackEndException;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Call;
@@ -38,8 +35,6 @@
 public final class JobRunner {
   private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
   private static final long GENERATION_MILLIS = 30_000;
-  private static final long SCORE_MILLIS = 2_500;
-  private static final int SCORES_AT_ONCE = 48;
   private static final long LEAVE_TEXT_MILLIS = 500;
   private static final long SAVE_TEXTS_MILLIS = 250;
   private static final String POST = "POST";
@@ -47,13 +42,11 @@
   private final Directory directory;
   private final MemberAgent members;
   private final JobLog log;
-  private final RequestForwarder forwarder;
   private final ResultWriter results;
   private final JobScheduler scheduler;
   private final TextLog texts;
+  private final ScoreCalls scores;
   private final Map<Long, Cancellable> generations = new HashMap<>();
-  private final ArrayDeque<JobAction.Score> scoresWaiting = new ArrayDeque<>();
-  private int scoresInProgress;
   private boolean leaving;
   private boolean stopped;
   private boolean deciding;
@@ -69,10 +62,10 @@
     this.directory = Objects.requireNonNull(directory, "directory");
     this.members = Objects.requireNonNull(members, "members");
     this.log = Objects.requireNonNull(log, "log");
-    this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.results = new ResultWriter(context, log);
     this.scheduler = new JobScheduler(context.settings().zone());
     this.texts = new TextLog(context, log.history(), scheduler, this::decideSoon);
+    this.scores = new ScoreCalls(context, directory, forwarder, scheduler, this::apply);
     log.addListener(this::onRecord);
     log.addOwnerListener(this::decideSoon);
   }
@@ -271,8 +264,7 @@
       } else if (action instanceof JobAction.Stop stop) {
         stopGeneration(stop);
       } else if (action instanceof JobAction.Score score) {
-        scoresWaiting.add(score);
-        scoreNext();
+        scores.ask(score);
       } else if (action instanceof JobAction.Finish finish) {
         finish(finish.result());
       }
@@ -380,52 +372,4 @@
       case UNREACHABLE, CUT -> JobScheduler.Failure.CUT;
     };
   }
-
-  private void scoreNext() {
-    while (scoresInProgress < SCORES_AT_ONCE && !scoresWaiting.isEmpty()) {
-      JobAction.Score score = scoresWaiting.poll();
-      if (scheduler.isRunning(score.job().id())) {
-        score(score);
-      }
-    }
-  }
-
-  private void score(JobAction.Score action) {
-    ScoreCall score = action.item().score();
-    String job = action.job().id();
-    String item = action.item().id();
-    Optional<Route> route = directory.routes().find(score.host(), score.path());
-    if (route.isEmpty()) {
-      apply(scheduler.onScoreFailed(job, item, 0, 1, context.now()));
-      return;
-    }
-    scoresInProgress++;
-    Call call =
-        new Call(
-            score.id(), POST, score.path(), score.host(), List.of(), score.body(), SCORE_MILLIS);
-    forwarder
-        .forward(route.get(), call)
-        .subscribe()
-        .with(
-            outcome -> {
-              scoresInProgress--;
-              onScoreOutcome(job, item, route.get(), outcome);
-              scoreNext();
-            });
-  }
-
-  private void onScoreOutcome(String job, String item, Route route, ForwardOutcome outcome) {
-    if (outcome instanceof ForwardOutcome.Answered answered && answered.answer().isSuccess()) {
-      apply(scheduler.onScored(job, item, answered.answer().signature()));
-      return;
-    }
-    int mostErrors = Math.max(1, route.mostAttempts());
-    LOG.atInfo()
-        .addKeyValue("job", job)
-        .addKeyValue("item", item)
-        .addKeyValue("serverErrors", outcome.serverErrors())
-        .addKeyValue("outcome", outcome.getClass().getSimpleName())
-        .log("job: no score");
-    apply(scheduler.onScoreFailed(job, item, outcome.serverErrors(), mostErrors, context.now()));
-  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -39,6 +39,9 @@
   /** Below the spacing of candidates, so that nobody is overtaken by one who looks later. */
   private static final long STANDBY_MILLIS = 300;
 
+  /** News of loads comes in batches to those who don't order; entries of servers are older. */
+  private static final long STANDBY_READ_MILLIS = 150;
+
   private final GatewayContext context;
   private final Directory directory;
   private final MemberAgent members;
@@ -61,7 +64,8 @@
     GatewaySettings settings = context.settings();
     this.lease = new OrderLease(settings.node(), context.incarnation(), settings.lease());
     this.planner = new VersionOrderPlanner(settings.loads());
-    this.tail = new LogTail(context.log(), context.timers(), STREAM, () -> 0, this::onRecord);
+    this.tail =
+        new LogTail(context.log(), context.timers(), STREAM, this::pauseMillis, this::onRecord);
   }
 
   /** Begins to follow the lease and, as its holder, to order. */
@@ -108,6 +112,10 @@
     decide();
   }
 
+  private long pauseMillis() {
+    return lease.isHolder() ? 0 : STANDBY_READ_MILLIS;
+  }
+
   /** Who neither orders nor is about to take over looks less often whether orders are due. */
   private boolean isOnStandby(long nowMillis) {
     return !lease.isHolder()
