--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -0,0 +1,100 @@
+package org.passhaven.soak.plan;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/** One thing that is done to the system from outside. Times count from the start of traffic. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "fault")
+public sealed interface Fault {
+  /** Begin, in ms from the start of traffic. */
+  long atMillis();
+
+  /** Length in ms; 0 for what happens once. */
+  long forMillis();
+
+  /** Indexes of the nodes that are hit; empty where it concerns all or none of them. */
+  List<Integer> nodes();
+
+  /** Name of what is done, for counts. */
+  String kind();
+
+  /** A link is harmed. With {@link LinkKind#BACK_END} the indexes are those of back ends. */
+  record OnLink(
+      long atMillis, long forMillis, LinkKind link, LinkHarm harm, List<Integer> targets)
+      implements Fault {
+    /** Checks and copies. */
+    public OnLink {
+      checkTimes(atMillis, forMillis);
+      targets = List.copyOf(targets);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return link == LinkKind.BACK_END ? List.of() : targets;
+    }
+
+    @Override
+    public String kind() {
+      return "link-" + link + "-" + harm;
+    }
+  }
+
+  /** Processes are harmed; {@code forMillis} is the time until they run again. */
+  record OnProcess(long atMillis, long forMillis, ProcessHarm harm, List<Integer> nodes)
+      implements Fault {
+    /** Checks and copies. */
+    public OnProcess {
+      checkTimes(atMillis, forMillis);
+      nodes = List.copyOf(nodes);
+    }
+
+    @Override
+    public String kind() {
+      return "process-" + harm;
+    }
+  }
+
+  /** The store is harmed, for the given nodes or, if there are none, for all. */
+  record OnStore(long atMillis, long forMillis, StoreHarm harm, List<Integer> nodes)
+      implements Fault {
+    /** Checks and copies. */
+    public OnStore {
+      checkTimes(atMillis, forMillis);
+      nodes = List.copyOf(nodes);
+    }
+
+    @Override
+    public String kind() {
+      return "store-" + harm;
+    }
+  }
+
+  /** The operator or a back end does planned work. */
+  record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
+    /** Checks. */
+    public Change {
+      checkTimes(atMillis, 0);
+    }
+
+    @Override
+    public long forMillis() {
+      return 0;
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "change-" + change;
+    }
+  }
+
+  private static void checkTimes(long atMillis, long forMillis) {
+    if (atMillis < 0 || forMillis < 0) {
+      throw new IllegalArgumentException("times of a fault must not be negative");
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -0,0 +1,183 @@
+package org.passhaven.soak.plan;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Draws the plan of faults of a run from its seed; the same seed and settings give the same. */
+public final class FaultPlanner {
+  /** Quiet before the first fault: nodes come up and jobs begin. */
+  static final long CALM_START_MILLIS = 6_000;
+
+  /** Quiet at the end of a run without a final fault, so that the last promises bind again. */
+  static final long CALM_END_MILLIS = 8_000;
+
+  // The issue asks for faults in series and overlapping: pauses this long let time-bound checks
+  // bind, which need 3 s of calm before them, and a third of the episodes overlap the next.
+  private static final long LEAST_PAUSE_MILLIS = 1_000;
+  private static final long MOST_PAUSE_MILLIS = 7_000;
+  private static final int OVERLAP_ONE_IN = 3;
+  // Down times from a blip to what outlasts the silence after which a member is given up.
+  private static final long LEAST_HARM_MILLIS = 400;
+  private static final long MOST_HARM_MILLIS = 6_000;
+  private static final long ROLL_GAP_MILLIS = 1_500;
+  private static final long RESTART_MILLIS = 500;
+  // A final fault ends every second run, as the users' days partly do.
+  private static final int FINAL_FAULT_ONE_IN = 2;
+  private static final int ALL_AT_ONCE_ONE_IN = 4;
+
+  private enum Episode {
+    LINK,
+    PROCESS,
+    STORE,
+    CHANGE,
+    ALL_AT_ONCE,
+    ROLLING_RESTART
+  }
+
+  private final PlanSettings settings;
+  private final UniformRandomProvider random;
+  private final List<Fault> faults = new ArrayList<>();
+  private final List<Episode> bag = new ArrayList<>();
+  private final List<StoreHarm> storeBag = new ArrayList<>();
+  private final List<ProcessHarm> processBag = new ArrayList<>();
+
+  private FaultPlanner(long seed, PlanSettings settings) {
+    this.settings = settings;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+  }
+
+  /** The plan of a seed. */
+  public static FaultPlan plan(long seed, PlanSettings settings) {
+    return new FaultPlanner(seed, settings).plan(seed);
+  }
+
+  private FaultPlan plan(long seed) {
+    boolean isFinalFault =
+        random.nextInt(FINAL_FAULT_ONE_IN) == 0 || settings.isFinalFaultCertain();
+    long lastMillis = settings.trafficMillis() - CALM_END_MILLIS;
+    long atMillis = CALM_START_MILLIS;
+    while (atMillis < lastMillis) {
+      long endMillis = episode(atMillis);
+      atMillis = random.nextInt(OVERLAP_ONE_IN) == 0 ? midway(atMillis, endMillis) : endMillis;
+      atMillis += between(LEAST_PAUSE_MILLIS, MOST_PAUSE_MILLIS);
+    }
+    faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
+    faults.sort(Comparator.comparingLong(Fault::atMillis));
+    return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
+  }
+
+  /** Adds one episode and tells when it ends. */
+  private long episode(long atMillis) {
+    long forMillis = between(LEAST_HARM_MILLIS, MOST_HARM_MILLIS);
+    return switch (draw(bag, Episode.values())) {
+      case LINK -> link(atMillis, forMillis);
+      case PROCESS ->
+          add(
+              new Fault.OnProcess(
+                  atMillis, forMillis, draw(processBag, ProcessHarm.values()), someNodes()));
+      case STORE -> store(atMillis, forMillis);
+      case CHANGE -> change(atMillis);
+      case ALL_AT_ONCE -> allAtOnce(atMillis, forMillis);
+      case ROLLING_RESTART -> rollingRestart(atMillis);
+    };
+  }
+
+  private long link(long atMillis, long forMillis) {
+    LinkKind kind = one(LinkKind.values());
+    List<Integer> targets =
+        kind == LinkKind.BACK_END
+            ? List.of(random.nextInt(settings.backEndCount()))
+            : someNodes();
+    LinkHarm harm = one(LinkHarm.values());
+    return add(
+        new Fault.OnLink(atMillis, harm == LinkHarm.RESET ? 0 : forMillis, kind, harm, targets));
+  }
+
+  private long store(long atMillis, long forMillis) {
+    StoreHarm harm = draw(storeBag, StoreHarm.values());
+    return switch (harm) {
+      case FORGETS_HISTORY, DEALS_GROUPS_ANEW ->
+          add(new Fault.OnStore(atMillis, 0, harm, List.of()));
+      case SLOW, DOWN, LOSES_ANSWERS, DONE_LATE ->
+          add(new Fault.OnStore(atMillis, forMillis, harm, List.of()));
+      case REFUSES_SOME, RESETS_SOME, SILENT_FOR_SOME, THROTTLES_SOME ->
+          add(new Fault.OnStore(atMillis, forMillis, harm, someNodes()));
+    };
+  }
+
+  private long change(long atMillis) {
+    return add(
+        new Fault.Change(
+            atMillis, one(OperatorChange.values()), random.nextInt(settings.backEndCount())));
+  }
+
+  private long allAtOnce(long atMillis, long forMillis) {
+    ProcessHarm harm = random.nextBoolean() ? ProcessHarm.KILL : ProcessHarm.POWER_LOSS;
+    return add(new Fault.OnProcess(atMillis, forMillis, harm, allNodes()));
+  }
+
+  /** Restarts some nodes in turn while the configuration changes; trainers name versions anyway. */
+  private long rollingRestart(long atMillis) {
+    long nextMillis = atMillis;
+    for (int node : shuffled(allNodes()).subList(0, Math.min(3, settings.nodeCount()))) {
+      add(
+          new Fault.OnProcess(
+              nextMillis, RESTART_MILLIS, ProcessHarm.TERMINATE, List.of(node)));
+      nextMillis += ROLL_GAP_MILLIS;
+    }
+    change(midway(atMillis, nextMillis));
+    return nextMillis;
+  }
+
+  private long add(Fault fault) {
+    faults.add(fault);
+    return fault.atMillis() + fault.forMillis();
+  }
+
+  private List<Integer> someNodes() {
+    if (random.nextInt(ALL_AT_ONCE_ONE_IN) == 0) {
+      return allNodes();
+    }
+    int most = Math.max(1, settings.nodeCount() / 2);
+    return shuffled(allNodes()).subList(0, 1 + random.nextInt(most)).stream().sorted().toList();
+  }
+
+  private List<Integer> allNodes() {
+    return IntStream.range(0, settings.nodeCount()).boxed().toList();
+  }
+
+  private <T> T one(T[] values) {
+    return values[random.nextInt(values.length)];
+  }
+
+  /** Draws without putting back until the bag is empty, so that a run sees many kinds. */
+  private <T> T draw(List<T> left, T[] values) {
+    if (left.isEmpty()) {
+      left.addAll(shuffled(List.of(values)));
+    }
+    return left.remove(left.size() - 1);
+  }
+
+  private <T> List<T> shuffled(List<T> values) {
+    List<T> shuffled = new ArrayList<>(values);
+    for (int i = shuffled.size() - 1; i > 0; i--) {
+      int other = random.nextInt(i + 1);
+      T swapped = shuffled.get(i);
+      shuffled.set(i, shuffled.get(other));
+      shuffled.set(other, swapped);
+    }
+    return shuffled;
+  }
+
+  private long between(long least, long most) {
+    return least + random.nextLong(most - least + 1);
+  }
+
+  private static long midway(long firstMillis, long secondMillis) {
+    return (firstMillis + secondMillis) / 2;
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/plan/ProcessHarm.java
@@ -0,0 +1,13 @@
+package org.passhaven.soak.plan;
+
+/** What happens to the process of a node. */
+public enum ProcessHarm {
+  /** Stopped by a signal, and continued later. */
+  FREEZE,
+  /** Asked to end, and started again once it is gone. */
+  TERMINATE,
+  /** Killed, and started again later. */
+  KILL,
+  /** Its links fall silent, it is killed, and it is started again later. */
+  POWER_LOSS
+}
--- /dev/null
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -0,0 +1,91 @@
+package org.passhaven.soak.plan;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+class FaultPlannerTest {
+  private static final long TRAFFIC_MILLIS = 180_000;
+  private static final PlanSettings SETTINGS = new PlanSettings(5, 4, TRAFFIC_MILLIS, false);
+  private static final int SEEDS = 60;
+
+  private static List<FaultPlan> plans() {
+    return LongStream.range(0, SEEDS)
+        .mapToObj(seed -> FaultPlanner.plan(seed, SETTINGS))
+        .toList();
+  }
+
+  @Test
+  void theSameSeedGivesTheSamePlanAndAnotherSeedAnother() {
+    assertThat(FaultPlanner.plan(7, SETTINGS), equalTo(FaultPlanner.plan(7, SETTINGS)));
+    assertThat(
+        FaultPlanner.plan(7, SETTINGS).faults(),
+        not(equalTo(FaultPlanner.plan(8, SETTINGS).faults())));
+  }
+
+  @Test
+  void everyFaultLiesBetweenTheCalmOfStartAndEndAndHitsNodesThatExist() {
+    for (FaultPlan plan : plans()) {
+      assertThat(plan.faults().size(), greaterThan(5));
+      for (Fault fault : plan.faults()) {
+        assertThat(fault.atMillis(), greaterThanOrEqualTo(FaultPlanner.CALM_START_MILLIS));
+        assertThat(
+            fault.atMillis() + fault.forMillis(),
+            lessThan(TRAFFIC_MILLIS - FaultPlanner.CALM_END_MILLIS + 1));
+        fault.nodes().forEach(node -> assertThat(node, lessThan(SETTINGS.nodeCount())));
+      }
+    }
+  }
+
+  @Test
+  void seedsTogetherPlanEveryHarmAndSomeOverlap() {
+    Set<String> kinds =
+        plans().stream()
+            .flatMap(plan -> plan.faults().stream())
+            .map(Fault::kind)
+            .collect(Collectors.toSet());
+    for (ProcessHarm harm : ProcessHarm.values()) {
+      assertThat(kinds, hasItem("process-" + harm));
+    }
+    for (StoreHarm harm : StoreHarm.values()) {
+      assertThat(kinds, hasItem("store-" + harm));
+    }
+    for (LinkHarm harm : LinkHarm.values()) {
+      assertThat(kinds, hasItem("link-STORE-" + harm));
+    }
+    assertThat(plans().stream().anyMatch(FaultPlannerTest::overlaps), equalTo(true));
+  }
+
+  @Test
+  void aFinalFaultEndsSomeRunsOrAllWhereItIsAskedFor() {
+    long some = plans().stream().filter(FaultPlan::isFinalFault).count();
+    assertThat(some, greaterThan(10L));
+    assertThat(some, lessThan(50L));
+    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true);
+    assertThat(
+        LongStream.range(0, SEEDS)
+            .allMatch(seed -> FaultPlanner.plan(seed, certain).isFinalFault()),
+        equalTo(true));
+  }
+
+  private static boolean overlaps(FaultPlan plan) {
+    List<Fault> faults = plan.faults();
+    for (int i = 1; i < faults.size(); i++) {
+      Fault before = faults.get(i - 1);
+      if (before.atMillis() + before.forMillis() > faults.get(i).atMillis()) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
