--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -19,8 +19,7 @@
   String kind();
 
   /** A link is harmed. With {@link LinkKind#BACK_END} the indexes are those of back ends. */
-  record OnLink(
-      long atMillis, long forMillis, LinkKind link, LinkHarm harm, List<Integer> targets)
+  record OnLink(long atMillis, long forMillis, LinkKind link, LinkHarm harm, List<Integer> targets)
       implements Fault {
     /** Checks and copies. */
     public OnLink {
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -89,9 +89,7 @@
   private long link(long atMillis, long forMillis) {
     LinkKind kind = one(LinkKind.values());
     List<Integer> targets =
-        kind == LinkKind.BACK_END
-            ? List.of(random.nextInt(settings.backEndCount()))
-            : someNodes();
+        kind == LinkKind.BACK_END ? List.of(random.nextInt(settings.backEndCount())) : someNodes();
     LinkHarm harm = one(LinkHarm.values());
     return add(
         new Fault.OnLink(atMillis, harm == LinkHarm.RESET ? 0 : forMillis, kind, harm, targets));
@@ -124,9 +122,7 @@
   private long rollingRestart(long atMillis) {
     long nextMillis = atMillis;
     for (int node : shuffled(allNodes()).subList(0, Math.min(3, settings.nodeCount()))) {
-      add(
-          new Fault.OnProcess(
-              nextMillis, RESTART_MILLIS, ProcessHarm.TERMINATE, List.of(node)));
+      add(new Fault.OnProcess(nextMillis, RESTART_MILLIS, ProcessHarm.TERMINATE, List.of(node)));
       nextMillis += ROLL_GAP_MILLIS;
     }
     change(midway(atMillis, nextMillis));
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -20,9 +20,7 @@
   private static final int SEEDS = 60;
 
   private static List<FaultPlan> plans() {
-    return LongStream.range(0, SEEDS)
-        .mapToObj(seed -> FaultPlanner.plan(seed, SETTINGS))
-        .toList();
+    return LongStream.range(0, SEEDS).mapToObj(seed -> FaultPlanner.plan(seed, SETTINGS)).toList();
   }
 
   @Test
