--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/check/Judge.java
@@ -0,0 +1,44 @@
+package org.passhaven.soak.check;
+
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** All checks. */
+public final class Judge {
+  private static final Map<Promise, Check> CHECKS = checks();
+
+  private Judge() {}
+
+  /** Judges every promise, in their order. */
+  public static List<Tally> judge(Evidence evidence) {
+    return CHECKS.entrySet().stream()
+        .map(
+            entry -> {
+              Tally tally = new Tally(entry.getKey());
+              entry.getValue().judge(evidence, tally);
+              return tally;
+            })
+        .toList();
+  }
+
+  private static Map<Promise, Check> checks() {
+    Map<Promise, Check> checks = new EnumMap<>(Promise.class);
+    checks.put(Promise.JOB_KEPT, JobChecks::jobKept);
+    checks.put(Promise.RESULT_UNCHANGED, JobChecks::resultUnchanged);
+    checks.put(Promise.READ_BACK, ReadBackCheck::judge);
+    checks.put(Promise.BODY_KEPT, JobChecks::bodyKept);
+    checks.put(Promise.WHOLE_ANSWER, ResultChecks::wholeAnswer);
+    checks.put(Promise.TRUTHFUL_VERSIONS, ResultChecks::truthfulVersions);
+    checks.put(Promise.AT_MOST_ONCE, RunChecks::atMostOnce);
+    checks.put(Promise.REFUSED_NOT_RUN, RunChecks::refusedNotRun);
+    checks.put(Promise.NOTHING_UNASKED, RunChecks::nothingUnasked);
+    checks.put(Promise.CONFIGURATION_IN_TIME, ConfigurationCheck::judge);
+    checks.put(Promise.ONE_HOLDER, OrderCheck::judge);
+    checks.put(Promise.QUIET_AFTER_END, RunChecks::quietAfterEnd);
+    checks.put(Promise.QUIET_AFTER_DRAIN, RunChecks::quietAfterDrain);
+    checks.put(Promise.PROCESS_STAYS, RunChecks::processStays);
+    return Collections.unmodifiableMap(checks);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -0,0 +1,33 @@
+package org.passhaven.soak.check;
+
+/** What the system promises to those outside. */
+public enum Promise {
+  /** A job that was accepted is found at every node for as long as promised. */
+  JOB_KEPT,
+  /** A result once read stays at its position, unchanged, at every node. */
+  RESULT_UNCHANGED,
+  /** After the end of the run all that is still promised is read back from every node. */
+  READ_BACK,
+  /** The body of an item that is open is found, with its bytes. */
+  BODY_KEPT,
+  /** An answer or text that looks complete is the whole one, of this request. */
+  WHOLE_ANSWER,
+  /** A result tells the versions that made it, and they are allowed. */
+  TRUTHFUL_VERSIONS,
+  /** A request that can't be repeated runs once at most. */
+  AT_MOST_ONCE,
+  /** What was refused does not run. */
+  REFUSED_NOT_RUN,
+  /** Nothing runs that nobody asked for, or that was changed on the way. */
+  NOTHING_UNASKED,
+  /** A request is handled as the configuration in force says. */
+  CONFIGURATION_IN_TIME,
+  /** Orders to a back end come from one holder at a time. */
+  ONE_HOLDER,
+  /** An item isn't begun once the end of its job has been acknowledged. */
+  QUIET_AFTER_END,
+  /** Nothing is begun at a back end once its drain has been acknowledged. */
+  QUIET_AFTER_DRAIN,
+  /** No process ends by itself. */
+  PROCESS_STAYS
+}
