--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -0,0 +1,148 @@
+package org.passhaven.soak.fault;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.passhaven.soak.plan.Fault;
+import org.passhaven.soak.plan.LinkHarm;
+import org.passhaven.soak.plan.LinkKind;
+import org.passhaven.soak.plan.ProcessHarm;
+import org.passhaven.soak.plan.StoreHarm;
+
+/**
+ * The faults in force. Where several concern the same thing the newest holds, and the thing is
+ * sound again when the last of them has ended. Used by one thread.
+ */
+final class ActiveFaults {
+  private final Hands hands;
+  private final Map<Integer, Integer> downCounts = new HashMap<>();
+  private final Map<Integer, Integer> frozenCounts = new HashMap<>();
+  private final Map<LinkEnd, List<LinkHarm>> links = new HashMap<>();
+  private final Map<Integer, List<StoreHarm>> stores = new HashMap<>();
+
+  private record LinkEnd(LinkKind link, int target) {}
+
+  ActiveFaults(Hands hands) {
+    this.hands = hands;
+  }
+
+  /** A fault begins. With {@link ProcessHarm#TERMINATE} its end follows when a process is gone. */
+  void begin(Fault fault) {
+    if (fault instanceof Fault.OnLink onLink) {
+      onLink.targets().forEach(target -> beginLink(onLink, target));
+    } else if (fault instanceof Fault.OnProcess onProcess) {
+      onProcess.nodes().forEach(node -> beginProcess(onProcess.harm(), node));
+    } else if (fault instanceof Fault.OnStore onStore) {
+      beginStore(onStore);
+    } else if (fault instanceof Fault.Change change) {
+      hands.change(change.change(), change.backEnd());
+    }
+  }
+
+  /** A fault ends. */
+  void end(Fault fault) {
+    if (fault instanceof Fault.OnLink onLink && onLink.harm() != LinkHarm.RESET) {
+      onLink.targets().forEach(target -> endLink(onLink.link(), target, onLink.harm()));
+    } else if (fault instanceof Fault.OnProcess onProcess) {
+      onProcess.nodes().forEach(node -> endProcess(onProcess.harm(), node));
+    } else if (fault instanceof Fault.OnStore onStore && !isAtOnce(onStore.harm())) {
+      storeNodes(onStore).forEach(node -> endStore(node, onStore.harm()));
+    }
+  }
+
+  private void beginLink(Fault.OnLink fault, int target) {
+    if (fault.harm() == LinkHarm.RESET) {
+      hands.reset(fault.link(), target);
+    } else {
+      beginLink(fault.link(), target, fault.harm());
+    }
+  }
+
+  private void beginLink(LinkKind link, int target, LinkHarm harm) {
+    links.computeIfAbsent(new LinkEnd(link, target), key -> new ArrayList<>()).add(harm);
+    hands.link(link, target, Optional.of(harm));
+  }
+
+  private void endLink(LinkKind link, int target, LinkHarm harm) {
+    List<LinkHarm> left = links.getOrDefault(new LinkEnd(link, target), List.of());
+    left.remove(harm);
+    hands.link(link, target, newest(left));
+  }
+
+  private void beginProcess(ProcessHarm harm, int node) {
+    switch (harm) {
+      case FREEZE -> {
+        frozenCounts.merge(node, 1, Integer::sum);
+        hands.freeze(node);
+      }
+      case TERMINATE -> downCounts.merge(node, 1, Integer::sum);
+      case KILL -> kill(node);
+      case POWER_LOSS -> {
+        // What is on its way when the power goes neither arrives nor is answered.
+        beginLink(LinkKind.STORE, node, LinkHarm.SILENCE);
+        beginLink(LinkKind.CALLERS, node, LinkHarm.SILENCE);
+        kill(node);
+      }
+    }
+  }
+
+  private void kill(int node) {
+    downCounts.merge(node, 1, Integer::sum);
+    hands.kill(node);
+  }
+
+  private void endProcess(ProcessHarm harm, int node) {
+    switch (harm) {
+      case FREEZE -> {
+        if (frozenCounts.merge(node, -1, Integer::sum) == 0) {
+          hands.thaw(node);
+        }
+      }
+      case TERMINATE, KILL -> up(node);
+      case POWER_LOSS -> {
+        hands.reset(LinkKind.STORE, node);
+        hands.reset(LinkKind.CALLERS, node);
+        endLink(LinkKind.STORE, node, LinkHarm.SILENCE);
+        endLink(LinkKind.CALLERS, node, LinkHarm.SILENCE);
+        up(node);
+      }
+    }
+  }
+
+  private void up(int node) {
+    if (downCounts.merge(node, -1, Integer::sum) == 0) {
+      hands.start(node);
+    }
+  }
+
+  private void beginStore(Fault.OnStore fault) {
+    if (isAtOnce(fault.harm())) {
+      hands.storeOnce(fault.harm());
+      return;
+    }
+    for (int node : storeNodes(fault)) {
+      stores.computeIfAbsent(node, key -> new ArrayList<>()).add(fault.harm());
+      hands.store(node, Optional.of(fault.harm()));
+    }
+  }
+
+  private void endStore(int node, StoreHarm harm) {
+    List<StoreHarm> left = stores.getOrDefault(node, List.of());
+    left.remove(harm);
+    hands.store(node, newest(left));
+  }
+
+  private static boolean isAtOnce(StoreHarm harm) {
+    return harm == StoreHarm.FORGETS_HISTORY || harm == StoreHarm.DEALS_GROUPS_ANEW;
+  }
+
+  private static List<Integer> storeNodes(Fault.OnStore fault) {
+    return fault.nodes().isEmpty() ? List.of(Hands.ALL) : fault.nodes();
+  }
+
+  private static <T> Optional<T> newest(List<T> left) {
+    return left.isEmpty() ? Optional.empty() : Optional.of(left.get(left.size() - 1));
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -0,0 +1,43 @@
+package org.passhaven.soak.fault;
+
+import java.util.Optional;
+import org.passhaven.soak.plan.LinkHarm;
+import org.passhaven.soak.plan.LinkKind;
+import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.StoreHarm;
+
+/** What can be done to the system from outside. Nodes and back ends are given by their index. */
+public interface Hands {
+  /** In place of a node's index: all of them. */
+  int ALL = -1;
+
+  /** Starts a node's process unless it runs. */
+  void start(int node);
+
+  /** Ends a node's process at once. */
+  void kill(int node);
+
+  /** Asks a node's process to end, ends it after its grace, and then tells. */
+  void terminate(int node, Runnable whenGone);
+
+  /** Stops a node's process where it stands. */
+  void freeze(int node);
+
+  /** Lets a node's process go on. */
+  void thaw(int node);
+
+  /** Sets how a link behaves; empty for a sound one. */
+  void link(LinkKind link, int target, Optional<LinkHarm> harm);
+
+  /** Resets the open connections of a link. */
+  void reset(LinkKind link, int target);
+
+  /** Sets how the store behaves to a node; empty for as it should. */
+  void store(int node, Optional<StoreHarm> harm);
+
+  /** Does to the store what happens at once. */
+  void storeOnce(StoreHarm harm);
+
+  /** Does planned work. */
+  void change(OperatorChange change, int backEnd);
+}
--- /dev/null
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -0,0 +1,62 @@
+package org.passhaven.soak.fault;
+
+import java.util.List;
+import java.util.Optional;
+import org.passhaven.soak.plan.LinkHarm;
+import org.passhaven.soak.plan.LinkKind;
+import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.StoreHarm;
+
+/** Hands that only note what they are asked to do. */
+record RecordingHands(List<String> done) implements Hands {
+  @Override
+  public void start(int node) {
+    done.add("start " + node);
+  }
+
+  @Override
+  public void kill(int node) {
+    done.add("kill " + node);
+  }
+
+  @Override
+  public void terminate(int node, Runnable whenGone) {
+    done.add("terminate " + node);
+    whenGone.run();
+  }
+
+  @Override
+  public void freeze(int node) {
+    done.add("freeze " + node);
+  }
+
+  @Override
+  public void thaw(int node) {
+    done.add("thaw " + node);
+  }
+
+  @Override
+  public void link(LinkKind link, int target, Optional<LinkHarm> harm) {
+    done.add("link " + link + " " + target + " " + harm.map(Enum::name).orElse(""));
+  }
+
+  @Override
+  public void reset(LinkKind link, int target) {
+    done.add("reset " + link + " " + target);
+  }
+
+  @Override
+  public void store(int node, Optional<StoreHarm> harm) {
+    done.add("store " + node + " " + harm.map(Enum::name).orElse(""));
+  }
+
+  @Override
+  public void storeOnce(StoreHarm harm) {
+    done.add("once " + harm);
+  }
+
+  @Override
+  public void change(OperatorChange change, int backEnd) {
+    done.add("change " + change + " " + backEnd);
+  }
+}
