--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -36,6 +36,8 @@
       onProcess.nodes().forEach(node -> beginProcess(onProcess.harm(), node));
     } else if (fault instanceof Fault.OnStore onStore) {
       beginStore(onStore);
+    } else if (fault instanceof Fault.OnBackEnd on) {
+      hands.harmBackEnd(on.backEnd(), on.harm(), on.forMillis());
     } else if (fault instanceof Fault.Change change) {
       hands.change(change.change(), change.backEnd());
     }
@@ -49,6 +51,8 @@
       onProcess.nodes().forEach(node -> endProcess(onProcess.harm(), node));
     } else if (fault instanceof Fault.OnStore onStore && !isAtOnce(onStore.harm())) {
       storeNodes(onStore).forEach(node -> endStore(node, onStore.harm()));
+    } else if (fault instanceof Fault.OnBackEnd on) {
+      hands.healBackEnd(on.backEnd(), on.harm());
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -1,6 +1,7 @@
 package org.passhaven.soak.fault;
 
 import java.util.Optional;
+import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -38,6 +39,12 @@
   /** Does to the store what happens at once. */
   void storeOnce(StoreHarm harm);
 
+  /** A back end's harm begins; a crash lasts for the given time. */
+  void harmBackEnd(int backEnd, BackEndHarm harm, long forMillis);
+
+  /** A back end's harm is over. */
+  void healBackEnd(int backEnd, BackEndHarm harm);
+
   /** Does planned work. */
   void change(OperatorChange change, int backEnd);
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -68,6 +68,24 @@
     }
   }
 
+  /** A back end is harmed; with a crash {@code forMillis} is the time until it runs again. */
+  record OnBackEnd(long atMillis, long forMillis, BackEndHarm harm, int backEnd) implements Fault {
+    /** Checks. */
+    public OnBackEnd {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "backend-" + harm;
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -33,6 +33,7 @@
     LINK,
     PROCESS,
     STORE,
+    BACK_END,
     CHANGE,
     ALL_AT_ONCE,
     ROLLING_RESTART
@@ -80,6 +81,13 @@
               new Fault.OnProcess(
                   atMillis, forMillis, draw(processBag, ProcessHarm.values()), someNodes()));
       case STORE -> store(atMillis, forMillis);
+      case BACK_END ->
+          add(
+              new Fault.OnBackEnd(
+                  atMillis,
+                  forMillis,
+                  one(BackEndHarm.values()),
+                  random.nextInt(settings.backEndCount())));
       case CHANGE -> change(atMillis);
       case ALL_AT_ONCE -> allAtOnce(atMillis, forMillis);
       case ROLLING_RESTART -> rollingRestart(atMillis);
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -0,0 +1,32 @@
+package org.passhaven.soak.run;
+
+import java.nio.file.Path;
+
+/**
+ * One run.
+ *
+ * @param seed gives the plan and all that is drawn
+ * @param nodeCount processes of the system
+ * @param trafficMillis time from the first job to the last, in ms
+ * @param isFinalFaultCertain whether the run must end with the loss of all nodes at once
+ * @param isCalm whether nothing at all is done to the system but a final fault
+ * @param load how much is asked of it
+ * @param repository where the program was built
+ * @param folder where the run leaves its files
+ */
+public record SoakSettings(
+    long seed,
+    int nodeCount,
+    long trafficMillis,
+    boolean isFinalFaultCertain,
+    boolean isCalm,
+    SoakLoad load,
+    Path repository,
+    Path folder) {
+  /** Checks. */
+  public SoakSettings {
+    if (nodeCount < 1 || trafficMillis < 1) {
+      throw new IllegalArgumentException("a soak needs nodes and time");
+    }
+  }
+}
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
+import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
@@ -81,6 +82,14 @@
             "start 3"));
   }
 
+  @Test
+  void aBackEndIsHarmedAndHealed() {
+    Fault hang = new Fault.OnBackEnd(0, 10, BackEndHarm.HANG, 1);
+    active.begin(hang);
+    active.end(hang);
+    assertThat(done, contains("harm 1 HANG 10", "heal 1 HANG"));
+  }
+
   @Test
   void aScheduleDoesEachFaultAndStartsATerminatedNodeOnceItIsGone() throws Exception {
     try (FaultSchedule schedule = new FaultSchedule(new RecordingHands(done))) {
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -55,6 +56,16 @@
     done.add("once " + harm);
   }
 
+  @Override
+  public void harmBackEnd(int backEnd, BackEndHarm harm, long forMillis) {
+    done.add("harm " + backEnd + " " + harm + " " + forMillis);
+  }
+
+  @Override
+  public void healBackEnd(int backEnd, BackEndHarm harm) {
+    done.add("heal " + backEnd + " " + harm);
+  }
+
   @Override
   public void change(OperatorChange change, int backEnd) {
     done.add("change " + change + " " + backEnd);
