--- a/cli/src/main/java/org/passhaven/cli/Main.java
+++ b/cli/src/main/java/org/passhaven/cli/Main.java
@@ -24,6 +24,7 @@
           new CapacityCommand(),
           new NodeCommand(),
           new EmulatorCommand(),
+          new SoakCommand(),
           new ValidateCommand(),
           new ApplyCommand(),
           new DiffCommand(),
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -108,7 +108,7 @@
     return switch (harm) {
       case FORGETS_HISTORY, DEALS_GROUPS_ANEW ->
           add(new Fault.OnStore(atMillis, 0, harm, List.of()));
-      case SLOW, DOWN, LOSES_ANSWERS, DONE_LATE ->
+      case SLOW, DOWN, PARTLY_DOWN, LOSES_ANSWERS, DONE_LATE ->
           add(new Fault.OnStore(atMillis, forMillis, harm, List.of()));
       case REFUSES_SOME, RESETS_SOME, SILENT_FOR_SOME, THROTTLES_SOME ->
           add(new Fault.OnStore(atMillis, forMillis, harm, someNodes()));
--- a/soak/src/main/java/org/passhaven/soak/plan/StoreHarm.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/StoreHarm.java
@@ -6,6 +6,8 @@
   SLOW,
   /** Every call of every node is refused. */
   DOWN,
+  /** Calls that concern some partitions are refused. */
+  PARTLY_DOWN,
   /** The calls of some nodes are refused. */
   REFUSES_SOME,
   /** The connections of some nodes are reset. */
--- a/soak/src/main/java/org/passhaven/soak/run/HistoryLog.java
+++ b/soak/src/main/java/org/passhaven/soak/run/HistoryLog.java
@@ -13,7 +13,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.passhaven.platform.standin.history.Hashes;
 import org.passhaven.platform.standin.history.JobObservation.Result;
@@ -38,7 +37,7 @@
   private final BufferedWriter writer;
   private final List<Observation> observations = new ArrayList<>();
   private final Map<String, String> digests = new HashMap<>();
-  private final Map<String, AtomicLong> counts = new HashMap<>();
+  private final Map<String, Long> counts = new HashMap<>();
   private boolean isClosed;
 
   /** A history that is written to a file. */
@@ -53,9 +52,7 @@
       return;
     }
     Observation slim = observation instanceof ResultsRead read ? slim(read) : observation;
-    counts
-        .computeIfAbsent(slim.getClass().getSimpleName(), name -> new AtomicLong())
-        .incrementAndGet();
+    counts.merge(slim.getClass().getSimpleName(), 1L, Long::sum);
     // Servers make many events; what they were is told by the texts.
     if (!(slim instanceof EventMade)) {
       observations.add(slim);
@@ -70,10 +67,9 @@
     return sorted;
   }
 
-  /** How often a kind was seen so far, by the simple name of its type. */
-  public synchronized long count(String kind) {
-    AtomicLong count = counts.get(kind);
-    return count == null ? 0 : count.get();
+  /** How often each kind was seen so far, by the simple name of its type. */
+  public synchronized Map<String, Long> counts() {
+    return Map.copyOf(counts);
   }
 
   /** Takes nothing more. */
@@ -112,9 +108,7 @@
     String key = result.item() + "/" + Hashes.of(result.text());
     String digest =
         digests.computeIfAbsent(
-            key,
-            ignored ->
-                TextDigest.of(result.item(), result.text(), eventCharacters).format());
+            key, ignored -> TextDigest.of(result.item(), result.text(), eventCharacters).format());
     return new Result(
         result.position(),
         result.item(),
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -0,0 +1,183 @@
+package org.passhaven.soak.run;
+
+import io.vertx.core.Future;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.passhaven.platform.standin.StandinPlatform;
+import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
+import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.platform.standin.server.ServerControl;
+import org.passhaven.platform.standin.store.StoreFault;
+import org.passhaven.soak.fault.Hands;
+import org.passhaven.soak.plan.BackEndHarm;
+import org.passhaven.soak.plan.LinkHarm;
+import org.passhaven.soak.plan.LinkKind;
+import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.StoreHarm;
+import org.passhaven.soak.proxy.LinkProxy;
+import org.passhaven.soak.proxy.LinkState;
+
+/** Does things to the real processes, links and the stand-in. */
+final class SoakHands implements Hands {
+  // Longer than a node's usual call and shorter than its patience with the store.
+  private static final long LINK_DELAY_MILLIS = 250;
+  private static final long STORE_DELAY_MILLIS = 400;
+  // The platform's page says that a call may yet be done seconds afterwards.
+  private static final long DONE_LATE_MILLIS = 2_000;
+  private static final double SLOW_FACTOR = 5;
+  // Back ends serve somewhat longer than due after a drain.
+  private static final long DRAIN_LONGER_MILLIS = 1_000;
+  private static final Set<Integer> PARTITIONS_DOWN = Set.of(0, 1);
+
+  private final Nodes nodes;
+  private final Links links;
+  private final StandinPlatform platform;
+  private final Consumer<Observation> history;
+  private final boolean losesByReset;
+  private final AtomicReference<Future<Void>> change =
+      new AtomicReference<>(Future.succeededFuture());
+
+  SoakHands(
+      SoakSettings settings,
+      Nodes nodes,
+      Links links,
+      StandinPlatform platform,
+      Consumer<Observation> history) {
+    this.nodes = nodes;
+    this.links = links;
+    this.platform = platform;
+    this.history = history;
+    this.losesByReset = settings.seed() % 2 == 0;
+  }
+
+  @Override
+  public void start(int node) {
+    nodes.process(node).start();
+  }
+
+  @Override
+  public void kill(int node) {
+    nodes.process(node).kill();
+  }
+
+  @Override
+  public void terminate(int node, Runnable whenGone) {
+    nodes.terminate(node, whenGone);
+  }
+
+  @Override
+  public void freeze(int node) {
+    nodes.process(node).freeze();
+  }
+
+  @Override
+  public void thaw(int node) {
+    nodes.process(node).thaw();
+  }
+
+  @Override
+  public void link(LinkKind link, int target, Optional<LinkHarm> harm) {
+    LinkState state = harm.map(SoakHands::state).orElse(LinkState.SOUND);
+    if (harm.isPresent()) {
+      tell(link, target, harm.get().name());
+    }
+    links.each(link, target, proxy -> proxy.set(state));
+    if (harm.isEmpty()) {
+      tell(link, target, "");
+    }
+  }
+
+  private static LinkState state(LinkHarm harm) {
+    return switch (harm) {
+      case DELAY -> LinkState.delayed(LINK_DELAY_MILLIS);
+      case CUT_OUT -> new LinkState(0, true, false);
+      case CUT_BACK -> new LinkState(0, false, true);
+      case SILENCE -> new LinkState(0, true, true);
+      case RESET -> LinkState.SOUND;
+    };
+  }
+
+  @Override
+  public void reset(LinkKind link, int target) {
+    tell(link, target, LinkHarm.RESET.name());
+    links.each(link, target, LinkProxy::reset);
+    tell(link, target, "");
+  }
+
+  /** A link to a back end is one of all nodes. */
+  private void tell(LinkKind link, int target, String fault) {
+    boolean isShared = link == LinkKind.BACK_END;
+    String node = isShared ? "" : nodes.process(target).node();
+    String name = isShared ? link + " " + target : link.name();
+    history.accept(new LinkFaultSet(platform.nowMillis(), node, name, fault));
+  }
+
+  @Override
+  public void store(int node, Optional<StoreHarm> harm) {
+    StoreFault fault = harm.map(this::storeFault).orElse(new StoreFault.Up());
+    if (node == ALL) {
+      platform.store().setFaultForAll(fault);
+    } else {
+      platform.store().setFault(nodes.process(node).node(), fault);
+    }
+  }
+
+  private StoreFault storeFault(StoreHarm harm) {
+    return switch (harm) {
+      case SLOW -> new StoreFault.Slow(STORE_DELAY_MILLIS);
+      case DOWN, REFUSES_SOME -> new StoreFault.Down();
+      case PARTLY_DOWN -> new StoreFault.PartitionsDown(PARTITIONS_DOWN);
+      case RESETS_SOME -> new StoreFault.Reset();
+      case SILENT_FOR_SOME -> new StoreFault.Silent();
+      case THROTTLES_SOME -> new StoreFault.Throttled();
+      case LOSES_ANSWERS -> new StoreFault.AnswersLost(losesByReset);
+      case DONE_LATE -> new StoreFault.DoneLate(DONE_LATE_MILLIS);
+      case FORGETS_HISTORY, DEALS_GROUPS_ANEW -> new StoreFault.Up();
+    };
+  }
+
+  @Override
+  public void storeOnce(StoreHarm harm) {
+    if (harm == StoreHarm.FORGETS_HISTORY) {
+      platform.store().forgetHistory();
+    } else {
+      platform.store().dealGroupsAnew();
+    }
+  }
+
+  @Override
+  public void harmBackEnd(int backEnd, BackEndHarm harm, long forMillis) {
+    ServerControl server = server(backEnd);
+    switch (harm) {
+      case CRASH -> server.crash(forMillis);
+      case HANG -> server.hang(true);
+      case SLOW -> server.slow(SLOW_FACTOR);
+    }
+  }
+
+  @Override
+  public void healBackEnd(int backEnd, BackEndHarm harm) {
+    switch (harm) {
+      case CRASH -> server(backEnd).start();
+      case HANG -> server(backEnd).hang(false);
+      case SLOW -> server(backEnd).slow(1);
+    }
+  }
+
+  @Override
+  public void change(OperatorChange kind, int backEnd) {
+    if (kind == OperatorChange.DRAIN) {
+      server(backEnd).drain(backEnd % 2 == 0, DRAIN_LONGER_MILLIS);
+    } else if (change.get().isComplete()) {
+      change.set(platform.changeConfiguration());
+    }
+  }
+
+  private ServerControl server(int backEnd) {
+    List<ServerControl> servers = platform.servers();
+    return servers.get(backEnd % servers.size());
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -0,0 +1,228 @@
+package org.passhaven.soak.run;
+
+import io.vertx.core.Future;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.passhaven.platform.standin.NodePlace;
+import org.passhaven.platform.standin.StandinPlatform;
+import org.passhaven.platform.standin.StandinSettings;
+import org.passhaven.platform.standin.server.ServerControl;
+import org.passhaven.soak.check.Bounds;
+import org.passhaven.soak.check.Evidence;
+import org.passhaven.soak.check.Finding;
+import org.passhaven.soak.check.Judge;
+import org.passhaven.soak.check.Tally;
+import org.passhaven.soak.fault.FaultSchedule;
+import org.passhaven.soak.plan.Fault;
+import org.passhaven.soak.plan.FaultPlan;
+import org.passhaven.soak.plan.FaultPlanner;
+import org.passhaven.soak.plan.PlanSettings;
+import org.passhaven.soak.plan.ProcessHarm;
+
+/** One run from start to verdict. */
+public final class SoakRun {
+  private static final long START_MILLIS = 60_000;
+  // After the first connections are taken the nodes still read the store and find each other.
+  private static final long WARM_MILLIS = 3_000;
+  private static final long STEP_MILLIS = 500;
+  private static final int STEPS_PER_PROGRESS = 8;
+  private static final long FINAL_DOWN_MILLIS = 1_000;
+  // recoverS of the example on the platform's page on deployment.
+  private static final long RECOVER_MILLIS = 12_000;
+  private static final long CALL_SECONDS = 5;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final SoakSettings settings;
+  private final Consumer<String> progress;
+  private final FaultPlan plan;
+  private final HistoryLog history;
+  private final Links links;
+  private final StandinPlatform platform;
+  private final Nodes nodes;
+  private final List<NodePlace> places;
+  private final RunFolder folder;
+  private int stepCount;
+
+  private SoakRun(SoakSettings settings, RunFolder folder, Consumer<String> progress)
+      throws IOException {
+    this.settings = settings;
+    this.progress = progress;
+    this.folder = folder;
+    this.links = new Links();
+    this.places = new Places(settings, links).list();
+    StandinSettings standin = StandinFigures.of(settings, places);
+    this.plan = plan(settings, StandinFigures.backEndCount(standin));
+    this.history = new HistoryLog(folder.history(), settings.load().eventCharacters());
+    this.platform = StandinPlatform.start(standin, history, links::listed);
+    Places doors = new Places(settings, links);
+    this.nodes =
+        new Nodes(
+            settings,
+            places,
+            (place, index) ->
+                platform.settingsFile(
+                    place.name(), doors.storeVia(index, platform.storeAddress(place.name()))),
+            Math.round(standin.bounds().graceSeconds() * MILLIS_PER_SECOND),
+            platform::nowMillis,
+            history);
+  }
+
+  private static FaultPlan plan(SoakSettings settings, int backEndCount) {
+    FaultPlan plan =
+        FaultPlanner.plan(
+            settings.seed(),
+            new PlanSettings(
+                settings.nodeCount(),
+                backEndCount,
+                settings.trafficMillis(),
+                settings.isFinalFaultCertain()));
+    return settings.isCalm()
+        ? new FaultPlan(
+            plan.seed(), plan.trafficMillis(), List.of(), settings.isFinalFaultCertain())
+        : plan;
+  }
+
+  /** Does a run; lines of progress and the verdict's lines go to the consumer. */
+  public static Verdict run(SoakSettings settings, Consumer<String> progress)
+      throws IOException, InterruptedException {
+    RunFolder folder = RunFolder.create(settings.folder());
+    progress.accept("seed " + settings.seed() + ": " + settings.folder());
+    SoakRun run = new SoakRun(settings, folder, progress);
+    Thread hook = new Thread(run.nodes::killAll, "ends-nodes");
+    Runtime.getRuntime().addShutdownHook(hook);
+    try {
+      Verdict verdict = run.play();
+      folder.writeVerdict(verdict);
+      verdict.lines().forEach(progress);
+      return verdict;
+    } finally {
+      run.nodes.close();
+      run.platform.close();
+      run.links.close();
+      run.history.close();
+      Runtime.getRuntime().removeShutdownHook(hook);
+    }
+  }
+
+  private Verdict play() throws IOException, InterruptedException {
+    folder.writePlan(settings, plan);
+    nodes.startAll();
+    if (!nodes.awaitListening(START_MILLIS)) {
+      throw new IOException(
+          "a node takes no connections after " + START_MILLIS + " ms; see the logs in the folder");
+    }
+    Thread.sleep(WARM_MILLIS);
+    platform.begin();
+    SoakHands hands = new SoakHands(settings, nodes, links, platform, history);
+    try (FaultSchedule schedule = new FaultSchedule(hands)) {
+      schedule.add(plan.faults());
+      pass(settings.trafficMillis());
+      awaitCalm(schedule);
+      if (plan.isFinalFault()) {
+        schedule.add(List.of(finalFault()));
+        pass(RECOVER_MILLIS);
+        awaitCalm(schedule);
+      }
+    }
+    return readBackAndJudge();
+  }
+
+  private Fault finalFault() {
+    ProcessHarm harm = settings.seed() % 2 == 0 ? ProcessHarm.KILL : ProcessHarm.POWER_LOSS;
+    return new Fault.OnProcess(
+        0, FINAL_DOWN_MILLIS, harm, IntStream.range(0, nodes.count()).boxed().toList());
+  }
+
+  private void awaitCalm(FaultSchedule schedule) throws InterruptedException {
+    long untilMillis = platform.nowMillis() + START_MILLIS;
+    while (schedule.openCount() > 0 && platform.nowMillis() < untilMillis) {
+      step("faults end");
+    }
+    nodes.awaitListening(START_MILLIS);
+  }
+
+  private Verdict readBackAndJudge() throws InterruptedException {
+    platform.clients().stop();
+    long untilMillis = platform.nowMillis() + StandinFigures.finishMillis();
+    while (platform.nowMillis() < untilMillis && await(platform.clients().openSteps()) > 0) {
+      step("last jobs");
+    }
+    long readBackFromMillis = platform.nowMillis();
+    Future<Integer> reading =
+        platform.clients().readAllBack(StandinFigures.readBackMillis(settings));
+    while (!reading.isComplete()) {
+      step("reading back");
+    }
+    history.close();
+    progress.accept("readings that could not be done: " + reading.result());
+    return judge(readBackFromMillis);
+  }
+
+  private Verdict judge(long readBackFromMillis) {
+    Bounds bounds =
+        Bounds.usual().withStatusMillis(settings.load().statusSeconds() * MILLIS_PER_SECOND);
+    List<String> names = places.stream().map(NodePlace::name).toList();
+    List<Tally> tallies =
+        Judge.judge(new Evidence(history.sorted(), names, bounds, readBackFromMillis));
+    List<Finding> findings = tallies.stream().flatMap(tally -> tally.findings().stream()).toList();
+    return new Verdict(
+        settings.seed(),
+        settings.nodeCount(),
+        settings.trafficMillis(),
+        plan.isFinalFault(),
+        plan.countsByKind(),
+        history.counts(),
+        Verdict.checks(tallies),
+        findings);
+  }
+
+  private void pass(long millis) throws InterruptedException {
+    long untilMillis = platform.nowMillis() + millis;
+    while (platform.nowMillis() < untilMillis) {
+      step("traffic");
+    }
+  }
+
+  private void step(String phase) throws InterruptedException {
+    Thread.sleep(STEP_MILLIS);
+    stepCount++;
+    if (stepCount % STEPS_PER_PROGRESS == 0) {
+      // Those that have left or crashed are replaced; those that run aren't touched.
+      platform.servers().forEach(ServerControl::start);
+      progress.accept(progressLine(phase));
+    }
+  }
+
+  private String progressLine(String phase) {
+    Map<String, Long> seen = new TreeMap<>(history.counts());
+    List<String> parts = new ArrayList<>();
+    for (String kind :
+        List.of("JobAccepted", "EndAcknowledged", "ResultsRead", "RequestAnswered")) {
+      parts.add(kind + " " + seen.getOrDefault(kind, 0L));
+    }
+    return platform.nowMillis() / MILLIS_PER_SECOND
+        + " s, "
+        + phase
+        + ": "
+        + String.join(", ", parts);
+  }
+
+  private static <T> T await(Future<T> future) {
+    try {
+      return future.toCompletionStage().toCompletableFuture().get(CALL_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("the stand-in does not answer: " + e, e);
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
@@ -0,0 +1,63 @@
+package org.passhaven.soak.run;
+
+import java.util.List;
+import org.passhaven.platform.standin.NodeBounds;
+import org.passhaven.platform.standin.NodePlace;
+import org.passhaven.platform.standin.StandinSettings;
+import org.passhaven.platform.standin.client.CallerSettings;
+import org.passhaven.platform.standin.client.TrainerSettings;
+import org.passhaven.platform.standin.server.ServerSettings;
+import org.passhaven.platform.standin.store.StoreSettings;
+
+/** The stand-in's settings for a run. */
+final class StandinFigures {
+  private static final double BYTES_PER_MEGABYTE = 1e6;
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long APPEND_MILLIS = 4;
+  private static final int PLAIN_SERVICES = 3;
+  private static final long WATCH_MILLIS = 100;
+  // finishS of the example on the platform's page on deployment, after the last step's due time.
+  private static final long FINISH_MILLIS = 10_000;
+  // A read of a node that is behind waits for its history; a node's share grows with their number.
+  private static final long READ_BACK_MILLIS = 60_000;
+  private static final long READ_BACK_PER_NODE_MILLIS = 2_000;
+
+  private StandinFigures() {}
+
+  static StandinSettings of(SoakSettings settings, List<NodePlace> places) {
+    SoakLoad load = settings.load();
+    StoreSettings store =
+        StoreSettings.usual()
+            .withAge(load.storeAgeSeconds() * MILLIS_PER_SECOND)
+            .withSpeeds(APPEND_MILLIS, load.storeReadMegabytes() * BYTES_PER_MEGABYTE);
+    TrainerSettings trainers =
+        TrainerSettings.small()
+            .withTrainers(load.trainers())
+            .withSizes(
+                load.groups(),
+                load.itemsAGroup(),
+                Math.max(1, load.groups() * 2 / 3),
+                load.bodyBytes())
+            .withAhead(load.ahead());
+    return StandinSettings.small(settings.seed(), places)
+        .withStore(store, NodeBounds.usual().withStatusSeconds(load.statusSeconds()))
+        .withServers(
+            ServerSettings.engines().withCharacters(load.eventCharacters()), ServerSettings.plain())
+        .withClients(trainers, CallerSettings.few().withCallers(load.callers()), WATCH_MILLIS);
+  }
+
+  static int backEndCount(StandinSettings standin) {
+    return standin.trainers().trainers() * standin.engines().servers()
+        + PLAIN_SERVICES * standin.plain().servers();
+  }
+
+  /** How long the last steps may take. */
+  static long finishMillis() {
+    return FINISH_MILLIS + TrainerSettings.small().dueMillis();
+  }
+
+  /** How long reading back may take. */
+  static long readBackMillis(SoakSettings settings) {
+    return READ_BACK_MILLIS + settings.nodeCount() * READ_BACK_PER_NODE_MILLIS;
+  }
+}
