--- a/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
+++ b/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
@@ -45,7 +45,10 @@
             () -> {
               client = vertx.createNetClient();
               server = vertx.createNetServer(new NetServerOptions().setReuseAddress(true));
-              return server.connectHandler(this::accept).listen(port, host);
+              return server
+                  .exceptionHandler(ignored -> {})
+                  .connectHandler(this::accept)
+                  .listen(port, host);
             })
         .map(NetServer::actualPort);
   }
--- a/soak/src/main/java/org/passhaven/soak/run/Places.java
+++ b/soak/src/main/java/org/passhaven/soak/run/Places.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.IntStream;
 import org.passhaven.platform.standin.NodePlace;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.proxy.BandwidthMeter;
@@ -10,6 +9,11 @@
 /** Where the nodes of a run listen, and the links to them and from them to the store. */
 final class Places {
   private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
+  private static final String HOST = "127.0.0.1";
+
+  /** Ports of a node: for requests, readiness, addresses, and one of its own. */
+  static final int PORTS_PER_NODE = 4;
+
   private final SoakSettings settings;
   private final Links links;
 
@@ -19,23 +23,23 @@
   }
 
   /** Places of all nodes, in the zones in turn, each reached through its callers' links. */
-  List<NodePlace> list() {
-    List<String> names =
-        IntStream.range(0, settings.nodeCount()).mapToObj(i -> "node-" + i).toList();
-    List<NodePlace> direct = NodePlace.listOnFreePorts(names, ZONES.get(0));
+  List<NodePlace> list(List<Integer> ports) {
     List<NodePlace> places = new ArrayList<>();
-    for (int i = 0; i < direct.size(); i++) {
-      NodePlace place = direct.get(i);
+    for (int i = 0; i < settings.nodeCount(); i++) {
+      List<String> own =
+          ports.subList(i * PORTS_PER_NODE, (i + 1) * PORTS_PER_NODE).stream()
+              .map(port -> HOST + ":" + port)
+              .toList();
       places.add(
           new NodePlace(
-              place.name(),
+              "node-" + i,
               ZONES.get(i % ZONES.size()),
-              place.front(),
-              place.ready(),
-              place.registry(),
-              place.controlPlane(),
-              callers(i, place.front()),
-              callers(i, place.registry())));
+              own.get(0),
+              own.get(1),
+              own.get(2),
+              own.get(3),
+              callers(i, own.get(0)),
+              callers(i, own.get(2))));
     }
     return places;
   }
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -45,6 +45,7 @@
   private final FaultPlan plan;
   private final HistoryLog history;
   private final Links links;
+  private final PortClaim ports;
   private final StandinPlatform platform;
   private final Nodes nodes;
   private final List<NodePlace> places;
@@ -57,7 +58,8 @@
     this.progress = progress;
     this.folder = folder;
     this.links = new Links();
-    this.places = new Places(settings, links).list();
+    this.ports = PortClaim.of(settings.nodeCount() * Places.PORTS_PER_NODE);
+    this.places = new Places(settings, links).list(ports.ports());
     StandinSettings standin = StandinFigures.of(settings, places);
     this.plan = plan(settings, StandinFigures.backEndCount(standin));
     this.history = new HistoryLog(folder.history(), settings.load().eventCharacters());
@@ -107,6 +109,7 @@
       run.nodes.close();
       run.platform.close();
       run.links.close();
+      run.ports.close();
       run.history.close();
       Runtime.getRuntime().removeShutdownHook(hook);
     }
