--- a/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
+++ b/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
@@ -15,6 +15,7 @@
   private final Consumer<Observation> observer;
   private Process life;
   private boolean isAskedToEnd;
+  private boolean isRetired;
 
   /** A node that is not yet started. */
   public NodeProcess(
@@ -29,9 +30,9 @@
     return settings.node();
   }
 
-  /** Starts a new life, unless one runs. */
+  /** Starts a new life, unless one runs or no more may follow. */
   public synchronized void start() {
-    if (isRunning()) {
+    if (isRunning() || isRetired) {
       return;
     }
     ProcessBuilder builder =
@@ -74,6 +75,12 @@
     signal(Signal.KILL, Happening.KILLED);
   }
 
+  /** Ends it at once, for good: no life follows. */
+  public synchronized void retire() {
+    isRetired = true;
+    kill();
+  }
+
   /** Whether a life runs. */
   public synchronized boolean isRunning() {
     return life != null && life.isAlive();
--- a/soak/src/main/java/org/passhaven/soak/run/Nodes.java
+++ b/soak/src/main/java/org/passhaven/soak/run/Nodes.java
@@ -147,9 +147,9 @@
     }
   }
 
-  /** Kills what runs; for a soak that is interrupted. */
-  void killAll() {
-    processes.forEach(NodeProcess::kill);
+  /** Kills what runs and lets nothing follow; for a soak that is interrupted. */
+  void retireAll() {
+    processes.forEach(NodeProcess::retire);
   }
 
   /** Asks all to end, and kills those that don't within their grace. */
@@ -158,5 +158,6 @@
     processes.forEach(NodeProcess::thaw);
     processes.forEach(NodeProcess::terminate);
     processes.forEach(process -> awaitEnd(process, graceMillis));
+    retireAll();
   }
 }
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -98,7 +98,7 @@
     RunFolder folder = RunFolder.create(settings.folder());
     progress.accept("seed " + settings.seed() + ": " + settings.folder());
     SoakRun run = new SoakRun(settings, folder, progress);
-    Thread hook = new Thread(run.nodes::killAll, "ends-nodes");
+    Thread hook = new Thread(run.nodes::retireAll, "ends-nodes");
     Runtime.getRuntime().addShutdownHook(hook);
     try {
       Verdict verdict = run.play();
--- a/soak/src/test/java/org/passhaven/soak/process/NodeProcessTest.java
+++ b/soak/src/test/java/org/passhaven/soak/process/NodeProcessTest.java
@@ -60,6 +60,16 @@
             Happening.ENDED));
   }
 
+  @Test
+  void aRetiredProcessIsNotStartedAgain() throws Exception {
+    NodeProcess process = process("sleep", "60");
+    process.start();
+    process.retire();
+    assertThat(process.awaitEnd(LIMIT_MILLIS), equalTo(true));
+    process.start();
+    assertThat(process.isRunning(), equalTo(false));
+  }
+
   @Test
   void anEndThatNobodyAskedForIsToldAndWhatItWroteIsKept() throws Exception {
     NodeProcess process = process("/bin/sh", "-c", "echo $KEY");
