--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -41,7 +41,8 @@
             .addOption(Flags.withValue("seeds", "A..B", "runs each of these seeds in turn"))
             .addOption(Flags.withValue("minutes", "N", "length of the traffic; 2 if not given"))
             .addOption(Flags.withValue("nodes", "K", "processes; 3 if not given"))
-            .addOption(Flags.withValue("out", "DIR", "where each seed leaves a folder; soak-runs"))
+            .addOption(
+                Flags.withValue("out", "DIR", "where each seed leaves a folder; target/soak"))
             .addOption(Flags.withValue("repository", "DIR", "where the program was built; ."))
             .addOption(Flags.simple("final-fault", "ends every run with the loss of all nodes"))
             .addOption(Flags.simple("calm", "does nothing to the system before the end"));
@@ -95,7 +96,7 @@
     checkRoom(nodes);
     Path repository = Path.of(Flags.text(line, "repository", ".")).toAbsolutePath().normalize();
     checkBuilt(repository);
-    Path out = Path.of(Flags.text(line, "out", "soak-runs")).toAbsolutePath();
+    Path out = Path.of(Flags.text(line, "out", "target/soak")).toAbsolutePath();
     List<SoakSettings> runs =
         seeds.stream()
             .mapToObj(
