--- a/soak/src/main/java/org/passhaven/soak/check/Bounds.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Bounds.java
@@ -12,6 +12,7 @@
  * @param configApplyMillis time after which a configuration is in force
  * @param leaseMillis time between orders of two holders
  * @param thawMillis time after a thaw in which late orders are left out
+ * @param lossSlackMillis time after a request was sent by which a node has read it
  * @param recoverMillis calm after which a node must be able to tell of every job; the soak's own,
  *     longer than the users' time of recovery
  * @param versionsBehind how far behind the newest version that is named when a job is made the
@@ -27,11 +28,13 @@
     long configApplyMillis,
     long leaseMillis,
     long thawMillis,
+    long lossSlackMillis,
     long recoverMillis,
     long versionsBehind) {
   /** The figures of the example on the platform's page on deployment. */
   public static Bounds usual() {
-    return new Bounds(3_000, 1_000, 120_000, 3_000, 4_000, 2_000, 2_000, 3_000, 300, 30_000, 1);
+    return new Bounds(
+        3_000, 1_000, 120_000, 3_000, 4_000, 2_000, 2_000, 3_000, 300, 200, 30_000, 1);
   }
 
   /** The same with another time for which jobs can be read. */
@@ -46,6 +49,7 @@
         configApplyMillis,
         leaseMillis,
         thawMillis,
+        lossSlackMillis,
         recoverMillis,
         versionsBehind);
   }
@@ -62,6 +66,7 @@
         configApplyMillis,
         leaseMillis,
         thawMillis,
+        lossSlackMillis,
         millis,
         versionsBehind);
   }
@@ -78,6 +83,7 @@
         configApplyMillis,
         leaseMillis,
         thawMillis,
+        lossSlackMillis,
         recoverMillis,
         versions);
   }
--- a/soak/src/main/java/org/passhaven/soak/check/Judge.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Judge.java
@@ -34,6 +34,7 @@
     checks.put(Promise.TRUTHFUL_VERSIONS, ResultChecks::truthfulVersions);
     checks.put(Promise.AT_MOST_ONCE, RunChecks::atMostOnce);
     checks.put(Promise.REFUSED_NOT_RUN, RunChecks::refusedNotRun);
+    checks.put(Promise.PLANNED_STOP_LOSES_NOTHING, PlannedStopCheck::judge);
     checks.put(Promise.NOTHING_UNASKED, RunChecks::nothingUnasked);
     checks.put(Promise.CONFIGURATION_IN_TIME, ConfigurationCheck::judge);
     checks.put(Promise.ONE_HOLDER, OrderCheck::judge);
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -20,6 +20,8 @@
   AT_MOST_ONCE,
   /** What was refused does not run. */
   REFUSED_NOT_RUN,
+  /** A node that is asked to end loses no request that it has read. */
+  PLANNED_STOP_LOSES_NOTHING,
   /** Nothing runs that nobody asked for, or that was changed on the way. */
   NOTHING_UNASKED,
   /** A request is handled as the configuration in force says. */
--- a/soak/src/main/java/org/passhaven/soak/run/Verdict.java
+++ b/soak/src/main/java/org/passhaven/soak/run/Verdict.java
@@ -70,7 +70,7 @@
       lines.add(
           String.format(
               Locale.ROOT,
-              "  %-22s %8d checks %6d broken",
+              "  %-26s %8d checks %6d broken",
               promise,
               checks.getOrDefault(promise, 0L),
               broken));
--- a/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
@@ -14,9 +14,12 @@
 import org.passhaven.platform.standin.history.OperatorObservation.ConfigurationSent;
 import org.passhaven.platform.standin.history.OperatorObservation.RouteSeen;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
+import org.passhaven.platform.standin.history.RequestObservation.RequestBroken;
 import org.passhaven.platform.standin.history.RequestObservation.RequestRefused;
 import org.passhaven.platform.standin.history.ServerObservation.DrainAcknowledged;
 import org.passhaven.platform.standin.history.ServerObservation.OrderReceived;
+import org.passhaven.platform.standin.history.ServerObservation.RunEnd;
+import org.passhaven.platform.standin.history.ServerObservation.RunEnded;
 
 class RunChecksTest {
   private static final String REQUEST = "r-1";
@@ -142,6 +145,36 @@
         .assertBroken(Promise.PROCESS_STAYS);
   }
 
+  private static Story stopped() {
+    return request(false)
+        .add(new ProcessEvent(SENT_MILLIS - 500, Story.FIRST, Happening.STOP_ASKED, 11));
+  }
+
+  private static RequestBroken broken(long heldMillis) {
+    return new RequestBroken(
+        SENT_MILLIS + heldMillis, SENT_MILLIS, Story.FIRST, REQUEST, true, "closed");
+  }
+
+  @Test
+  void aNodeThatIsAskedToEndAnswersWhatItHasRead() {
+    RequestAnswered answer =
+        new RequestAnswered(
+            SENT_MILLIS + 90, SENT_MILLIS, Story.FIRST, REQUEST, 200, "s", REQUEST, 1, true);
+    stopped().add(answer).assertHolds(Promise.PLANNED_STOP_LOSES_NOTHING);
+    stopped().add(broken(400)).assertBroken(Promise.PLANNED_STOP_LOSES_NOTHING);
+    stopped().add(broken(100)).assertUnbound(Promise.PLANNED_STOP_LOSES_NOTHING);
+    stopped().add(broken(1_000)).assertUnbound(Promise.PLANNED_STOP_LOSES_NOTHING);
+    stopped()
+        .add(new ProcessEvent(SENT_MILLIS + 100, Story.FIRST, Happening.KILLED, 11))
+        .add(broken(400))
+        .assertUnbound(Promise.PLANNED_STOP_LOSES_NOTHING);
+    request(false).add(broken(400)).assertUnbound(Promise.PLANNED_STOP_LOSES_NOTHING);
+    stopped()
+        .add(new RunEnded(SENT_MILLIS + 300, Story.INSTANCE, REQUEST, 1, RunEnd.CRASHED, 0, ""))
+        .add(broken(400))
+        .assertUnbound(Promise.PLANNED_STOP_LOSES_NOTHING);
+  }
+
   private static OrderReceived order(long atMillis, String owner, long fence) {
     return new OrderReceived(
         atMillis, Story.INSTANCE, "version", owner, fence, -1, "m", 2, "block", 202);
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -22,7 +22,7 @@
   private static final long TRAFFIC_MILLIS = 60_000;
   private static final int NODES = 3;
 
-  /** Not each run has a refusal, a drain, or half a minute of calm. */
+  /** Not each run has a refusal, a drain that matters, or half a minute of calm. */
   private static final Set<Promise> RARE =
       EnumSet.of(Promise.REFUSED_NOT_RUN, Promise.QUIET_AFTER_DRAIN, Promise.READABLE_IN_TIME);
 
