--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -10,6 +10,7 @@
 import org.apache.commons.cli.Options;
 import org.passhaven.soak.process.MemoryRoom;
 import org.passhaven.soak.process.RunLine;
+import org.passhaven.soak.run.JudgedRun;
 import org.passhaven.soak.run.SoakLoad;
 import org.passhaven.soak.run.SoakRun;
 import org.passhaven.soak.run.SoakSettings;
@@ -44,6 +45,7 @@
             .addOption(
                 Flags.withValue("out", "DIR", "where each seed leaves a folder; target/soak"))
             .addOption(Flags.withValue("repository", "DIR", "where the program was built; ."))
+            .addOption(Flags.withValue("judge", "DIR", "only judges the run of this folder again"))
             .addOption(Flags.simple("final-fault", "ends every run with the loss of all nodes"))
             .addOption(Flags.simple("calm", "does nothing to the system before the end"));
     SoakLoadFlags.addTo(options);
@@ -52,6 +54,9 @@
 
   @Override
   public ExitCode run(CommandLine line) throws CommandException {
+    if (line.hasOption("judge")) {
+      return judge(Path.of(line.getOptionValue("judge")));
+    }
     List<SoakSettings> runs = settings(line);
     List<Long> broken = new ArrayList<>();
     for (SoakSettings settings : runs) {
@@ -66,6 +71,16 @@
     return broken.isEmpty() ? ExitCode.OK : ExitCode.VIOLATION;
   }
 
+  private static ExitCode judge(Path folder) throws CommandException {
+    try {
+      Verdict verdict = JudgedRun.judgeAgain(folder);
+      verdict.lines().forEach(System.out::println);
+      return verdict.isKept() ? ExitCode.OK : ExitCode.VIOLATION;
+    } catch (IOException e) {
+      throw new CommandException(ExitCode.INVALID, e.getMessage());
+    }
+  }
+
   private static Verdict run(SoakSettings settings) throws CommandException {
     try {
       return SoakRun.run(settings, System.out::println);
--- a/cli/src/test/java/org/passhaven/cli/MainTest.java
+++ b/cli/src/test/java/org/passhaven/cli/MainTest.java
@@ -53,6 +53,8 @@
     assertThat(run("soak", "--unheard-of").code(), equalTo(ExitCode.USAGE));
     assertThat(run("soak", "more").code(), equalTo(ExitCode.USAGE));
     assertThat(run("soak", "--minutes", "0").errors(), containsString("--minutes must be"));
+    assertThat(
+        run("soak", "--judge", directory.toString()).errors(), containsString("is not there"));
     assertThat(run("soak", "--load", "huge").errors(), containsString("small or large"));
     assertThat(
         run("soak", "--repository", directory.toString()).errors(), containsString("is not there"));
--- a/soak/src/main/java/org/passhaven/soak/run/HistoryLog.java
+++ b/soak/src/main/java/org/passhaven/soak/run/HistoryLog.java
@@ -1,8 +1,5 @@
 package org.passhaven.soak.run;
 
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -26,13 +23,6 @@
  * Texts of results are kept as their digests. Safe for use by several threads.
  */
 public final class HistoryLog implements Consumer<Observation>, AutoCloseable {
-  /** Adds the type's name to each line. */
-  @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "seen")
-  private interface Named {}
-
-  private static final ObjectMapper JSON =
-      JsonMapper.builder().addMixIn(Observation.class, Named.class).build();
-
   private final int eventCharacters;
   private final BufferedWriter writer;
   private final List<Observation> observations = new ArrayList<>();
@@ -85,7 +75,7 @@
 
   private void write(Observation observation) {
     try {
-      writer.write(JSON.writerFor(Observation.class).writeValueAsString(observation));
+      writer.write(HistoryFormat.write(observation));
       writer.newLine();
     } catch (IOException e) {
       throw new UncheckedIOException("the history can't be written", e);
--- a/soak/src/main/java/org/passhaven/soak/run/RunFolder.java
+++ b/soak/src/main/java/org/passhaven/soak/run/RunFolder.java
@@ -14,6 +14,9 @@
  * @param path the folder
  */
 record RunFolder(Path path) {
+  /** Name of the file of the history. */
+  static final String HISTORY = "history.jsonl";
+
   private static final ObjectMapper JSON =
       JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
 
@@ -27,7 +30,7 @@
   }
 
   Path history() {
-    return path.resolve("history.jsonl");
+    return path.resolve(HISTORY);
   }
 
   void writePlan(SoakSettings settings, FaultPlan plan) throws IOException {
@@ -35,7 +38,8 @@
     write("load.json", settings.load());
   }
 
-  void writeVerdict(Verdict verdict) throws IOException {
+  void writeVerdict(JudgedRun run, Verdict verdict) throws IOException {
+    run.write(path);
     write("verdict.json", verdict);
     Files.write(path.resolve("verdict.txt"), verdict.lines());
   }
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -16,10 +16,6 @@
 import org.passhaven.platform.standin.StandinSettings;
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.soak.check.Bounds;
-import org.passhaven.soak.check.Evidence;
-import org.passhaven.soak.check.Finding;
-import org.passhaven.soak.check.Judge;
-import org.passhaven.soak.check.Tally;
 import org.passhaven.soak.fault.FaultSchedule;
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.FaultPlan;
@@ -102,7 +98,6 @@
     Runtime.getRuntime().addShutdownHook(hook);
     try {
       Verdict verdict = run.play();
-      folder.writeVerdict(verdict);
       verdict.lines().forEach(progress);
       return verdict;
     } finally {
@@ -164,7 +159,7 @@
     nodes.awaitListening(START_MILLIS);
   }
 
-  private Verdict readBackAndJudge() throws InterruptedException {
+  private Verdict readBackAndJudge() throws IOException, InterruptedException {
     platform.clients().stop();
     long untilMillis = platform.nowMillis() + StandinFigures.finishMillis();
     while (platform.nowMillis() < untilMillis && await(platform.clients().openSteps()) > 0) {
@@ -181,25 +176,24 @@
     return judge(readBackFromMillis);
   }
 
-  private Verdict judge(long readBackFromMillis) {
+  private Verdict judge(long readBackFromMillis) throws IOException {
     Bounds bounds =
         Bounds.usual()
             .withStatusMillis(settings.load().statusSeconds() * MILLIS_PER_SECOND)
             .withRecoverMillis(settings.load().recoverSeconds() * MILLIS_PER_SECOND)
             .withVersionsBehind(settings.load().ahead());
-    List<String> names = places.stream().map(NodePlace::name).toList();
-    List<Tally> tallies =
-        Judge.judge(new Evidence(history.sorted(), names, bounds, readBackFromMillis));
-    List<Finding> findings = tallies.stream().flatMap(tally -> tally.findings().stream()).toList();
-    return new Verdict(
-        settings.seed(),
-        settings.nodeCount(),
-        settings.trafficMillis(),
-        plan.isFinalFault(),
-        plan.countsByKind(),
-        history.counts(),
-        Verdict.checks(tallies),
-        findings);
+    JudgedRun run =
+        new JudgedRun(
+            settings.seed(),
+            settings.trafficMillis(),
+            plan.isFinalFault(),
+            plan.countsByKind(),
+            places.stream().map(NodePlace::name).toList(),
+            bounds,
+            readBackFromMillis);
+    Verdict verdict = run.judge(history.sorted(), history.counts());
+    folder.writeVerdict(run, verdict);
+    return verdict;
   }
 
   private void pass(long millis) throws InterruptedException {
--- a/soak/src/test/java/org/passhaven/soak/run/HistoryLogTest.java
+++ b/soak/src/test/java/org/passhaven/soak/run/HistoryLogTest.java
@@ -46,5 +46,6 @@
     List<String> lines = Files.readAllLines(file);
     assertThat(lines, hasSize(2));
     assertThat(lines, contains(containsString("ResultsRead"), containsString("EndAsked")));
+    assertThat(lines.stream().map(HistoryFormat::read).toList(), contains(slim, asked));
   }
 }
