--- a/soak/src/main/java/org/passhaven/soak/check/JobChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/JobChecks.java
@@ -56,20 +56,30 @@
         && evidence.touch().isInTouch(missing.node(), missing.sentAtMillis(), missing.atMillis());
   }
 
-  /** {@link Promise#READABLE_IN_TIME}. */
+  /**
+   * {@link Promise#READABLE_IN_TIME}. A node that says that it can't tell breaks it. One that does
+   * not answer in the caller's time does so only if it has told of no job all that while: a single
+   * late answer is no loss.
+   */
   static void readableInTime(Evidence evidence, Tally tally) {
+    Map<String, Long> toldMillis = new HashMap<>();
     evidence
         .all(JobObservation.class)
         .forEach(
             seen -> {
-              if (seen instanceof ResultsRead read
-                  && isDueToTell(evidence, read.job(), read.node(), read.atMillis())) {
-                tally.check(true, read.atMillis(), read.node(), read.job(), () -> "");
+              if (seen instanceof ResultsRead read) {
+                toldMillis.put(read.node(), read.atMillis());
+                if (isDueToTell(evidence, read.job(), read.node(), read.atMillis())) {
+                  tally.check(true, read.atMillis(), read.node(), read.job(), () -> "");
+                }
               } else if (seen instanceof Unreadable bad
                   && bad.asked() != Asked.BODY
                   && isDueToTell(evidence, bad.job(), bad.node(), bad.atMillis())) {
+                long told = toldMillis.getOrDefault(bad.node(), 0L);
+                boolean isJustLate =
+                    bad.status() == 0 && told >= bad.atMillis() - evidence.bounds().recoverMillis();
                 tally.check(
-                    false,
+                    isJustLate,
                     bad.atMillis(),
                     bad.node(),
                     bad.job(),
--- a/soak/src/test/java/org/passhaven/soak/check/JobChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/JobChecksTest.java
@@ -83,6 +83,15 @@
         .assertBroken(Promise.READABLE_IN_TIME);
   }
 
+  @Test
+  void aNodeThatDoesNotAnswerAtAllIsNotJustLate() {
+    Unreadable late =
+        new Unreadable(
+            45_000, 43_500, Story.SECOND, Story.JOB, "", Asked.RESULTS, 0, "no answer in time");
+    Story.withJob().read(40_000, Story.SECOND, 0).add(late).assertHolds(Promise.READABLE_IN_TIME);
+    Story.withJob().add(late).assertBroken(Promise.READABLE_IN_TIME);
+  }
+
   @Test
   void resultsThatStayHold() {
     Story.withJob()
--- a/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.passhaven.platform.standin.history.JobObservation.EndAsked;
 import org.passhaven.platform.standin.history.JobObservation.JobAccepted;
 import org.passhaven.platform.standin.history.JobObservation.JobPlanned;
 import org.passhaven.platform.standin.history.JobObservation.JobRefused;
@@ -112,6 +113,23 @@
         .assertUnbound(Promise.QUIET_AFTER_END);
   }
 
+  @Test
+  void anEndWithoutAnAnswerCountsAfterAWhileOfSteadyState() {
+    Story.withJob()
+        .add(new EndAsked(15_000, Story.FIRST, Story.JOB))
+        .run(22_500, Story.ITEM, 2)
+        .assertBroken(Promise.QUIET_AFTER_END);
+    Story.withJob()
+        .add(new EndAsked(15_000, Story.FIRST, Story.JOB))
+        .run(21_500, Story.ITEM, 2)
+        .assertHolds(Promise.QUIET_AFTER_END);
+    Story.withJob()
+        .add(new ProcessEvent(14_000, Story.FIRST, Happening.STARTED, 11))
+        .add(new EndAsked(15_000, Story.FIRST, Story.JOB))
+        .run(22_500, Story.ITEM, 2)
+        .assertHolds(Promise.QUIET_AFTER_END);
+  }
+
   private static Story drained() {
     return request(true).add(new DrainAcknowledged(SENT_MILLIS - 4_000, Story.INSTANCE));
   }
