A node of a large fleet reads and beats by what depends on it

Cause: what a node costs is its calls to the store and the wake-ups they bring (two thirds of the event loop's samples are in HTTP exchanges, profile of a calm soak), and most nodes of a large fleet make them for nothing: each beat twice a second, read all beats four times, every record of the order lease and every change of a server's entry at once, also where no run, order or caller depended on it. 95 nodes also filled three quarters of the one partition that takes their beats.

Change: each beat says when the next is due; nodes that run jobs, hold the lease, are called or are named to callers beat each half second, all others share 100 beats a second at any size. Pauses between reads of beats, orders, servers and jobs follow from the node's part; a run that is taken ends them.

Ruled out: decoding (6.5 us a beat), ticks (4 in 100 of the samples), compiler thresholds and inlining, Logback's XML (trials, in MEASUREMENTS.md).

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -10,13 +10,17 @@
 import org.passhaven.protocol.member.MemberBeat;
 
 /**
- * Live nodes by their beats. Silence is counted against the newest beat of anybody, not against the
- * clock: a log that is down, or a node that can't reach it, makes nobody dead. Times in monotonic
- * milliseconds of the reader. Not thread-safe.
+ * Live nodes by their beats. Each beat tells when the next one is due. Silence is counted against
+ * the newest beat of anybody, not against the clock: a log that is down, or a node that can't reach
+ * it, makes nobody dead. Times in monotonic milliseconds of the reader. Not thread-safe.
  */
 public final class BeatTable {
   private static final String CALLERS_KEY_PREFIX = "callers/";
   private static final int FEWEST_FOR_CALLERS = 6;
+
+  /** Beats that may be missing before a node is dead: two, and the third may be late. */
+  private static final double SILENT_PERIODS = 3.2;
+
   private static final double REQUESTS_PER_NODE = 15;
   private final long silenceMillis;
   private final Map<String, Heard> members = new TreeMap<>();
@@ -25,7 +29,12 @@
 
   private record Heard(MemberBeat beat, long atMillis) {}
 
-  /** Creates a table in which a node is dead after {@code silenceMillis} without a beat. */
+  /**
+   * Creates a table.
+   *
+   * @param silenceMillis time without a beat after which a node is dead, if its beats are not
+   *     further apart than that allows
+   */
   public BeatTable(long silenceMillis) {
     this.silenceMillis = silenceMillis;
   }
@@ -38,12 +47,21 @@
     Heard known = members.get(beat.node());
     // A clock that was set back may give a new start a lower number; silence of the old one
     // decides.
-    boolean silent = known == null || newestMillis - known.atMillis() >= silenceMillis;
+    boolean silent = known == null || isSilent(known);
     if (silent || beat.incarnation() >= known.beat().incarnation()) {
       members.put(beat.node(), new Heard(beat, nowMillis));
     }
   }
 
+  private boolean isSilent(Heard heard) {
+    return newestMillis - heard.atMillis() >= silenceMillis(heard.beat().periodMillis());
+  }
+
+  /** Time without a beat after which a node is dead whose beats come in a period. */
+  public long silenceMillis(long periodMillis) {
+    return Math.max(silenceMillis, (long) (SILENT_PERIODS * periodMillis));
+  }
+
   /** Time of the newest beat of anybody; the smallest number if none was read. */
   public long newestMillis() {
     return newestMillis;
@@ -59,7 +77,7 @@
 
   private List<MemberBeat> findTaking() {
     return members.values().stream()
-        .filter(heard -> newestMillis - heard.atMillis() < silenceMillis)
+        .filter(heard -> !isSilent(heard))
         .map(Heard::beat)
         .filter(MemberBeat::taking)
         .sorted(Comparator.comparing(MemberBeat::node))
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/member/BeatPaceTest.java
@@ -0,0 +1,30 @@
+package org.passhaven.core.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class BeatPaceTest {
+  @Test
+  void aSmallFleetBeatsOnceASecond() {
+    assertThat(BeatPace.idleMillis(0), equalTo(1_000L));
+    assertThat(BeatPace.idleMillis(12), equalTo(1_000L));
+    assertThat(BeatPace.idleMillis(95), equalTo(1_000L));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 30, 95, 125, 408, 1_000})
+  void allIdleNodesTogetherMakeABoundedNumberOfBeats(int nodes) {
+    double beatsPerSecond = nodes * 1_000.0 / BeatPace.idleMillis(nodes);
+    assertThat(beatsPerSecond, lessThanOrEqualTo(100.1));
+  }
+
+  @Test
+  void evenInTheLargestFleetANodeIsHeardOf() {
+    assertThat(BeatPace.idleMillis(1_000_000), equalTo(10_000L));
+  }
+}
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -15,7 +15,7 @@
   private final BeatTable table = new BeatTable(1_500);
 
   private static MemberBeat beat(String node, String zone, long incarnation, boolean taking) {
-    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0);
+    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0, 0);
   }
 
   @Test
@@ -27,6 +27,23 @@
     assertThat(table.isTaking("a"), is(false));
   }
 
+  @Test
+  void aNodeWhoseBeatsAreFarApartIsDeadOnlyWhenSeveralAreMissing() {
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
+    table.onBeat(beat("b", "z", 1, true), 3_100);
+    assertThat(table.isTaking("a"), is(true));
+    table.onBeat(beat("b", "z", 1, true), 3_200);
+    assertThat(table.isTaking("a"), is(false));
+  }
+
+  @Test
+  void aNodeThatBeatsMoreOftenThanBeforeIsDeadSooner() {
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 400), 100);
+    table.onBeat(beat("b", "z", 1, true), 1_600);
+    assertThat(table.isTaking("a"), is(false));
+  }
+
   @Test
   void aLogThatIsDownMakesNobodyDead() {
     table.onBeat(beat("a", "z", 1, true), 0);
@@ -46,7 +63,7 @@
   private List<String> addressesUnderLoad(double perSecondEach) {
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
-      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach), 0);
+      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach, 0), 0);
     }
     return table.addressesFor("z", 2, 64);
   }
@@ -68,7 +85,7 @@
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
       if (!node.equals(before.get(0))) {
-        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5), 2_000);
+        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5, 0), 2_000);
       }
     }
     List<String> after = table.addressesFor("z", 2, 64);
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.passhaven.spi.TableService;
 import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
@@ -28,18 +29,31 @@
   private final TableService tables;
   private final Timers timers;
   private final String table;
+  private final LongSupplier betweenMillis;
   private final Listener listener;
   private final Set<String> listedKeys = new HashSet<>();
   private long firstEnd;
   private long position;
   private boolean listed;
   private final Outage outage;
+  private Timers.Timer pausing;
 
-  /** Creates a follower; {@link #start} begins. */
-  public TableFollower(TableService tables, Timers timers, String table, Listener listener) {
+  /**
+   * Creates a follower; {@link #start} begins.
+   *
+   * @param betweenMillis pause after changes, so that a busy table is read in batches; asked each
+   *     time
+   */
+  public TableFollower(
+      TableService tables,
+      Timers timers,
+      String table,
+      LongSupplier betweenMillis,
+      Listener listener) {
     this.tables = Objects.requireNonNull(tables, "tables");
     this.timers = Objects.requireNonNull(timers, "timers");
     this.table = Objects.requireNonNull(table, "table");
+    this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.outage = new Outage(LOG, "table", table);
   }
@@ -106,9 +120,27 @@
     }
     changes.entries().forEach(this::give);
     position = changes.end();
+    long pause = changes.entries().isEmpty() ? 0 : betweenMillis.getAsLong();
+    if (pause > 0) {
+      pausing = timers.after(pause, this::endPause);
+    } else {
+      readOn();
+    }
+  }
+
+  private void endPause() {
+    pausing = null;
     readOn();
   }
 
+  /** Somebody waits for news of the table: a pause between reads ends now. */
+  public void hurry() {
+    if (pausing != null) {
+      pausing.cancel();
+      endPause();
+    }
+  }
+
   private void give(TableService.Entry entry) {
     listener.onDocument(entry.key(), entry.value());
   }
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerTable;
 import org.passhaven.core.job.NamedVersion;
@@ -30,16 +31,28 @@
   private final TableFollower serverEntries;
   private RouteTable routes = RouteTable.EMPTY;
 
-  /** Creates the directory. */
-  public Directory(GatewayContext context) {
+  /**
+   * Creates the directory.
+   *
+   * @param betweenServersMillis pause between reads of servers' entries that change
+   */
+  public Directory(GatewayContext context, LongSupplier betweenServersMillis) {
     this.context = Objects.requireNonNull(context, "context");
     this.documents = context.documents();
     this.operator =
         new TableFollower(
-            context.tables(), context.timers(), documents.operatorTable(), new OperatorListener());
+            context.tables(),
+            context.timers(),
+            documents.operatorTable(),
+            () -> 0,
+            new OperatorListener());
     this.serverEntries =
         new TableFollower(
-            context.tables(), context.timers(), documents.serverTable(), new ServerListener());
+            context.tables(),
+            context.timers(),
+            documents.serverTable(),
+            betweenServersMillis,
+            new ServerListener());
   }
 
   /** Begins to follow. */
@@ -48,6 +61,11 @@
     serverEntries.start();
   }
 
+  /** This node has come to need servers' entries as they change. */
+  void hurry() {
+    serverEntries.hurry();
+  }
+
   /** Calls {@code listener} after each change. */
   public void addListener(Runnable listener) {
     listeners.add(listener);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -13,6 +13,24 @@
   private static final int NEAR_NODES_ENOUGH = 2;
   private static final int MOST_ADDRESSES = 64;
 
+  /**
+   * Servers' entries change several times a second at a large site; who sends no items to them
+   * reads a few changes at once. Far below the time in which a leaving server's news must be known.
+   */
+  private static final long IDLE_SERVERS_PAUSE_MILLIS = 400;
+
+  /** Pause between reads of beats where runs depend on seeing a loss soon. */
+  private static final long RUNNER_BEATS_PAUSE_MILLIS = 250;
+
+  /** The same where callers ask for addresses: they keep the answers for seconds. */
+  private static final long ASKED_BEATS_PAUSE_MILLIS = 500;
+
+  /** The same where nothing depends on it. */
+  private static final long IDLE_BEATS_PAUSE_MILLIS = 1_000;
+
+  /** Who asked for addresses this lately is likely to ask again. */
+  private static final long ASKED_MILLIS = 5_000;
+
   /** Jobs can be read although beats can't: then they are followed without knowing the others. */
   private static final long FOLLOW_ANYWAY_MILLIS = 1_500;
 
@@ -24,15 +42,18 @@
   private final JobService jobs;
   private final JobRunner runner;
   private final OrderAgent orders;
+  private long askedAtMillis = Long.MIN_VALUE / 2;
   private boolean stopping;
 
   /** Creates a node; {@link #start} begins its work. */
   public Gateway(GatewayContext context) {
     this.context = Objects.requireNonNull(context, "context");
-    this.directory = new Directory(context);
-    this.forwarder = new RequestForwarder(context, directory);
-    this.members = new MemberAgent(context, forwarder::requestsPerSecond);
     this.log = new JobLog(context);
+    this.directory = new Directory(context, () -> log.isRunner() ? 0 : IDLE_SERVERS_PAUSE_MILLIS);
+    this.forwarder = new RequestForwarder(context, directory);
+    this.members =
+        new MemberAgent(
+            context, forwarder::requestsPerSecond, this::isDependedOn, this::beatsPauseMillis);
     this.jobs = new JobService(context, log);
     this.runner = new JobRunner(context, directory, members, log, forwarder);
     this.orders = new OrderAgent(context, directory, members, log);
@@ -48,11 +69,30 @@
     directory.start();
     members.start(() -> log.start(members.beats()));
     context.timers().after(FOLLOW_ANYWAY_MILLIS, () -> log.start(members.beats()));
+    log.addOwnerListener(members::hurry);
+    log.addOwnerListener(directory::hurry);
     context.metrics().showPartitionsBehind(log);
     runner.start();
     orders.start();
   }
 
+  /** Whether runs, orders or callers would wait for this node if it were lost unseen. */
+  private boolean isDependedOn() {
+    return log.isRunner()
+        || orders.isHolder()
+        || log.isCalled()
+        || forwarder.requestsPerSecond() > 0
+        || namedFor(context.settings().zone()).contains(context.settings().address());
+  }
+
+  private long beatsPauseMillis() {
+    if (log.isRunner() || log.isNextRunner()) {
+      return RUNNER_BEATS_PAUSE_MILLIS;
+    }
+    boolean isAsked = context.now() - askedAtMillis < ASKED_MILLIS;
+    return isAsked ? ASKED_BEATS_PAUSE_MILLIS : IDLE_BEATS_PAUSE_MILLIS;
+  }
+
   /** Whether this node takes new work. */
   public boolean isReady() {
     return !stopping && directory.isConfigured();
@@ -80,13 +120,18 @@
 
   /** Addresses that a caller in {@code zone} is to use. */
   public List<String> addressesFor(String zone) {
-    List<String> known = members.beats().addressesFor(zone, NEAR_NODES_ENOUGH, MOST_ADDRESSES);
+    askedAtMillis = context.now();
+    List<String> known = namedFor(zone);
     if (known.isEmpty() && isReady()) {
       return List.of(context.settings().address());
     }
     return known;
   }
 
+  private List<String> namedFor(String zone) {
+    return members.beats().addressesFor(zone, NEAR_NODES_ENOUGH, MOST_ADDRESSES);
+  }
+
   /**
    * Planned stop: tells everybody and takes no further runs; requests, and jobs that nobody has
    * taken over yet, go on.
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -36,7 +36,7 @@
   private static final long FOLLOWER_PAUSE_MILLIS = 100;
 
   /** Pause where neither a caller nor a coming owner needs news: reads on demand look for it. */
-  private static final long IDLE_PAUSE_MILLIS = 1_000;
+  private static final long IDLE_PAUSE_MILLIS = 2_000;
 
   /** A caller that came this lately is likely to come again: trainers read twice a second. */
   private static final long CALLED_MILLIS = 5_000;
@@ -95,6 +95,24 @@
     return isCalled || isCloseCandidate(partition) ? FOLLOWER_PAUSE_MILLIS : IDLE_PAUSE_MILLIS;
   }
 
+  /** Whether this node runs some run. */
+  boolean isRunner() {
+    return !ownStreams.isEmpty();
+  }
+
+  /** Whether a caller has lately come to this node for a job. */
+  boolean isCalled() {
+    return Arrays.stream(calledAtMillis)
+        .anyMatch(atMillis -> context.now() - atMillis < CALLED_MILLIS);
+  }
+
+  /** Whether this node is among the first that would take over a run with open jobs. */
+  boolean isNextRunner() {
+    return beats != null
+        && table.open().stream()
+            .anyMatch(job -> isCloseCandidate(partitionOf(job.submission().run())));
+  }
+
   private boolean isCloseCandidate(int partition) {
     if (context.now() - rankedAtMillis >= RANK_AGAIN_MILLIS) {
       rankedAtMillis = context.now();
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import org.passhaven.core.member.BeatPace;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
@@ -16,18 +19,25 @@
 public final class MemberAgent {
   private static final Logger LOG = LoggerFactory.getLogger(MemberAgent.class);
   private static final String STREAM = "members.0";
-  private static final long BETWEEN_READS_MILLIS = 250;
+
+  /** A node that has just started beats often: nobody knows yet what will depend on it. */
+  private static final long FRESH_MILLIS = 5_000;
+
   private static final long HISTORY_RECORDS = 64;
   private static final long SETTLE_MILLIS = 1_100;
   private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
   private final GatewayContext context;
   private final DoubleSupplier requestsPerSecond;
+  private final BooleanSupplier isDependedOn;
   private final BeatTable beats;
   private final LogTail tail;
   private boolean tailing;
   private boolean beating;
   private boolean taking = true;
+  private long beganAt;
   private long startedAt;
+  private long beatAt = Long.MIN_VALUE / 2;
+  private long beatPeriodMillis;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
   private List<String> lastTaking = List.of();
   private Runnable whenFollowing = () -> {};
@@ -36,23 +46,38 @@
    * Creates the agent.
    *
    * @param requestsPerSecond requests that this node lately forwarded
+   * @param isDependedOn whether its loss must show soon: it runs jobs, orders weights or serves
+   * @param betweenReadsMillis pause between reads of the beats of all nodes
    */
-  public MemberAgent(GatewayContext context, DoubleSupplier requestsPerSecond) {
+  public MemberAgent(
+      GatewayContext context,
+      DoubleSupplier requestsPerSecond,
+      BooleanSupplier isDependedOn,
+      LongSupplier betweenReadsMillis) {
     this.context = Objects.requireNonNull(context, "context");
     this.requestsPerSecond = Objects.requireNonNull(requestsPerSecond, "requestsPerSecond");
+    this.isDependedOn = Objects.requireNonNull(isDependedOn, "isDependedOn");
     this.beats = new BeatTable(context.settings().silence().toMillis());
     this.tail =
-        new LogTail(
-            context.log(), context.timers(), STREAM, () -> BETWEEN_READS_MILLIS, new BeatReader());
+        new LogTail(context.log(), context.timers(), STREAM, betweenReadsMillis, new BeatReader());
   }
 
   /** Begins to beat; {@code onFollowing} is called once when the other nodes' beats are known. */
   public void start(Runnable onFollowing) {
     whenFollowing = Objects.requireNonNull(onFollowing, "onFollowing");
+    beganAt = context.now();
     context.timers().every(context.settings().beat().toMillis(), this::beat);
     beat();
   }
 
+  /** Something has come to depend on this node: its beats come more often from now on. */
+  void hurry() {
+    if (periodMillis() < beatPeriodMillis) {
+      beat();
+    }
+    tail.hurry();
+  }
+
   /** What is known of all nodes. */
   public BeatTable beats() {
     return beats;
@@ -60,7 +85,7 @@
 
   /** Whether this node has lately written to the log and read it back. */
   public boolean isInTouch() {
-    return context.now() - ownBeatReadAt < context.settings().silence().toMillis();
+    return context.now() - ownBeatReadAt < beats.silenceMillis(beatPeriodMillis);
   }
 
   /** Whether this node has followed the beats long enough to know who else is alive. */
@@ -78,13 +103,24 @@
    * A beat that is still under way tells as much as a second one; a slow log gets no more of them.
    */
   private void beat() {
-    if (!beating) {
+    long period = periodMillis();
+    boolean isDue = period < beatPeriodMillis || context.now() - beatAt >= period;
+    if (!beating && (isDue || !tailing)) {
       append();
     }
   }
 
+  private long periodMillis() {
+    boolean isFresh = context.now() - beganAt < FRESH_MILLIS;
+    return isFresh || isDependedOn.getAsBoolean()
+        ? context.settings().beat().toMillis()
+        : BeatPace.idleMillis(beats.taking().size());
+  }
+
   private void append() {
     beating = true;
+    beatAt = context.now();
+    beatPeriodMillis = periodMillis();
     GatewaySettings settings = context.settings();
     MemberBeat beat =
         new MemberBeat(
@@ -93,7 +129,8 @@
             settings.zone(),
             context.incarnation(),
             taking,
-            requestsPerSecond.getAsDouble());
+            requestsPerSecond.getAsDouble(),
+            beatPeriodMillis);
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -39,9 +39,17 @@
   /** Below the spacing of candidates, so that nobody is overtaken by one who looks later. */
   private static final long STANDBY_MILLIS = 300;
 
-  /** News of loads comes in batches to those who don't order; entries of servers are older. */
+  /**
+   * News of loads comes in batches to who runs jobs or may order next; servers' entries are older.
+   */
   private static final long STANDBY_READ_MILLIS = 150;
 
+  /** Below the silence of a holder that is alive after which the first candidate claims. */
+  private static final long IDLE_READ_MILLIS = 1_000;
+
+  /** Candidates behind these are patient for longer than {@link #IDLE_READ_MILLIS}. */
+  private static final int CLOSE_CANDIDATES = 4;
+
   private final GatewayContext context;
   private final Directory directory;
   private final MemberAgent members;
@@ -73,6 +81,12 @@
     tail.start(0);
     context.timers().every(context.settings().tick().toMillis(), this::decide);
     directory.addListener(this::decide);
+    jobs.addOwnerListener(tail::hurry);
+  }
+
+  /** Whether this node holds the lease, as far as it knows. */
+  boolean isHolder() {
+    return lease.isHolder();
   }
 
   /** Orders nothing more, and says so once all orders under way are answered. */
@@ -113,7 +127,10 @@
   }
 
   private long pauseMillis() {
-    return lease.isHolder() ? 0 : STANDBY_READ_MILLIS;
+    if (lease.isHolder()) {
+      return 0;
+    }
+    return jobs.isRunner() || rank() < CLOSE_CANDIDATES ? STANDBY_READ_MILLIS : IDLE_READ_MILLIS;
   }
 
   /** Who neither orders nor is about to take over looks less often whether orders are due. */
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/follow/TableFollowerTest.java
@@ -0,0 +1,86 @@
+package org.passhaven.node.follow;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.spi.TableService;
+
+class TableFollowerTest {
+  private static final long PAUSE_MILLIS = 400;
+  private final ManualTimers timers = new ManualTimers();
+  private final List<String> keys = new ArrayList<>();
+  private final List<Long> readAtMillis = new ArrayList<>();
+  private long changesLeft = 3;
+
+  private final TableService tables =
+      new TableService() {
+        @Override
+        public Uni<Page> list(String table, String afterKey) {
+          return Uni.createFrom().item(new Page(List.of(), false, 0));
+        }
+
+        @Override
+        public Uni<Changes> changes(String table, long from, long waitMillis) {
+          readAtMillis.add(timers.nowMillis());
+          if (changesLeft-- <= 0) {
+            return Uni.createFrom().nothing();
+          }
+          Entry entry = new Entry("key" + from, new byte[1]);
+          return Uni.createFrom().item(new Changes(List.of(entry), false, from + 1));
+        }
+      };
+
+  private final TableFollower follower =
+      new TableFollower(
+          tables,
+          timers,
+          "servers",
+          () -> PAUSE_MILLIS,
+          new TableFollower.Listener() {
+            @Override
+            public void onDocument(String key, byte[] value) {
+              keys.add(key);
+            }
+
+            @Override
+            public void onListed(Set<String> listed) {}
+          });
+
+  @BeforeEach
+  void start() {
+    follower.start();
+  }
+
+  @Test
+  void aBusyTableIsReadWithPauses() {
+    timers.advance(PAUSE_MILLIS - 1);
+    assertThat(keys, equalTo(List.of("key0")));
+    timers.advance(2 * PAUSE_MILLIS);
+    assertThat(keys, equalTo(List.of("key0", "key1", "key2")));
+  }
+
+  @Test
+  void whoNeedsNewsEndsThePause() {
+    follower.hurry();
+    assertThat(keys, equalTo(List.of("key0", "key1")));
+    assertThat(readAtMillis.size(), equalTo(2));
+    timers.advance(3 * PAUSE_MILLIS);
+    // The pause that was ended does not read once more.
+    assertThat(readAtMillis.size(), equalTo(4));
+  }
+
+  @Test
+  void hurryingAReadThatWaitsChangesNothing() {
+    timers.advance(3 * PAUSE_MILLIS);
+    int reads = readAtMillis.size();
+    follower.hurry();
+    assertThat(readAtMillis.size(), equalTo(reads));
+  }
+}
--- a/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
@@ -39,7 +39,7 @@
   @Test
   void theFirstCandidateReadsAPartitionBeforeTheOthersDo() {
     for (String node : List.of("n", "other")) {
-      beats.onBeat(new MemberBeat(node, node + ":1", "z", 1, true, 0), 0);
+      beats.onBeat(new MemberBeat(node, node + ":1", "z", 1, true, 0, 0), 0);
     }
     String own = runOfAPartitionWhoseFirstCandidateIs("n");
     String others = runOfAPartitionWhoseFirstCandidateIs("other");
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -0,0 +1,96 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.member.MemberBeat;
+
+class MemberAgentTest {
+  private static final String STREAM = "members.0";
+  private static final long FRESH_MILLIS = 6_000;
+  private final ManualTimers timers = new ManualTimers();
+  private final MemoryLog log = new MemoryLog(timers);
+  private boolean isDependedOn;
+  private final MemberAgent agent =
+      new MemberAgent(
+          new GatewayContext(
+              GatewayFixture.settings(1, 262_144, 2_097_152),
+              1,
+              timers,
+              bound -> 0,
+              log,
+              new GatewayFixture.NoTables(),
+              new GatewayFixture.NoServers(),
+              new GatewayFixture.NoDocuments(),
+              new GatewayMetrics(new SimpleMeterRegistry())),
+          () -> 0,
+          () -> isDependedOn,
+          () -> 250);
+
+  @BeforeEach
+  void passTheFirstSeconds() {
+    agent.start(() -> {});
+    timers.advance(FRESH_MILLIS);
+  }
+
+  private int beatsWithin(long millis) {
+    int before = log.stream(STREAM).size();
+    timers.advance(millis);
+    return log.stream(STREAM).size() - before;
+  }
+
+  private MemberBeat newestBeat() {
+    List<byte[]> beats = log.stream(STREAM);
+    return Codec.decode(beats.get(beats.size() - 1), MemberBeat.class);
+  }
+
+  @Test
+  void aNodeOnWhichNobodyDependsBeatsOnceASecond() {
+    assertThat(beatsWithin(10_000), equalTo(10));
+    assertThat(newestBeat().periodMillis(), equalTo(1_000L));
+    assertThat(agent.isInTouch(), is(true));
+    assertThat(agent.beats().isTaking("n"), is(true));
+  }
+
+  @Test
+  void aNodeOnWhichSomethingDependsBeatsAtThePaceOfTheSettings() {
+    isDependedOn = true;
+    assertThat(beatsWithin(10_000), equalTo(20));
+    assertThat(newestBeat().periodMillis(), equalTo(500L));
+  }
+
+  @Test
+  void whatComesToDependOnANodeIsToldAtOnce() {
+    beatsWithin(10_000);
+    isDependedOn = true;
+    agent.hurry();
+    assertThat(newestBeat().periodMillis(), equalTo(500L));
+    int told = log.stream(STREAM).size();
+    agent.hurry();
+    assertThat(log.stream(STREAM).size(), equalTo(told));
+  }
+
+  @Test
+  void aNodeThatLeavesSaysSoAtOnce() {
+    agent.announceLeaving();
+    assertThat(newestBeat().taking(), is(false));
+  }
+
+  @Test
+  void aBeatIsNotRepeatedWhileOneIsUnderWay() {
+    log.appends = MemoryLog.Manner.SILENT;
+    isDependedOn = true;
+    int before = log.appendCalls;
+    timers.advance(900);
+    assertThat(log.appendCalls - before, lessThanOrEqualTo(1));
+  }
+}
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -9,6 +9,7 @@
  * @param incarnation its start; a higher one replaces a lower one
  * @param taking whether it takes new work
  * @param requestsPerSecond requests that it lately forwarded
+ * @param periodMillis time in which its next beat is to come; zero if it does not say
  */
 public record MemberBeat(
     String node,
@@ -16,7 +17,8 @@
     String zone,
     long incarnation,
     boolean taking,
-    double requestsPerSecond) {
+    double requestsPerSecond,
+    long periodMillis) {
   public MemberBeat {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(address, "address");
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -24,7 +24,7 @@
   private static final List<String> ZONES = List.of("a", "b", "c");
   private static final List<String> STREAMS =
       List.of("members.0", "orders.0", "jobs.0", "jobs.1", "table/" + SimulatedDocuments.SERVERS);
-  private static final int NODES = 6;
+  private static final int FEW_NODES = 6;
   private static final long LEASE_MILLIS = 3_000;
   private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
   private static final long RELEASED_MILLIS = LEASE_MILLIS + 100;
@@ -46,9 +46,16 @@
    * What came of a run.
    *
    * @param wholeSteps steps of which every item was listed in time
+   * @param storeCalls calls of all nodes to the store by stream, those of the reading back at the
+   *     end excepted
    */
   public record Report(
-      List<String> violations, int steps, int wholeSteps, int orders, int handOvers) {}
+      List<String> violations,
+      int steps,
+      int wholeSteps,
+      int orders,
+      int handOvers,
+      Map<String, Long> storeCalls) {}
 
   private final VirtualTime time = new VirtualTime();
   private final UniformRandomProvider random;
@@ -60,13 +67,18 @@
   private final SimulatedTrainer trainer;
   private long storeTroubledUntil;
 
-  /** Creates a world. */
+  /** Creates a world of few nodes. */
   public GatewayWorld(long seed) {
+    this(seed, FEW_NODES);
+  }
+
+  /** Creates a world of so many nodes. */
+  public GatewayWorld(long seed, int nodes) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     store = new SimulatedStore(time, random);
     servers = new SimulatedServers(time, random, checker, ZONES);
     trainer = new SimulatedTrainer(this, time, random);
-    for (int i = 0; i < NODES; i++) {
+    for (int i = 0; i < nodes; i++) {
       hosts.add(host("n" + i, ZONES.get(i % ZONES.size())));
     }
   }
@@ -122,6 +134,7 @@
     after(3_000, trainer::start);
     faults.forEach(fault -> after(fault.atMillis(), () -> begin(fault)));
     playUntil(forMillis);
+    Map<String, Long> storeCalls = store.callsByStream();
     readBack(forMillis + READ_BACK_MILLIS);
     playUntil(forMillis + READ_BACK_MILLIS);
     return new Report(
@@ -129,7 +142,8 @@
         trainer.steps(),
         trainer.wholeSteps(),
         checker.orders(),
-        checker.handOvers());
+        checker.handOvers(),
+        storeCalls);
   }
 
   private void playUntil(long millis) {
@@ -302,7 +316,7 @@
   private void refuseSomeNodes(GatewayFault fault) {
     storeTroubledUntil = Math.max(storeTroubledUntil, time.nowMillis() + fault.forMillis());
     Set<String> refused = new HashSet<>();
-    for (int i = fault.target(); i < fault.target() + NODES / 3; i++) {
+    for (int i = fault.target(); i < fault.target() + hosts.size() / 3; i++) {
       refused.add(hosts.get(i % hosts.size()).process().name());
     }
     store.setRefusedNodes(refused::contains);
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -64,6 +64,7 @@
   private Predicate<String> refusedNodes = name -> false;
   private SimulatedPipe bandwidth;
   private long readBytes;
+  private final Map<String, Long> callsByStream = new TreeMap<>();
 
   /** Creates an empty store. */
   public SimulatedStore(VirtualTime time, UniformRandomProvider random) {
@@ -102,6 +103,11 @@
     return readBytes;
   }
 
+  /** Calls that were begun, by stream; {@code table/NAME} names a table. */
+  public Map<String, Long> callsByStream() {
+    return Map.copyOf(callsByStream);
+  }
+
   /** Fills a stream, as appends of earlier processes would have. */
   public void fill(String name, List<byte[]> records) {
     add(name, records);
@@ -211,6 +217,7 @@
       return Uni.createFrom()
           .emitter(
               emitter -> {
+                callsByStream.merge(stream, 1L, Long::sum);
                 if (isSilent(stream)) {
                   return;
                 }
