Claims of the order lease and of runs outlive the log's records

Cause: a claim was written once. The store drops records by age (300 s by the settings), so a node that started later took the epoch for zero, claimed epoch 1 and ordered under a fence that had been used (ONE); a run was taken twice the same way.

Change: the holder writes again after a quarter of the log's age without a record of it, a runner repeats its claim. Who reads a holder's record adopts it. Who finds none in what is kept claims the epoch behind the offset it has read to; no epoch is above the offset of its claim, so all used ones are below. Whether such a claim counts is decided by offsets alone, the same for every reader. A job whose pieces can't be decoded is told in the log and not taken for a copy.

Ruled out: a keyed topic for the lease (two streams without an order), clocks, the store's groups.

--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -21,6 +21,8 @@
   public enum Effect {
     /** A copy, or a record of an unknown job. */
     IGNORED,
+    /** The last piece of a job came whose whole can't be decoded: nobody can run or read it. */
+    UNREADABLE,
     /** The job is accepted. */
     ACCEPTED,
     /** An item got its result. */
@@ -95,7 +97,7 @@
       noteOpen(job);
       return Effect.ACCEPTED;
     } catch (CodecException e) {
-      return Effect.IGNORED;
+      return Effect.UNREADABLE;
     }
   }
 
--- a/core/src/main/java/org/passhaven/core/job/RunOwners.java
+++ b/core/src/main/java/org/passhaven/core/job/RunOwners.java
@@ -1,18 +1,23 @@
 package org.passhaven.core.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.protocol.job.JobRecord.RunTaken;
 
 /**
  * Which node runs the jobs of each run. A node keeps a run until it leaves or falls silent; then
- * the first live candidate takes it, and the next ones if that one does not. Times in monotonic
- * milliseconds. Not thread-safe.
+ * the first live candidate takes it, and the next ones if that one does not. The log drops records
+ * by age, so a runner writes its claim again well within that; who finds no runner in what is kept
+ * claims an epoch above all that can have been used, since none is higher than the offset of its
+ * claim. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class RunOwners {
   private static final long READ_BACK_MILLIS = 600;
@@ -25,11 +30,14 @@
   private final Map<String, Long> ownerlessSince = new HashMap<>();
   private final Map<String, Long> claimedAt = new HashMap<>();
   private final Map<String, Long> takenAt = new HashMap<>();
+  private final Map<String, Long> writtenAt = new HashMap<>();
+  private final Map<String, Long> newestOffset = new HashMap<>();
+  private final Set<String> streamsWithGaps = new HashSet<>();
 
   /**
    * Creates the view of one start of a node.
    *
-   * @param candidateKeyOf key by which the candidates for a run are ranked
+   * @param candidateKeyOf key by which the candidates for a run are ranked: its stream
    */
   public RunOwners(String node, long incarnation, UnaryOperator<String> candidateKeyOf) {
     this.node = Objects.requireNonNull(node, "node");
@@ -37,17 +45,64 @@
     this.candidateKeyOf = Objects.requireNonNull(candidateKeyOf, "candidateKeyOf");
   }
 
-  /** Folds a record that was read at {@code nowMillis}; true if it took effect. */
-  public boolean apply(RunTaken record, long nowMillis) {
-    if (record.epoch() != epochOf(record.run()) + 1) {
+  /**
+   * Folds a record that was read at {@code nowMillis}; true if the run has got another runner.
+   *
+   * @param offset place of the record in its stream
+   */
+  public boolean apply(RunTaken record, long offset, long nowMillis) {
+    String run = record.run();
+    long newest = newestOffset.getOrDefault(run, -1L);
+    boolean isNext = record.epoch() == epochOf(run) + 1;
+    // The writer would have read the runner's newest claim if the log still had it.
+    boolean isBeyondAllKept = record.epoch() > epochOf(run) && newest < record.readTo();
+    boolean isRenewal = isOfOwner(record);
+    if (!isNext && !isBeyondAllKept && !isRenewal) {
+      return false;
+    }
+    newestOffset.put(run, offset);
+    writtenAt.put(run, nowMillis);
+    if (isRenewal) {
       return false;
     }
-    owners.put(record.run(), record);
-    ownerlessSince.remove(record.run());
-    takenAt.put(record.run(), nowMillis);
+    owners.put(run, record);
+    ownerlessSince.remove(run);
+    takenAt.put(run, nowMillis);
     return true;
   }
 
+  private boolean isOfOwner(RunTaken record) {
+    RunTaken owner = owners.get(record.run());
+    return owner != null
+        && owner.epoch() == record.epoch()
+        && owner.node().equals(record.node())
+        && owner.incarnation() == record.incarnation();
+  }
+
+  /** Records of a stream that were not read are gone: who runs its runs is unknown. */
+  public void onGap(String stream) {
+    streamsWithGaps.add(stream);
+    owners.keySet().removeIf(run -> candidateKeyOf.apply(run).equals(stream));
+    newestOffset.keySet().removeIf(run -> candidateKeyOf.apply(run).equals(stream));
+  }
+
+  /**
+   * Claims of this node's runs that the log is about to drop, to be appended again.
+   *
+   * @param renewMillis age from which a claim is written again
+   * @param readTo offset up to which a stream was read, by its name
+   */
+  public List<RunTaken> renewals(long renewMillis, ToLongFunction<String> readTo, long nowMillis) {
+    return ownRuns().stream()
+        .filter(run -> nowMillis - writtenAt.get(run) >= renewMillis)
+        .map(run -> claimOf(run, epochOf(run), readTo.applyAsLong(candidateKeyOf.apply(run))))
+        .toList();
+  }
+
+  private RunTaken claimOf(String run, long epoch, long readTo) {
+    return new RunTaken(run, epoch, node, incarnation, readTo);
+  }
+
   /** Epoch of a run's owner; zero if nobody has taken the run. */
   public long epochOf(String run) {
     RunTaken owner = owners.get(run);
@@ -74,8 +129,12 @@
     return owner != null && beats.isOver(owner.node(), owner.incarnation());
   }
 
-  /** The record to append if this node is to take a run now. */
-  public Optional<RunTaken> claim(String run, BeatTable beats, long nowMillis) {
+  /**
+   * The record to append if this node is to take a run now.
+   *
+   * @param readTo offset up to which the run's stream was read
+   */
+  public Optional<RunTaken> claim(String run, BeatTable beats, long readTo, long nowMillis) {
     RunTaken owner = owners.get(run);
     if (owner != null && isAlive(owner, beats, nowMillis)) {
       ownerlessSince.remove(run);
@@ -89,7 +148,8 @@
       return Optional.empty();
     }
     claimedAt.put(run, nowMillis);
-    return Optional.of(new RunTaken(run, epochOf(run) + 1, node, incarnation));
+    boolean mayLackClaims = owner == null && streamsWithGaps.contains(candidateKeyOf.apply(run));
+    return Optional.of(claimOf(run, mayLackClaims ? readTo + 1 : epochOf(run) + 1, readTo));
   }
 
   /** A node may take a run before its first beat is read here: the record tells that it lives. */
--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -11,7 +11,12 @@
  * lease: a claim names the epoch that it succeeds, and the first one wins. A holder orders only for
  * a short time from the moment at which it sent an intent that it then read back. So whoever reads
  * the stream knows when a predecessor can have ordered last, and waits the hand-over time longer.
- * Nothing is written while no order is due. Times in monotonic milliseconds. Not thread-safe.
+ *
+ * <p>The stream drops records by age. So a holder writes again well within that age, and whoever
+ * reads a record of a holder that it did not know takes it for the holder. Who finds no holder in
+ * all that is kept claims an epoch above each one that can ever have been used: none is higher than
+ * the offset of its claim. Apart from that, nothing is written while no order is due. Times in
+ * monotonic milliseconds. Not thread-safe.
  */
 public final class OrderLease {
   /**
@@ -22,13 +27,15 @@
    * @param releasedMillis the same if the former holder told that it orders no more
    * @param claimAfterMillis silence of a live holder after which another may claim
    * @param rankMillis time that each next candidate waits longer
+   * @param renewMillis time without a record of the holder after which it writes again
    */
   public record Settings(
       long validMillis,
       long handOverMillis,
       long releasedMillis,
       long claimAfterMillis,
-      long rankMillis) {}
+      long rankMillis,
+      long renewMillis) {}
 
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final long READ_BACK_MILLIS = 1_000;
@@ -40,8 +47,21 @@
   /** Time from which another node may order as far as this one is concerned, by node. */
   private final Map<String, Long> mayFollowFromMillis = new HashMap<>();
 
+  /** Offset of the next record of the stream. */
+  private long readTo;
+
   private long epoch;
   private String holder = "";
+
+  /** Whether no record by which the lease changed hands can have been missed. */
+  private boolean isSure = true;
+
+  /** Newest record of the holder; where the holder is not sure, of anybody. */
+  private long newestOffset = -1;
+
+  /** Epoch of this start's newest claim; zero if there is none that can still count. */
+  private long claimedEpoch;
+
   private long holderIncarnation;
   private long lastRecordAt = NEVER;
   private long neededSince = NEVER;
@@ -58,8 +78,12 @@
     this.settings = Objects.requireNonNull(settings, "settings");
   }
 
-  /** Folds a record that was read at {@code nowMillis}. */
+  /** Folds the next record of the stream, which was read at {@code nowMillis}. */
   public void onRecord(OrderRecord record, long nowMillis) {
+    readTo++;
+    if (!(record instanceof OrderRecord.Claimed)) {
+      noteHolder(record, nowMillis);
+    }
     if (record instanceof OrderRecord.Claimed claim) {
       onClaim(claim, nowMillis);
     } else if (record instanceof OrderRecord.Intended intent) {
@@ -69,18 +93,64 @@
     }
   }
 
-  private void onClaim(OrderRecord.Claimed claim, long nowMillis) {
-    if (claim.epoch() != epoch + 1) {
-      return;
-    }
-    epoch = claim.epoch();
-    holder = claim.node();
-    holderIncarnation = claim.incarnation();
+  /** The next record of the stream can't be read. */
+  public void onUnreadable() {
+    readTo++;
+  }
+
+  /**
+   * Records that were not read are gone: who holds the lease now is unknown, and this node, if it
+   * was the holder, may have been succeeded under epochs that nobody can tell.
+   */
+  public void onGap(long nextOffset) {
+    readTo = nextOffset;
+    become("", 0, 0);
+    newestOffset = -1;
+    isSure = false;
+    claimedEpoch = 0;
+  }
+
+  private void become(String newHolder, long newIncarnation, long newEpoch) {
+    epoch = newEpoch;
+    holder = newHolder;
+    holderIncarnation = newIncarnation;
     validUntil = NEVER;
     sentAtByNumber.clear();
-    noteActive(claim.node(), nowMillis);
-    if (isHolder()) {
-      notBefore = othersMayBeFollowedFrom();
+  }
+
+  /** Only a holder writes such records: whoever did not know it has missed its claim. */
+  private void noteHolder(OrderRecord record, long nowMillis) {
+    boolean isNews = record.epoch() > epoch || (record.epoch() == epoch && !isSure);
+    if (isNews) {
+      if (!isOfHolder(record)) {
+        become(record.node(), record.incarnation(), record.epoch());
+        noteActive(record.node(), nowMillis);
+      }
+      isSure = true;
+    } else if (!isSure) {
+      // The claim that is known may have lost; the epoch stays, since it may also have won.
+      holder = record.node();
+      holderIncarnation = record.incarnation();
+      noteActive(record.node(), nowMillis);
+    }
+    if (!isSure || isOfHolder(record)) {
+      newestOffset = readTo - 1;
+    }
+  }
+
+  private void onClaim(OrderRecord.Claimed claim, long nowMillis) {
+    boolean isNext = isSure && claim.epoch() == epoch + 1;
+    // The writer would have read the holder's newest record if the log still had it.
+    boolean isBeyondAllKept = claim.epoch() > epoch && newestOffset < claim.readTo();
+    if (isNext || isBeyondAllKept) {
+      become(claim.node(), claim.incarnation(), claim.epoch());
+      noteActive(claim.node(), nowMillis);
+      if (isHolder()) {
+        notBefore = othersMayBeFollowedFrom();
+      }
+    }
+    if (!isSure || isNext || isBeyondAllKept) {
+      newestOffset = readTo - 1;
     }
   }
 
@@ -146,7 +216,7 @@
 
   /** Whether this start of this node holds the lease, by all that was read. */
   public boolean isHolder() {
-    return holder.equals(node) && holderIncarnation == incarnation;
+    return holder.equals(node) && holderIncarnation == incarnation && epoch == claimedEpoch;
   }
 
   /** Node that holds the lease; empty if nobody ever did. */
@@ -191,7 +261,7 @@
   public Optional<OrderRecord> next(boolean needed, boolean holderAlive, int rank, long nowMillis) {
     if (!needed) {
       neededSince = NEVER;
-      return Optional.empty();
+      return isRenewalDue(nowMillis) ? nextIntent(nowMillis) : Optional.empty();
     }
     if (neededSince == NEVER) {
       neededSince = nowMillis;
@@ -199,6 +269,11 @@
     return isHolder() ? nextIntent(nowMillis) : nextClaim(holderAlive, rank, nowMillis);
   }
 
+  /** The log is about to drop the last record that tells of this holder. */
+  private boolean isRenewalDue(long nowMillis) {
+    return isHolder() && nowMillis - lastRecordAt >= settings.renewMillis();
+  }
+
   private Optional<OrderRecord> nextIntent(long nowMillis) {
     boolean fresh = validUntil - nowMillis > settings.validMillis() / 2;
     boolean justSent = nowMillis - intentSentAt < settings.validMillis() / 4;
@@ -225,6 +300,7 @@
       return Optional.empty();
     }
     claimSentAt = nowMillis;
-    return Optional.of(new OrderRecord.Claimed(epoch + 1, node, incarnation));
+    claimedEpoch = isSure ? epoch + 1 : readTo + 1;
+    return Optional.of(new OrderRecord.Claimed(claimedEpoch, node, incarnation, readTo));
   }
 }
--- a/core/src/test/java/org/passhaven/core/job/JobTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobTableTest.java
@@ -49,6 +49,14 @@
     assertThat(table.get("j").item("y"), nullValue());
   }
 
+  @Test
+  void aJobThatCantBeDecodedIsToldFromACopy() {
+    JobPart garbled = new JobPart("j", 1, 0, 1, new byte[] {1, 2, 3});
+    assertThat(table.apply(garbled, 0), is(Effect.UNREADABLE));
+    assertThat(table.get("j"), nullValue());
+    assertThat(table.apply(whole("j", 2, "x"), 0), is(Effect.ACCEPTED));
+  }
+
   @Test
   void piecesOfTwoAppendsAreNotMixed() {
     byte[] content = Codec.encode(submission("j", 0, 0, item("x", "g")));
--- a/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
+++ b/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
@@ -37,12 +37,12 @@
     beat("a", 1, true, 0);
     beat("b", 1, true, 0);
     String run = runWhoseFirstIs("a");
-    RunTaken claim = a.claim(run, beats, 0).orElseThrow();
+    RunTaken claim = a.claim(run, beats, 0, 0).orElseThrow();
     assertThat(a.isOwn(run), is(false));
-    assertThat(a.apply(claim, 0), is(true));
+    assertThat(a.apply(claim, 0, 0), is(true));
     assertThat(a.isOwn(run), is(true));
     assertThat(a.ownRuns(), contains(run));
-    assertThat(a.apply(new RunTaken(run, 2, "b", 1), 0), is(true));
+    assertThat(a.apply(new RunTaken(run, 2, "b", 1, 0), 0, 0), is(true));
     assertThat(a.ownRuns(), empty());
   }
 
@@ -51,8 +51,8 @@
     beat("a", 1, true, 0);
     beat("b", 1, true, 0);
     String run = runWhoseFirstIs("a");
-    a.apply(new RunTaken(run, 1, "b", 1), 0);
-    assertThat(a.claim(run, beats, 0), equalTo(Optional.empty()));
+    a.apply(new RunTaken(run, 1, "b", 1, 0), 0, 0);
+    assertThat(a.claim(run, beats, 0, 0), equalTo(Optional.empty()));
   }
 
   @Test
@@ -60,9 +60,9 @@
     beat("a", 1, true, 0);
     beat("b", 1, true, 0);
     String run = runWhoseFirstIs("a");
-    a.apply(new RunTaken(run, 1, "b", 1), 0);
+    a.apply(new RunTaken(run, 1, "b", 1, 0), 0, 0);
     beat("b", 2, true, 10);
-    assertThat(a.claim(run, beats, 10).orElseThrow().epoch(), equalTo(2L));
+    assertThat(a.claim(run, beats, 0, 10).orElseThrow().epoch(), equalTo(2L));
   }
 
   @Test
@@ -70,9 +70,9 @@
     beat("a", 1, true, 0);
     beat("b", 1, true, 0);
     String run = runWhoseFirstIs("b");
-    assertThat(a.claim(run, beats, 0).isPresent(), is(false));
-    assertThat(a.claim(run, beats, 199).isPresent(), is(false));
-    assertThat(a.claim(run, beats, 200).isPresent(), is(true));
+    assertThat(a.claim(run, beats, 0, 0).isPresent(), is(false));
+    assertThat(a.claim(run, beats, 0, 199).isPresent(), is(false));
+    assertThat(a.claim(run, beats, 0, 200).isPresent(), is(true));
   }
 
   @Test
@@ -80,34 +80,70 @@
     beat("a", 1, true, 0);
     beat("b", 1, true, 0);
     String run = runWhoseFirstIs("a");
-    a.apply(new RunTaken(run, 1, "b", 2), 0);
-    assertThat(a.claim(run, beats, 900).isPresent(), is(false));
-    assertThat(a.claim(run, beats, 1_000).isPresent(), is(true));
+    a.apply(new RunTaken(run, 1, "b", 2, 0), 0, 0);
+    assertThat(a.claim(run, beats, 0, 900).isPresent(), is(false));
+    assertThat(a.claim(run, beats, 0, 1_000).isPresent(), is(true));
   }
 
   @Test
   void anOwnerIsOverOnceAnotherStartOfItOrItsLeavingIsKnown() {
-    a.apply(new RunTaken("r", 1, "b", 1), 0);
+    a.apply(new RunTaken("r", 1, "b", 1, 0), 0, 0);
     assertThat(a.isOwnerOver("r", beats), is(false));
     beat("b", 1, true, 0);
     assertThat(a.isOwnerOver("r", beats), is(false));
     beat("b", 2, true, 10);
     assertThat(a.isOwnerOver("r", beats), is(true));
     assertThat(a.isOwnerOver("nobody's", beats), is(false));
-    a.apply(new RunTaken("r", 2, "b", 3), 0);
+    a.apply(new RunTaken("r", 2, "b", 3, 0), 0, 0);
     assertThat(a.isOwnerOver("r", beats), is(false));
   }
 
   @Test
   void ofTwoClaimsTheFirstInTheLogWins() {
-    assertThat(a.apply(new RunTaken("r", 1, "b", 1), 0), is(true));
-    assertThat(a.apply(new RunTaken("r", 1, "a", 1), 0), is(false));
+    assertThat(a.apply(new RunTaken("r", 1, "b", 1, 0), 0, 0), is(true));
+    assertThat(a.apply(new RunTaken("r", 1, "a", 1, 0), 0, 0), is(false));
     assertThat(a.isOwn("r"), is(false));
   }
 
   @Test
   void aNodeThatLeavesTakesNothing() {
     beat("a", 1, false, 0);
-    assertThat(a.claim("r", beats, 5_000).isPresent(), is(false));
+    assertThat(a.claim("r", beats, 0, 5_000).isPresent(), is(false));
+  }
+
+  @Test
+  void aRunnerWritesItsClaimAgainBeforeTheLogDropsIt() {
+    beat("a", 1, true, 0);
+    String run = runWhoseFirstIs("a");
+    a.apply(a.claim(run, beats, 0, 0).orElseThrow(), 0, 0);
+    assertThat(a.renewals(5_000, stream -> 40, 4_999), empty());
+    RunTaken again = a.renewals(5_000, stream -> 40, 5_000).get(0);
+    assertThat(again, equalTo(new RunTaken(run, 1, "a", 1, 40)));
+    assertThat(a.apply(again, 41, 5_010), is(false));
+    assertThat(a.isOwn(run), is(true));
+    assertThat(a.renewals(5_000, stream -> 40, 6_000), empty());
+  }
+
+  @Test
+  void whoStartsAfterTheClaimIsGoneLearnsTheRunnerFromItsRenewal() {
+    a.onGap("run/r");
+    assertThat(a.apply(new RunTaken("r", 7, "b", 1, 300), 310, 0), is(true));
+    assertThat(a.epochOf("r"), equalTo(7L));
+  }
+
+  @Test
+  void whoFindsNoRunnerInWhatIsKeptClaimsAboveAllThatCanHaveBeenUsed() {
+    beat("a", 1, true, 0);
+    a.onGap("run/r");
+    RunTaken claim = a.claim("r", beats, 500, 0).orElseThrow();
+    assertThat(claim.epoch(), equalTo(501L));
+  }
+
+  @Test
+  void aClaimByWhoMissedALiveRunnersRecordComesToNothing() {
+    a.apply(new RunTaken("r", 1, "b", 1, 0), 10, 0);
+    a.apply(new RunTaken("r", 1, "b", 1, 0), 700, 0);
+    assertThat(a.apply(new RunTaken("r", 601, "c", 1, 600), 701, 0), is(false));
+    assertThat(a.apply(new RunTaken("r", 802, "c", 1, 801), 802, 0), is(true));
   }
 }
--- a/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
+++ b/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
@@ -19,8 +19,9 @@
 class OrderLeaseTest {
   private static final long VALID = 1_000;
   private static final long HAND_OVER = 3_000;
+  private static final long RENEW = 5_000;
   private static final OrderLease.Settings SETTINGS =
-      new OrderLease.Settings(VALID, HAND_OVER, HAND_OVER, 2_000, 400);
+      new OrderLease.Settings(VALID, HAND_OVER, HAND_OVER, 2_000, 400, RENEW);
 
   private static OrderLease lease(String node) {
     return new OrderLease(node, 7, SETTINGS);
@@ -48,7 +49,7 @@
   @Test
   void aSuccessorWaitsUntilItsPredecessorCanHaveOrderedLastAndTheHandOverTimeLonger() {
     OrderLease b = lease("b");
-    b.onRecord(new Claimed(1, "a", 1), 100);
+    b.onRecord(new Claimed(1, "a", 1, 0), 100);
     b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
     OrderRecord claim = b.next(true, false, 0, 300).orElseThrow();
     b.onRecord(claim, 310);
@@ -65,7 +66,7 @@
     OrderLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
     OrderRecord intent = next(a, 2).orElseThrow();
-    a.onRecord(new Claimed(2, "b", 3), 3);
+    a.onRecord(new Claimed(2, "b", 3, 0), 3);
     a.onRecord(intent, 4);
     assertThat(a.isHolder(), is(false));
     assertThat(a.mayOrder(5), is(false));
@@ -75,7 +76,7 @@
   void ofTwoClaimsOfOneEpochTheFirstWins() {
     OrderLease a = lease("a");
     OrderRecord own = a.next(true, false, 0, 0).orElseThrow();
-    a.onRecord(new Claimed(1, "b", 3), 1);
+    a.onRecord(new Claimed(1, "b", 3, 0), 1);
     a.onRecord(own, 2);
     assertThat(a.holder(), equalTo("b"));
   }
@@ -83,14 +84,14 @@
   @Test
   void aClaimOfAnEarlierStartOfThisNodeIsNotItsOwn() {
     OrderLease a = lease("a");
-    a.onRecord(new Claimed(1, "a", 6), 1);
+    a.onRecord(new Claimed(1, "a", 6, 0), 1);
     assertThat(a.isHolder(), is(false));
   }
 
   @Test
   void aBusyHolderIsNotChallenged() {
     OrderLease b = lease("b");
-    b.onRecord(new Claimed(1, "a", 1), 0);
+    b.onRecord(new Claimed(1, "a", 1, 0), 0);
     for (long now = 0; now < 10_000; now += 500) {
       b.onRecord(new Intended(1, "a", 1, now, 0), now);
       assertThat(next(b, now + 1).isPresent(), is(false));
@@ -101,7 +102,7 @@
   @Test
   void aReleaseLetsTheSuccessorOrderSooner() {
     OrderLease b = lease("b");
-    b.onRecord(new Claimed(1, "a", 1), 100);
+    b.onRecord(new Claimed(1, "a", 1, 0), 100);
     b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
     b.onRecord(new OrderRecord.Released(1, "a", 1), 300);
     b.onRecord(b.next(true, false, 0, 310).orElseThrow(), 320);
@@ -114,9 +115,9 @@
   @Test
   void aReleaseByAHolderThatWaitedItselfDoesNotShortenTheWaitForTheOneBefore() {
     OrderLease c = lease("c");
-    c.onRecord(new Claimed(1, "a", 1), 0);
+    c.onRecord(new Claimed(1, "a", 1, 0), 0);
     c.onRecord(new Intended(1, "a", 1, 1, 0), 1_000);
-    c.onRecord(new Claimed(2, "b", 1), 1_100);
+    c.onRecord(new Claimed(2, "b", 1, 0), 1_100);
     c.onRecord(new OrderRecord.Released(2, "b", 1), 1_200);
     c.onRecord(c.next(true, false, 0, 1_210).orElseThrow(), 1_220);
     long from = 1_000 + VALID + HAND_OVER;
@@ -128,15 +129,15 @@
   @Test
   void aHolderThatStartsAnewNeedNotWaitForWhatWasLongBeforeIt() {
     OrderLease again = new OrderLease("a", 8, SETTINGS);
-    again.onRecord(new Claimed(1, "b", 1), 50_000);
+    again.onRecord(new Claimed(1, "b", 1, 0), 50_000);
     again.onRecord(new Intended(1, "b", 1, 1, 0), 50_000);
-    again.onRecord(new Claimed(2, "a", 7), 50_000);
+    again.onRecord(new Claimed(2, "a", 7, 0), 50_000);
     again.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
     again.onRecord(again.next(true, false, 0, 50_010).orElseThrow(), 50_020);
     again.onRecord(next(again, 50_030).orElseThrow(), 50_040);
     assertThat(again.mayOrder(50_040), is(true));
     OrderLease other = new OrderLease("c", 8, SETTINGS);
-    other.onRecord(new Claimed(2, "a", 7), 50_000);
+    other.onRecord(new Claimed(2, "a", 7, 0), 50_000);
     other.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
     assertThat(other.mayOrder(50_040), is(false));
   }
@@ -157,16 +158,86 @@
     assertThat(a.next(false, false, 0, 0).isPresent(), is(false));
   }
 
+  @Test
+  void aHolderWritesAgainBeforeTheLogForgetsIt() {
+    OrderLease a = lease("a");
+    a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
+    assertThat(a.next(false, true, 0, RENEW).isPresent(), is(false));
+    OrderRecord again = a.next(false, true, 0, RENEW + 1).orElseThrow();
+    assertThat(again.epoch(), equalTo(1L));
+    a.onRecord(again, RENEW + 10);
+    assertThat(a.next(false, true, 0, RENEW + 20).isPresent(), is(false));
+  }
+
+  @Test
+  void whoFindsNoHolderInWhatIsKeptClaimsAboveAllThatCanHaveBeenUsed() {
+    OrderLease c = lease("c");
+    c.onGap(500);
+    Claimed claim = (Claimed) c.next(true, false, 0, 0).orElseThrow();
+    assertThat(claim.epoch(), equalTo(501L));
+    c.onRecord(claim, 10);
+    assertThat(c.isHolder(), is(true));
+  }
+
+  @Test
+  void whoMissedTheClaimTakesTheHolderFromItsRecords() {
+    OrderLease c = lease("c");
+    c.onGap(500);
+    c.onRecord(new Intended(5, "a", 1, 9, 0), 0);
+    assertThat(c.holder(), equalTo("a"));
+    assertThat(c.epoch(), equalTo(5L));
+    assertThat(((Claimed) c.next(true, false, 0, 1).orElseThrow()).epoch(), equalTo(6L));
+  }
+
+  @Test
+  void aClaimByWhoMissedALiveHoldersRecordComesToNothing() {
+    OrderLease b = lease("b");
+    b.onRecord(new Claimed(1, "a", 1, 0), 0);
+    b.onRecord(new Intended(1, "a", 1, 1, 0), 0);
+    // Its writer had read the stream up to the intent, but not the intent.
+    b.onRecord(new Claimed(2_000, "c", 1, 1), 1);
+    assertThat(b.holder(), equalTo("a"));
+    // This one had read further, and the log had dropped all that told of the holder.
+    b.onRecord(new Claimed(2_000, "c", 1, 2), 2);
+    assertThat(b.holder(), equalTo("c"));
+  }
+
+  @Test
+  void aHolderThatMissedRecordsOrdersNoMoreUnderItsEpoch() {
+    OrderLease a = lease("a");
+    a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
+    OrderRecord intent = next(a, 2).orElseThrow();
+    a.onRecord(intent, 3);
+    assertThat(a.mayOrder(4), is(true));
+    a.onGap(300);
+    assertThat(a.mayOrder(5), is(false));
+    a.onRecord(new Intended(1, "a", 7, 2, 0), 6);
+    assertThat(a.isHolder(), is(false));
+    assertThat(a.mayOrder(7), is(false));
+    Claimed claim = (Claimed) a.next(true, false, 0, 5_000).orElseThrow();
+    assertThat(claim.epoch(), equalTo(2L));
+  }
+
   /** Nodes with delays, pauses and overlapping claims: orders of two are never close in time. */
   @Test
   void ordersOfTwoNodesAreNeverWithinTheHandOverTime() {
     int handovers = 0;
     for (int seed = 1; seed <= 300; seed++) {
-      handovers += new Race(seed).play();
+      handovers += new Race(seed, Long.MAX_VALUE).play();
     }
     assertThat(handovers, greaterThan(100));
   }
 
+  /** The same where the log drops records, so that nodes start without the claim or miss some. */
+  @Test
+  void ordersOfTwoNodesAreNeverWithinTheHandOverTimeThoughTheLogForgets() {
+    int handovers = 0;
+    for (int seed = 1; seed <= 600; seed++) {
+      handovers += new Race(seed, 3 * RENEW).play();
+    }
+    assertThat(handovers, greaterThan(200));
+  }
+
   /** One log, three nodes that read it late, claim eagerly and pause now and then. */
   private static final class Race {
     private final Random random;
@@ -176,26 +247,47 @@
     private long nextIncarnation = 100;
     private final int[] read = new int[3];
     private final long[] pausedUntil = new long[3];
+    private final long ageMillis;
+    private final List<Long> landedAt = new ArrayList<>();
     private final List<OrderRecord> log = new ArrayList<>();
+    private int firstKept;
     private final List<OrderRecord> late = new ArrayList<>();
     private int lastNode = -1;
     private long lastAt;
     private long lastFence;
 
-    Race(long seed) {
+    Race(long seed, long ageMillis) {
       random = new Random(seed);
+      this.ageMillis = ageMillis;
+    }
+
+    private void land(OrderRecord record, long now) {
+      log.add(record);
+      landedAt.add(now);
+    }
+
+    private void dropOld(long now) {
+      while (firstKept < log.size() && now - landedAt.get(firstKept) >= ageMillis) {
+        firstKept++;
+      }
+    }
+
+    private void startAnew(int node) {
+      leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
+      read[node] = 0;
     }
 
     int play() {
       int handovers = 0;
       for (long now = 0; now < 60_000; now += 50) {
+        dropOld(now);
         for (int node = 0; node < 3; node++) {
           if (now >= pausedUntil[node]) {
             handovers += step(node, now);
           }
         }
         if (!late.isEmpty() && random.nextInt(10) == 0) {
-          log.add(late.remove(0));
+          land(late.remove(0), now);
         }
       }
       return handovers;
@@ -204,32 +296,46 @@
     private int step(int node, long now) {
       OrderLease lease = leases.get(node);
       if (random.nextInt(200) == 0) {
-        pausedUntil[node] = now + random.nextInt(8_000);
+        boolean isLong = ageMillis != Long.MAX_VALUE && random.nextInt(5) == 0;
+        pausedUntil[node] = now + random.nextInt(isLong ? 30_000 : 8_000);
         return 0;
       }
       if (random.nextInt(100) == 0) {
         // A new start of the node, which reads all that there is at once.
-        leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
-        read[node] = 0;
+        startAnew(node);
         return 0;
       }
       if (random.nextInt(200) == 0 && lease.release().isPresent()) {
-        log.add(lease.release().orElseThrow());
-        leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
-        read[node] = 0;
+        land(lease.release().orElseThrow(), now);
+        startAnew(node);
         return 0;
       }
+      if (read[node] < firstKept) {
+        read[node] = firstKept;
+        lease.onGap(firstKept);
+      }
       boolean readsAll = random.nextInt(4) == 0;
       while (read[node] < log.size() && (readsAll || random.nextInt(3) > 0)) {
         lease.onRecord(log.get(read[node]++), now);
       }
       boolean holderAlive = random.nextInt(4) > 0;
-      lease
-          .next(true, holderAlive, node, now)
-          .ifPresent(record -> (random.nextInt(8) == 0 ? late : log).add(record));
+      lease.next(isNeeded(now), holderAlive, node, now).ifPresent(record -> send(record, now));
       return lease.mayOrder(now) ? order(node, lease.epoch(), now) : 0;
     }
 
+    /** In calm nobody writes but a holder that renews. */
+    private boolean isNeeded(long now) {
+      return ageMillis == Long.MAX_VALUE || now / 15_000 % 2 == 0;
+    }
+
+    private void send(OrderRecord record, long now) {
+      if (random.nextInt(8) == 0) {
+        late.add(record);
+      } else {
+        land(record, now);
+      }
+    }
+
     private int order(int node, long fence, long now) {
       boolean handover = lastNode >= 0 && lastNode != node;
       if (handover) {
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -27,6 +27,9 @@
     /** A record was read. */
     void onRecord(byte[] record);
 
+    /** Records that were not given are no longer kept; the next one is that of an offset. */
+    default void onGap(long nextOffset) {}
+
     /** All records of one read were given. */
     default void onBatchEnd() {}
 
@@ -93,6 +96,11 @@
     return caughtUp;
   }
 
+  /** Offset behind the last record that was given. */
+  public long position() {
+    return next;
+  }
+
   /** The stream's name. */
   public String stream() {
     return stream;
@@ -156,6 +164,7 @@
           .addKeyValue("first", batch.firstOffset())
           .log("log: records are gone");
       next = batch.firstOffset();
+      listener.onGap(next);
     }
     long offset = batch.firstOffset();
     boolean some = false;
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -23,6 +24,7 @@
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.JobRecord;
+import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -46,6 +48,12 @@
 
   private static final long RANK_AGAIN_MILLIS = 2_000;
   private static final long FORGET_PERIOD_MILLIS = 10_000;
+
+  /**
+   * Below the age at which claims are renewed where the log keeps records for some seconds only.
+   */
+  private static final long RENEWAL_PERIOD_MILLIS = 1_000;
+
   private static final long FIRST_READ_MILLIS = 350;
   private static final long START_SPACING_MILLIS = 50;
   private static final int MAX_START_DELAY_MILLIS = 2_000;
@@ -82,7 +90,28 @@
               history,
               STREAM_PREFIX + partition,
               () -> pauseMillis(followed),
-              this::onRecord));
+              new PartitionReader(followed)));
+    }
+  }
+
+  /** Reads one partition. */
+  private final class PartitionReader implements LogTail.Listener {
+    private final int partition;
+
+    PartitionReader(int partition) {
+      this.partition = partition;
+    }
+
+    @Override
+    public void onRecord(byte[] record) {
+      JobLog.this.onRecord(partition, record);
+    }
+
+    @Override
+    public void onGap(long nextOffset) {
+      owners.onGap(STREAM_PREFIX + partition);
+      refreshOwnStreams();
+      ownerListeners.forEach(Runnable::run);
     }
   }
 
@@ -154,6 +183,32 @@
       }
     }
     context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
+    context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
+  }
+
+  /** Claims of this node are written again before the log drops them. */
+  private void renewClaims() {
+    long renewMillis = context.settings().lease().renewMillis();
+    for (JobRecord.RunTaken claim : owners.renewals(renewMillis, this::positionOf, context.now())) {
+      append(streamOf(claim.run()), List.of(Codec.encode(claim)))
+          .subscribe()
+          .with(
+              offset -> {},
+              failure ->
+                  LOG.atInfo()
+                      .addKeyValue("run", claim.run())
+                      .addKeyValue("reason", PlatformException.from(failure).getMessage())
+                      .log("job: a claim could not be renewed"));
+    }
+  }
+
+  private long positionOf(String stream) {
+    return tails.get(Integer.parseInt(stream.substring(STREAM_PREFIX.length()))).position();
+  }
+
+  /** The record to append if this node is to take a run now. */
+  Optional<JobRecord.RunTaken> claim(String run) {
+    return owners.claim(run, beats, positionOf(streamOf(run)), context.now());
   }
 
   /** A node that knows nobody yet may be one of many that start: it can't tell its place. */
@@ -268,7 +323,7 @@
     return tails.get(partitionOf(run)).refresh();
   }
 
-  private void onRecord(byte[] bytes) {
+  private void onRecord(int partition, byte[] bytes) {
     JobRecord record;
     try {
       record = Codec.decode(bytes, JobRecord.class);
@@ -277,14 +332,14 @@
       return;
     }
     if (record instanceof JobRecord.RunTaken taken) {
-      onTaken(taken);
+      onTaken(taken, tails.get(partition).position() - 1);
     } else if (record instanceof JobRecord.OfJob ofJob) {
       onJobRecord(ofJob);
     }
   }
 
-  private void onTaken(JobRecord.RunTaken taken) {
-    if (owners.apply(taken, context.now())) {
+  private void onTaken(JobRecord.RunTaken taken, long offset) {
+    if (owners.apply(taken, offset, context.now())) {
       LOG.atLevel(newsLevel())
           .addKeyValue("run", taken.run())
           .addKeyValue("epoch", taken.epoch())
@@ -310,6 +365,10 @@
     if (effect == JobTable.Effect.IGNORED) {
       return;
     }
+    if (effect == JobTable.Effect.UNREADABLE) {
+      LOG.atError().addKeyValue("job", record.job()).log("job: its pieces can't be decoded");
+      return;
+    }
     logEffect(record, effect);
     listeners.forEach(listener -> listener.accept(record, effect));
   }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -222,7 +222,7 @@
     if (leaving || !members.isInTouch() || !isKnown) {
       return;
     }
-    Optional<JobRecord.RunTaken> claim = log.owners().claim(run, members.beats(), context.now());
+    Optional<JobRecord.RunTaken> claim = log.claim(run);
     if (claim.isPresent()) {
       JobRecord record = claim.get();
       LOG.atInfo()
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -73,7 +73,7 @@
     this.lease = new OrderLease(settings.node(), context.incarnation(), settings.lease());
     this.planner = new VersionOrderPlanner(settings.loads());
     this.tail =
-        new LogTail(context.log(), context.timers(), STREAM, this::pauseMillis, this::onRecord);
+        new LogTail(context.log(), context.timers(), STREAM, this::pauseMillis, new LeaseReader());
   }
 
   /** Begins to follow the lease and, as its holder, to order. */
@@ -112,9 +112,24 @@
         return;
       }
     } catch (CodecException e) {
+      lease.onUnreadable();
       LOG.atError().addKeyValue("reason", e.getMessage()).log("orders: a record can't be read");
       return;
     }
+    afterChange();
+  }
+
+  private void onGap(long nextOffset) {
+    LOG.atWarn()
+        .addKeyValue("epoch", lease.epoch())
+        .addKeyValue("holder", lease.holder())
+        .addKeyValue("next", nextOffset)
+        .log("orders: records are gone, the holder is unknown");
+    lease.onGap(nextOffset);
+    afterChange();
+  }
+
+  private void afterChange() {
     if (lease.isHolder() != wasHolder) {
       wasHolder = lease.isHolder();
       planner.reset();
@@ -330,4 +345,16 @@
         .addKeyValue("reason", reason)
         .log("orders: not done");
   }
+
+  private final class LeaseReader implements LogTail.Listener {
+    @Override
+    public void onRecord(byte[] record) {
+      OrderAgent.this.onRecord(record);
+    }
+
+    @Override
+    public void onGap(long nextOffset) {
+      OrderAgent.this.onGap(nextOffset);
+    }
+  }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -25,7 +25,7 @@
         Duration.ofMillis(500),
         Duration.ofMillis(1_500),
         Duration.ofMillis(100),
-        new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400),
+        new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400, 75_000),
         new LoadLimit(2, 0.3),
         Duration.ofSeconds(150),
         maxRecordBytes,
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -25,9 +25,14 @@
 
   /**
    * A node runs the jobs of a run from now on; valid if its epoch is one more than the one folded
-   * so far. Two runners harm nothing: this keeps them from doing the same work.
+   * so far, or higher where the writer had read all that the log still told of the runner. The
+   * runner writes it again before the log drops it. Two runners harm nothing: this keeps them from
+   * doing the same work.
+   *
+   * @param readTo offset up to which the writer had read the partition
    */
-  record RunTaken(String run, long epoch, String node, long incarnation) implements JobRecord {
+  record RunTaken(String run, long epoch, String node, long incarnation, long readTo)
+      implements JobRecord {
     public RunTaken {
       Objects.requireNonNull(run, "run");
       Objects.requireNonNull(node, "node");
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -21,8 +21,13 @@
   /** Start of the node that wrote the record. */
   long incarnation();
 
-  /** Claim; valid if its epoch is one more than the epoch folded so far. */
-  record Claimed(long epoch, String node, long incarnation) implements OrderRecord {}
+  /**
+   * Claim; valid if its epoch is one more than the epoch folded so far, or higher where the writer
+   * had read all that the log still told of the holder.
+   *
+   * @param readTo offset up to which the writer had read the stream
+   */
+  record Claimed(long epoch, String node, long incarnation, long readTo) implements OrderRecord {}
 
   /**
    * The holder may order for a short while from the moment at which it sent this record.
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -93,7 +93,7 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400),
+            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
@@ -76,7 +76,7 @@
   }
 
   private static byte[] recordOf(int bytes) {
-    return Codec.encode(new JobRecord.RunTaken("run", 0, "n".repeat(bytes), 0));
+    return Codec.encode(new JobRecord.RunTaken("run", 0, "n".repeat(bytes), 0, 0));
   }
 
   private void start(int node) {
@@ -96,7 +96,7 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, 4_200, 3_100, 2_000, 400),
+            new OrderLease.Settings(1_000, 4_200, 3_100, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
