After the loss of a whole fleet nobody waits for nodes that are gone

Cause: a node that starts takes the log's last beats, and the runner's claim, for signs of life, and waits for them: 1.1 to 1.6 s of silence, 0.2 s for each candidate before it, 0.35 s and 0.05 s for each before it reads a partition.

Change: beats written before a node's start count apart. When its own next beat is read back and under a quarter of those that were due has come, the fleet is lost: they are forgotten, partitions are ranked anew, and for 5 s the first eight that are back are the first candidates. A claim read at the start is no sign that its runner lives. Own beats of the first 1.1 s are read back at once.

Ruled out: clocks in beats, a shorter silence (DESIGN.md). The order lease is left as it was: its former holder, back within 2.5 s, may order sooner than anybody else.

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -1,6 +1,8 @@
 package org.passhaven.core.member;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -21,13 +23,32 @@
   /** Beats that may be missing before a node is dead: two, and the third may be late. */
   private static final double SILENT_PERIODS = 3.2;
 
+  /** Fewer nodes that are silent may be chance. */
+  private static final int MANY_NODES = 4;
+
+  /** Of live nodes all have beaten again by then but those that a store turns away, a third. */
+  private static final int FEW_ONE_IN = 4;
+
   private static final double REQUESTS_PER_NODE = 15;
+
+  /**
+   * After the loss of a fleet those who are back first come first, in the order of the log: who is
+   * back later, as slow machines are, would hold up what it is the first candidate for.
+   */
+  private static final int FIRST_BACK = 8;
+
+  private static final long AFTER_LOSS_MILLIS = 5_000;
   private final long silenceMillis;
   private final Map<String, Heard> members = new TreeMap<>();
+  private final Map<String, MemberBeat> beatsBeforeStart = new HashMap<>();
+  private final Map<MemberBeat.Start, Integer> places = new HashMap<>();
+  private long startMillis;
+  private boolean isAfterLoss;
   private long newestMillis = Long.MIN_VALUE;
   private List<MemberBeat> taking;
 
-  private record Heard(MemberBeat beat, long atMillis) {}
+  /** {@code isSinceStart}: written after the reader began to follow. */
+  private record Heard(MemberBeat beat, boolean isSinceStart, long atMillis) {}
 
   /**
    * Creates a table.
@@ -39,20 +60,65 @@
     this.silenceMillis = silenceMillis;
   }
 
+  /**
+   * A beat was read that had been written before this node began to follow the beats: up to a
+   * period before, if its node is alive; any time before, if it is not.
+   */
+  public void onBeatBeforeStart(MemberBeat beat, long nowMillis) {
+    if (beatsBeforeStart.isEmpty()) {
+      startMillis = nowMillis;
+    }
+    hear(beat, false, nowMillis);
+    beatsBeforeStart.put(beat.node(), beat);
+  }
+
   /** A beat was read. */
   public void onBeat(MemberBeat beat, long nowMillis) {
+    hear(beat, true, nowMillis);
+  }
+
+  private void hear(MemberBeat beat, boolean isSinceStart, long nowMillis) {
     Objects.requireNonNull(beat, "beat");
     newestMillis = Math.max(newestMillis, nowMillis);
     taking = null;
     Heard known = members.get(beat.node());
     // A clock that was set back may give a new start a lower number; silence of the old one
     // decides.
+    places.putIfAbsent(beat.start(), places.size());
     boolean silent = known == null || isSilent(known);
     if (silent || beat.incarnation() >= known.beat().incarnation()) {
-      members.put(beat.node(), new Heard(beat, nowMillis));
+      members.put(beat.node(), new Heard(beat, isSinceStart, nowMillis));
     }
   }
 
+  /**
+   * Whether so few of the nodes that beat before this one's start have done so since that the fleet
+   * must have been lost. To be asked when this node's own next beat was read back: by then each
+   * live node's was that was due, however slow the log is.
+   */
+  public boolean isFleetLost() {
+    List<MemberBeat> due =
+        beatsBeforeStart.values().stream()
+            .filter(beat -> beat.periodMillis() <= newestMillis - startMillis)
+            .toList();
+    long again = due.stream().filter(this::hasBeatenSinceStart).count();
+    return due.size() >= MANY_NODES && again * FEW_ONE_IN < due.size();
+  }
+
+  private boolean hasBeatenSinceStart(MemberBeat before) {
+    Heard heard = members.get(before.node());
+    return heard != null
+        && heard.isSinceStart()
+        && heard.beat().incarnation() == before.incarnation();
+  }
+
+  /** The fleet was lost: forgets the nodes that have not beaten since this node's start. */
+  public void forgetLost() {
+    members.values().removeIf(heard -> !heard.isSinceStart());
+    taking = null;
+    isAfterLoss = true;
+  }
+
   private boolean isSilent(Heard heard) {
     return newestMillis - heard.atMillis() >= silenceMillis(heard.beat().periodMillis());
   }
@@ -136,8 +202,22 @@
   }
 
   private List<Member> rank(String key) {
+    if (!isAfterLoss || newestMillis - startMillis >= AFTER_LOSS_MILLIS) {
+      return rank(key, taking());
+    }
+    List<MemberBeat> byStart =
+        taking().stream()
+            .sorted(Comparator.comparingInt((MemberBeat beat) -> places.get(beat.start())))
+            .toList();
+    int first = Math.min(FIRST_BACK, byStart.size());
+    List<Member> ranked = new ArrayList<>(rank(key, byStart.subList(0, first)));
+    ranked.addAll(rank(key, byStart.subList(first, byStart.size())));
+    return ranked;
+  }
+
+  private static List<Member> rank(String key, List<MemberBeat> beats) {
     List<Member> candidates =
-        taking().stream().map(beat -> new Member(beat.node(), beat.zone())).toList();
+        beats.stream().map(beat -> new Member(beat.node(), beat.zone())).toList();
     return Rendezvous.rank(key, candidates, candidates.size());
   }
 
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -44,6 +44,75 @@
     assertThat(table.isTaking("a"), is(false));
   }
 
+  private static MemberBeat busyBeat(String node, long incarnation) {
+    return new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500);
+  }
+
+  private void hearBeforeStart(int nodes) {
+    for (int i = 0; i < nodes; i++) {
+      table.onBeatBeforeStart(busyBeat("n" + i, 1), 1_000);
+    }
+  }
+
+  @Test
+  void aFleetIsLostIfHardlyAnyOfItsNodesBeatsAgain() {
+    hearBeforeStart(20);
+    assertThat(table.isFleetLost(), is(false));
+    table.onBeat(beat("self", "z", 9, true), 1_510);
+    assertThat(table.isFleetLost(), is(true));
+    for (int i = 0; i < 4; i++) {
+      table.onBeat(busyBeat("n" + i, 1), 1_520);
+    }
+    assertThat(table.isFleetLost(), is(true));
+    table.onBeat(busyBeat("n4", 1), 1_530);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  @Test
+  void nodesWhoseNextBeatIsNotDueSayNothing() {
+    for (int i = 0; i < 20; i++) {
+      table.onBeatBeforeStart(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 4_000), 1_000);
+    }
+    table.onBeat(beat("self", "z", 9, true), 2_000);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  @Test
+  void afterALossNodesThatWereStartedAnewAreNoSignOfLife() {
+    hearBeforeStart(6);
+    for (int i = 0; i < 3; i++) {
+      table.onBeat(busyBeat("n" + i, 2), 1_400);
+    }
+    table.onBeat(beat("self", "z", 9, true), 1_510);
+    assertThat(table.isFleetLost(), is(true));
+    table.forgetLost();
+    assertThat(
+        table.taking().stream().map(MemberBeat::node).toList(),
+        containsInAnyOrder("n0", "n1", "n2", "self"));
+  }
+
+  @Test
+  void afterALossThoseWhoAreBackFirstComeFirst() {
+    hearBeforeStart(4);
+    table.onBeat(beat("self", "z", 9, true), 1_510);
+    table.forgetLost();
+    for (int i = 0; i < 20; i++) {
+      table.onBeat(busyBeat("late" + i, 2), 1_600 + i);
+    }
+    for (int key = 0; key < 20; key++) {
+      assertThat(table.rankOf("key" + key, "self") < 8, is(true));
+      assertThat(table.rankOf("key" + key, "late19") < 8, is(false));
+    }
+    for (int i = 0; i < 20; i++) {
+      table.onBeat(busyBeat("late" + i, 2), 6_000);
+    }
+    boolean isEverFirst = false;
+    for (int key = 0; key < 200; key++) {
+      isEverFirst |= table.rankOf("key" + key, "late19") == 0;
+    }
+    assertThat(isEverFirst, is(true));
+  }
+
   @Test
   void aLogThatIsDownMakesNobodyDead() {
     table.onBeat(beat("a", "z", 1, true), 0);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -67,7 +67,7 @@
         .addKeyValue("incarnation", context.incarnation())
         .log("node: starts");
     directory.start();
-    members.start(() -> log.start(members.beats()));
+    members.start(() -> log.start(members.beats()), log::startSooner);
     context.timers().after(FOLLOW_ANYWAY_MILLIS, () -> log.start(members.beats()));
     log.addOwnerListener(members::hurry);
     log.addOwnerListener(directory::hurry);
@@ -86,7 +86,7 @@
   }
 
   private long beatsPauseMillis() {
-    if (log.isRunner() || log.isNextRunner()) {
+    if (log.isRunner() || log.isNextRunner() || members.isFresh()) {
       return RUNNER_BEATS_PAUSE_MILLIS;
     }
     boolean isAsked = context.now() - askedAtMillis < ASKED_MILLIS;
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -25,6 +25,7 @@
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -57,6 +58,7 @@
   private static final long FIRST_READ_MILLIS = 350;
   private static final long START_SPACING_MILLIS = 50;
   private static final int MAX_START_DELAY_MILLIS = 2_000;
+  private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
   private final HistoryReads history;
@@ -64,6 +66,8 @@
   private final JobTable table = new JobTable();
   private final long[] calledAtMillis;
   private final BitSet closeTo = new BitSet();
+  private final BitSet started = new BitSet();
+  private final Map<Integer, Timers.Timer> startTimers = new HashMap<>();
   private long rankedAtMillis = Long.MIN_VALUE / 2;
   private BeatTable beats;
   private final RunOwners owners;
@@ -173,17 +177,47 @@
       return;
     }
     beats = Objects.requireNonNull(liveNodes, "liveNodes");
+    scheduleStarts();
+    context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
+    context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
+  }
+
+  /** The nodes behind which this one waited to read are gone. */
+  void startSooner() {
+    if (beats != null) {
+      scheduleStarts();
+    }
+  }
+
+  private void scheduleStarts() {
     for (int partition = 0; partition < tails.size(); partition++) {
-      LogTail tail = tails.get(partition);
-      long delayMillis = startDelayMillis(STREAM_PREFIX + partition);
-      if (delayMillis == 0) {
-        tail.start(0);
-      } else {
-        context.timers().after(delayMillis, () -> tail.start(0));
+      if (!started.get(partition)) {
+        scheduleStart(partition);
       }
     }
-    context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
-    context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
+  }
+
+  private void scheduleStart(int partition) {
+    Timers.Timer before = startTimers.remove(partition);
+    if (before != null) {
+      before.cancel();
+    }
+    long delayMillis = startDelayMillis(STREAM_PREFIX + partition);
+    if (delayMillis == 0) {
+      started.set(partition);
+      tails.get(partition).start(0);
+    } else {
+      startTimers.put(
+          partition,
+          context
+              .timers()
+              .after(
+                  delayMillis,
+                  () -> {
+                    started.set(partition);
+                    tails.get(partition).start(0);
+                  }));
+    }
   }
 
   /** Claims of this node are written again before the log drops them. */
@@ -339,7 +373,9 @@
   }
 
   private void onTaken(JobRecord.RunTaken taken, long offset) {
-    if (owners.apply(taken, offset, context.now())) {
+    // What this node was told at its start is no sign that the runner is alive now.
+    boolean isNews = tails.get(partitionOf(taken.run())).isCaughtUp();
+    if (owners.apply(taken, offset, isNews ? context.now() : LONG_AGO_MILLIS)) {
       LOG.atLevel(newsLevel())
           .addKeyValue("run", taken.run())
           .addKeyValue("epoch", taken.epoch())
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -40,7 +40,9 @@
   private long beatPeriodMillis;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
   private List<String> lastTaking = List.of();
+  private boolean isFleetLost;
   private Runnable whenFollowing = () -> {};
+  private Runnable whenFleetLost = () -> {};
 
   /**
    * Creates the agent.
@@ -62,9 +64,15 @@
         new LogTail(context.log(), context.timers(), STREAM, betweenReadsMillis, new BeatReader());
   }
 
-  /** Begins to beat; {@code onFollowing} is called once when the other nodes' beats are known. */
-  public void start(Runnable onFollowing) {
+  /**
+   * Begins to beat.
+   *
+   * @param onFollowing called once when the other nodes' beats are known
+   * @param onFleetLost called once if nearly all of those then turn out to be gone
+   */
+  public void start(Runnable onFollowing, Runnable onFleetLost) {
     whenFollowing = Objects.requireNonNull(onFollowing, "onFollowing");
+    whenFleetLost = Objects.requireNonNull(onFleetLost, "onFleetLost");
     beganAt = context.now();
     context.timers().every(context.settings().beat().toMillis(), this::beat);
     beat();
@@ -90,6 +98,9 @@
 
   /** Whether this node has followed the beats long enough to know who else is alive. */
   public boolean isSettled() {
+    if (isFleetLost) {
+      return isInTouch();
+    }
     return tailing && isInTouch() && context.now() - startedAt >= SETTLE_MILLIS;
   }
 
@@ -111,8 +122,7 @@
   }
 
   private long periodMillis() {
-    boolean isFresh = context.now() - beganAt < FRESH_MILLIS;
-    return isFresh || isDependedOn.getAsBoolean()
+    return isFresh() || isDependedOn.getAsBoolean()
         ? context.settings().beat().toMillis()
         : BeatPace.idleMillis(beats.taking().size());
   }
@@ -140,6 +150,10 @@
 
   private void onAppended(long offset) {
     beating = false;
+    if (tailing && context.now() - startedAt < SETTLE_MILLIS) {
+      // Its own beat, read back, tells a node that starts whether the others are still there.
+      tail.hurry();
+    }
     if (!tailing) {
       tailing = true;
       startedAt = context.now();
@@ -161,9 +175,15 @@
   private void onRecord(byte[] record) {
     try {
       MemberBeat beat = Codec.decode(record, MemberBeat.class);
-      beats.onBeat(beat, context.now());
-      if (beat.node().equals(context.settings().node())
-          && beat.incarnation() == context.incarnation()) {
+      boolean isOwn =
+          beat.node().equals(context.settings().node())
+              && beat.incarnation() == context.incarnation();
+      if (isOwn || tail.isCaughtUp()) {
+        beats.onBeat(beat, context.now());
+      } else {
+        beats.onBeatBeforeStart(beat, context.now());
+      }
+      if (isOwn) {
         ownBeatReadAt = context.now();
       }
     } catch (CodecException e) {
@@ -171,6 +191,29 @@
     }
   }
 
+  /** Of a fleet that was lost the log still tells: who is gone must hold up nobody. */
+  private void noteFleetLost() {
+    boolean isOwnNextBeatRead = tail.isCaughtUp() && ownBeatReadAt > startedAt;
+    if (isFleetLost || !isOwnNextBeatRead || context.now() - beganAt >= FRESH_MILLIS) {
+      return;
+    }
+    if (beats.isFleetLost()) {
+      isFleetLost = true;
+      int before = beats.taking().size();
+      beats.forgetLost();
+      LOG.atInfo()
+          .addKeyValue("before", before)
+          .addKeyValue("live", beats.taking().size())
+          .log("members: the fleet was lost");
+      whenFleetLost.run();
+    }
+  }
+
+  /** Whether this node started so lately that it has much to learn. */
+  boolean isFresh() {
+    return context.now() - beganAt < FRESH_MILLIS;
+  }
+
   private void logChange() {
     List<String> now = beats.taking().stream().map(MemberBeat::node).toList();
     if (tail.isCaughtUp() && !now.equals(lastTaking)) {
@@ -196,6 +239,7 @@
 
     @Override
     public void onBatchEnd() {
+      noteFleetLost();
       logChange();
     }
   }
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -36,12 +36,46 @@
           () -> isDependedOn,
           () -> 250);
 
+  private int timesFleetLost;
+
   @BeforeEach
-  void passTheFirstSeconds() {
-    agent.start(() -> {});
+  void fillTheLogOfAFleetThatIsGone() {
+    for (int i = 0; i < 20; i++) {
+      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500);
+      log.stream(STREAM).add(Codec.encode(beat));
+    }
+    agent.start(() -> {}, () -> timesFleetLost++);
+  }
+
+  private void passTheFirstSeconds() {
     timers.advance(FRESH_MILLIS);
   }
 
+  @Test
+  void aFleetThatWasLostHoldsUpNobody() {
+    timers.advance(400);
+    assertThat(timesFleetLost, equalTo(0));
+    assertThat(agent.isSettled(), is(false));
+    timers.advance(300);
+    assertThat(timesFleetLost, equalTo(1));
+    assertThat(agent.isSettled(), is(true));
+    assertThat(agent.beats().isTaking("old3"), is(false));
+    passTheFirstSeconds();
+    assertThat(timesFleetLost, equalTo(1));
+  }
+
+  @Test
+  void aFleetThatGoesOnIsNotLost() {
+    timers.advance(400);
+    for (int i = 0; i < 20; i++) {
+      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500);
+      log.stream(STREAM).add(Codec.encode(beat));
+    }
+    timers.advance(1_000);
+    assertThat(timesFleetLost, equalTo(0));
+    assertThat(agent.beats().isTaking("old3"), is(true));
+  }
+
   private int beatsWithin(long millis) {
     int before = log.stream(STREAM).size();
     timers.advance(millis);
@@ -55,6 +89,7 @@
 
   @Test
   void aNodeOnWhichNobodyDependsBeatsOnceASecond() {
+    passTheFirstSeconds();
     assertThat(beatsWithin(10_000), equalTo(10));
     assertThat(newestBeat().periodMillis(), equalTo(1_000L));
     assertThat(agent.isInTouch(), is(true));
@@ -63,6 +98,7 @@
 
   @Test
   void aNodeOnWhichSomethingDependsBeatsAtThePaceOfTheSettings() {
+    passTheFirstSeconds();
     isDependedOn = true;
     assertThat(beatsWithin(10_000), equalTo(20));
     assertThat(newestBeat().periodMillis(), equalTo(500L));
@@ -70,6 +106,7 @@
 
   @Test
   void whatComesToDependOnANodeIsToldAtOnce() {
+    passTheFirstSeconds();
     beatsWithin(10_000);
     isDependedOn = true;
     agent.hurry();
@@ -81,12 +118,14 @@
 
   @Test
   void aNodeThatLeavesSaysSoAtOnce() {
+    passTheFirstSeconds();
     agent.announceLeaving();
     assertThat(newestBeat().taking(), is(false));
   }
 
   @Test
   void aBeatIsNotRepeatedWhileOneIsUnderWay() {
+    passTheFirstSeconds();
     log.appends = MemoryLog.Manner.SILENT;
     isDependedOn = true;
     int before = log.appendCalls;
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -19,9 +19,17 @@
     boolean taking,
     double requestsPerSecond,
     long periodMillis) {
+  /** One start of a node. */
+  public record Start(String node, long incarnation) {}
+
   public MemberBeat {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(zone, "zone");
   }
+
+  /** The start of the node that wrote this beat. */
+  public Start start() {
+    return new Start(node, incarnation);
+  }
 }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -66,6 +66,7 @@
   private final List<String> draining = new ArrayList<>();
   private final SimulatedTrainer trainer;
   private long storeTroubledUntil;
+  private int restartSpreadMillis;
 
   /** Creates a world of few nodes. */
   public GatewayWorld(long seed) {
@@ -107,6 +108,16 @@
     store.setReadBandwidth(bytesPerMilli);
   }
 
+  /** Spreads the restarts of nodes that are lost, as machines of unlike speed do. */
+  public void setRestartSpread(int millis) {
+    restartSpreadMillis = millis;
+  }
+
+  /** When generations began at servers. */
+  public List<Long> generationsBegunAtMillis() {
+    return servers.begunAtMillis();
+  }
+
   /** Draws faults that begin within a time. */
   public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
     UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
@@ -283,7 +294,8 @@
   private void killAndRestart(GatewayHost host) {
     if (host.gateway() != null) {
       host.kill();
-      after(RESTART_MILLIS, () -> startIfEnded(host));
+      int spread = restartSpreadMillis == 0 ? 0 : random.nextInt(restartSpreadMillis);
+      after(RESTART_MILLIS + spread, () -> startIfEnded(host));
     }
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
@@ -84,6 +84,7 @@
   private final Map<String, Server> servers = new TreeMap<>();
   private double lateOrders;
   private double lostScores;
+  private final List<Long> begunAtMillis = new ArrayList<>();
 
   /** Creates servers over zones. */
   public SimulatedServers(
@@ -106,6 +107,11 @@
     return List.copyOf(servers.values());
   }
 
+  /** When generations began. */
+  public List<Long> begunAtMillis() {
+    return List.copyOf(begunAtMillis);
+  }
+
   /** Share of orders that get no answer and are carried out late. */
   public void setLateOrders(double newShare) {
     lateOrders = newShare;
@@ -257,6 +263,7 @@
         run.fail(BackEndException.Kind.REFUSED, "busy");
       } else {
         server.runs.add(run);
+        begunAtMillis.add(time.nowMillis());
         emitter.onTermination(() -> server.runs.remove(run));
         long version = server.version;
         deliver(() -> emitter.emit(new Progress.Began(version)));
