--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -25,7 +25,6 @@
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.spi.PlatformException;
-import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -55,9 +54,6 @@
    */
   private static final long RENEWAL_PERIOD_MILLIS = 1_000;
 
-  private static final long FIRST_READ_MILLIS = 350;
-  private static final long START_SPACING_MILLIS = 50;
-  private static final int MAX_START_DELAY_MILLIS = 2_000;
   private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private final GatewayContext context;
@@ -66,12 +62,11 @@
   private final JobTable table = new JobTable();
   private final long[] calledAtMillis;
   private final BitSet closeTo = new BitSet();
-  private final BitSet started = new BitSet();
-  private final Map<Integer, Timers.Timer> startTimers = new HashMap<>();
   private long rankedAtMillis = Long.MIN_VALUE / 2;
   private BeatTable beats;
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
+  private final PartitionStarts starts;
   private final Set<String> ownStreams = new HashSet<>();
   private final List<Runnable> ownerListeners = new ArrayList<>();
   private final List<BiConsumer<JobRecord.OfJob, JobTable.Effect>> listeners = new ArrayList<>();
@@ -96,6 +91,7 @@
               () -> pauseMillis(followed),
               new PartitionReader(followed)));
     }
+    this.starts = new PartitionStarts(context, tails);
   }
 
   /** Reads one partition. */
@@ -166,9 +162,7 @@
   }
 
   /**
-   * Begins to follow all partitions from their beginnings. The first candidates for the runs of a
-   * partition read it first: after the loss of all nodes, each one reads all of it, and together
-   * they share what the log gives a second.
+   * Begins to follow all partitions from their beginnings, in the order of {@link PartitionStarts}.
    *
    * @param liveNodes live nodes, by which candidates are ranked
    */
@@ -177,7 +171,7 @@
       return;
     }
     beats = Objects.requireNonNull(liveNodes, "liveNodes");
-    scheduleStarts();
+    starts.schedule(beats);
     context.timers().every(FORGET_PERIOD_MILLIS, this::forget);
     context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
   }
@@ -185,38 +179,7 @@
   /** The nodes behind which this one waited to read are gone. */
   void startSooner() {
     if (beats != null) {
-      scheduleStarts();
-    }
-  }
-
-  private void scheduleStarts() {
-    for (int partition = 0; partition < tails.size(); partition++) {
-      if (!started.get(partition)) {
-        scheduleStart(partition);
-      }
-    }
-  }
-
-  private void scheduleStart(int partition) {
-    Timers.Timer before = startTimers.remove(partition);
-    if (before != null) {
-      before.cancel();
-    }
-    long delayMillis = startDelayMillis(STREAM_PREFIX + partition);
-    if (delayMillis == 0) {
-      started.set(partition);
-      tails.get(partition).start(0);
-    } else {
-      startTimers.put(
-          partition,
-          context
-              .timers()
-              .after(
-                  delayMillis,
-                  () -> {
-                    started.set(partition);
-                    tails.get(partition).start(0);
-                  }));
+      starts.schedule(beats);
     }
   }
 
@@ -245,17 +208,6 @@
     return owners.claim(run, beats, positionOf(streamOf(run)), context.now());
   }
 
-  /** A node that knows nobody yet may be one of many that start: it can't tell its place. */
-  private long startDelayMillis(String stream) {
-    if (beats.taking().isEmpty()) {
-      return context.randomBelow().applyAsInt(MAX_START_DELAY_MILLIS);
-    }
-    int rank = beats.rankOf(stream, context.settings().node());
-    return rank == 0
-        ? 0
-        : Math.min(MAX_START_DELAY_MILLIS, FIRST_READ_MILLIS + rank * START_SPACING_MILLIS);
-  }
-
   /** Calls {@code listener} with each record that changed a job. */
   public void addListener(BiConsumer<JobRecord.OfJob, JobTable.Effect> listener) {
     listeners.add(listener);
