A node calls the fleet lost only when its own next beat is back

Cause: found reading again: the node's first beat, read back some ms after its append was acknowledged, passed for the next one. With a store so slow that beats take seconds, a node that starts would have called a live fleet lost and taken its runs.

Change: own beats read back are counted, two are needed.

MemberAgentTest.whileThisNodesOwnNextBeatIsNotBackOthersMayBeAsSlow fails on the code before. FleetRecoveryTest, FleetCallsTest hold.

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -41,8 +41,11 @@
   private final long silenceMillis;
   private final Map<String, Heard> members = new TreeMap<>();
   private final Map<String, MemberBeat> beatsBeforeStart = new HashMap<>();
+
+  /** Order in which nodes were first heard of, until the reader has followed for a while. */
   private final Map<MemberBeat.Start, Integer> places = new HashMap<>();
-  private long startMillis;
+
+  private long startMillis = Long.MIN_VALUE;
   private boolean isAfterLoss;
   private long newestMillis = Long.MIN_VALUE;
   private List<MemberBeat> taking;
@@ -65,9 +68,6 @@
    * period before, if its node is alive; any time before, if it is not.
    */
   public void onBeatBeforeStart(MemberBeat beat, long nowMillis) {
-    if (beatsBeforeStart.isEmpty()) {
-      startMillis = nowMillis;
-    }
     hear(beat, false, nowMillis);
     beatsBeforeStart.put(beat.node(), beat);
   }
@@ -79,18 +79,27 @@
 
   private void hear(MemberBeat beat, boolean isSinceStart, long nowMillis) {
     Objects.requireNonNull(beat, "beat");
+    if (startMillis == Long.MIN_VALUE) {
+      startMillis = nowMillis;
+    }
     newestMillis = Math.max(newestMillis, nowMillis);
     taking = null;
+    if (isJustStarted()) {
+      places.putIfAbsent(beat.start(), places.size());
+    }
     Heard known = members.get(beat.node());
     // A clock that was set back may give a new start a lower number; silence of the old one
     // decides.
-    places.putIfAbsent(beat.start(), places.size());
     boolean silent = known == null || isSilent(known);
     if (silent || beat.incarnation() >= known.beat().incarnation()) {
       members.put(beat.node(), new Heard(beat, isSinceStart, nowMillis));
     }
   }
 
+  private boolean isJustStarted() {
+    return newestMillis - startMillis < AFTER_LOSS_MILLIS;
+  }
+
   /**
    * Whether so few of the nodes that beat before this one's start have done so since that the fleet
    * must have been lost. To be asked when this node's own next beat was read back: by then each
@@ -202,7 +211,7 @@
   }
 
   private List<Member> rank(String key) {
-    if (!isAfterLoss || newestMillis - startMillis >= AFTER_LOSS_MILLIS) {
+    if (!isAfterLoss || !isJustStarted()) {
       return rank(key, taking());
     }
     List<MemberBeat> byStart =
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -39,6 +39,7 @@
   private long beatAt = Long.MIN_VALUE / 2;
   private long beatPeriodMillis;
   private long ownBeatReadAt = Long.MIN_VALUE / 2;
+  private long ownBeatsRead;
   private List<String> lastTaking = List.of();
   private boolean isFleetLost;
   private Runnable whenFollowing = () -> {};
@@ -185,6 +186,7 @@
       }
       if (isOwn) {
         ownBeatReadAt = context.now();
+        ownBeatsRead++;
       }
     } catch (CodecException e) {
       LOG.warn("members: a record can't be read: {}", e.getMessage());
@@ -193,8 +195,7 @@
 
   /** Of a fleet that was lost the log still tells: who is gone must hold up nobody. */
   private void noteFleetLost() {
-    boolean isOwnNextBeatRead = tail.isCaughtUp() && ownBeatReadAt > startedAt;
-    if (isFleetLost || !isOwnNextBeatRead || context.now() - beganAt >= FRESH_MILLIS) {
+    if (isFleetLost || ownBeatsRead < 2 || !isFresh()) {
       return;
     }
     if (beats.isFleetLost()) {
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -64,6 +64,17 @@
     assertThat(timesFleetLost, equalTo(1));
   }
 
+  @Test
+  void whileThisNodesOwnNextBeatIsNotBackOthersMayBeAsSlow() {
+    timers.advance(10);
+    log.appends = MemoryLog.Manner.SILENT;
+    timers.advance(590);
+    MemberBeat beat = new MemberBeat("old1", "o:1", "z", 1, true, 0, 500);
+    log.stream(STREAM).add(Codec.encode(beat));
+    timers.advance(400);
+    assertThat(timesFleetLost, equalTo(0));
+  }
+
   @Test
   void aFleetThatGoesOnIsNotLost() {
     timers.advance(400);
