--- a/core/src/main/java/org/passhaven/core/job/RunOwners.java
+++ b/core/src/main/java/org/passhaven/core/job/RunOwners.java
@@ -1,12 +1,10 @@
 package org.passhaven.core.job;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
 import org.passhaven.core.member.BeatTable;
@@ -15,9 +13,9 @@
 /**
  * Which node runs the jobs of each run. A node keeps a run until it leaves or falls silent; then
  * the first live candidate takes it, and the next ones if that one does not. The log drops records
- * by age, so a runner writes its claim again well within that; who finds no runner in what is kept
- * claims an epoch above all that can have been used, since none is higher than the offset of its
- * claim. Times in monotonic milliseconds. Not thread-safe.
+ * by age, so a runner writes its claim again well within that. The epoch of a claim is the offset
+ * to which its writer had read, and one: no epoch is higher than the offset of its claim, so a
+ * later one is above all that were used. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class RunOwners {
   private static final long READ_BACK_MILLIS = 600;
@@ -32,7 +30,6 @@
   private final Map<String, Long> takenAt = new HashMap<>();
   private final Map<String, Long> writtenAt = new HashMap<>();
   private final Map<String, Long> newestOffset = new HashMap<>();
-  private final Set<String> streamsWithGaps = new HashSet<>();
 
   /**
    * Creates the view of one start of a node.
@@ -53,11 +50,10 @@
   public boolean apply(RunTaken record, long offset, long nowMillis) {
     String run = record.run();
     long newest = newestOffset.getOrDefault(run, -1L);
-    boolean isNext = record.epoch() == epochOf(run) + 1;
-    // The writer would have read the runner's newest claim if the log still had it.
-    boolean isBeyondAllKept = record.epoch() > epochOf(run) && newest < record.readTo();
+    // The writer has read the runner's newest claim, or the log no longer has it.
+    boolean isValid = record.epoch() > epochOf(run) && newest < record.readTo();
     boolean isRenewal = isOfOwner(record);
-    if (!isNext && !isBeyondAllKept && !isRenewal) {
+    if (!isValid && !isRenewal) {
       return false;
     }
     newestOffset.put(run, offset);
@@ -81,7 +77,6 @@
 
   /** Records of a stream that were not read are gone: who runs its runs is unknown. */
   public void onGap(String stream) {
-    streamsWithGaps.add(stream);
     owners.keySet().removeIf(run -> candidateKeyOf.apply(run).equals(stream));
     newestOffset.keySet().removeIf(run -> candidateKeyOf.apply(run).equals(stream));
   }
@@ -148,8 +143,7 @@
       return Optional.empty();
     }
     claimedAt.put(run, nowMillis);
-    boolean mayLackClaims = owner == null && streamsWithGaps.contains(candidateKeyOf.apply(run));
-    return Optional.of(claimOf(run, mayLackClaims ? readTo + 1 : epochOf(run) + 1, readTo));
+    return Optional.of(claimOf(run, readTo + 1, readTo));
   }
 
   /** A node may take a run before its first beat is read here: the record tells that it lives. */
--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -8,15 +8,16 @@
 
 /**
  * Decides whether this node may order servers now. The fold of one stream decides who holds the
- * lease: a claim names the epoch that it succeeds, and the first one wins. A holder orders only for
- * a short time from the moment at which it sent an intent that it then read back. So whoever reads
- * the stream knows when a predecessor can have ordered last, and waits the hand-over time longer.
+ * lease: the first claim to follow a holder wins. A holder orders only for a short time from the
+ * moment at which it sent an intent that it then read back. So whoever reads the stream knows when
+ * a predecessor can have ordered last, and waits the hand-over time longer.
  *
  * <p>The stream drops records by age. So a holder writes again well within that age, and whoever
- * reads a record of a holder that it did not know takes it for the holder. Who finds no holder in
- * all that is kept claims an epoch above each one that can ever have been used: none is higher than
- * the offset of its claim. Apart from that, nothing is written while no order is due. Times in
- * monotonic milliseconds. Not thread-safe.
+ * reads a record of a holder that it did not know takes it for the holder. The epoch of a claim is
+ * the offset to which its writer had read, and one: no epoch is higher than the offset of its
+ * claim, so a later one is above all that can ever have been used, whatever its writer has missed.
+ * Apart from renewals, nothing is written while no order is due. Times in monotonic milliseconds.
+ * Not thread-safe.
  */
 public final class OrderLease {
   /**
@@ -139,17 +140,16 @@
   }
 
   private void onClaim(OrderRecord.Claimed claim, long nowMillis) {
-    boolean isNext = isSure && claim.epoch() == epoch + 1;
-    // The writer would have read the holder's newest record if the log still had it.
-    boolean isBeyondAllKept = claim.epoch() > epoch && newestOffset < claim.readTo();
-    if (isNext || isBeyondAllKept) {
+    // The writer has read the holder's newest record, or the log no longer has it.
+    boolean isValid = claim.epoch() > epoch && newestOffset < claim.readTo();
+    if (isValid) {
       become(claim.node(), claim.incarnation(), claim.epoch());
       noteActive(claim.node(), nowMillis);
       if (isHolder()) {
         notBefore = othersMayBeFollowedFrom();
       }
     }
-    if (!isSure || isNext || isBeyondAllKept) {
+    if (!isSure || isValid) {
       newestOffset = readTo - 1;
     }
   }
@@ -300,7 +300,7 @@
       return Optional.empty();
     }
     claimSentAt = nowMillis;
-    claimedEpoch = isSure ? epoch + 1 : readTo + 1;
+    claimedEpoch = readTo + 1;
     return Optional.of(new OrderRecord.Claimed(claimedEpoch, node, incarnation, readTo));
   }
 }
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobRecord.java
@@ -24,10 +24,9 @@
   }
 
   /**
-   * A node runs the jobs of a run from now on; valid if its epoch is one more than the one folded
-   * so far, or higher where the writer had read all that the log still told of the runner. The
-   * runner writes it again before the log drops it. Two runners harm nothing: this keeps them from
-   * doing the same work.
+   * A node runs the jobs of a run from now on; valid if its epoch is higher than the one folded so
+   * far, and its writer had read to behind the runner's newest claim. The runner writes it again
+   * before the log drops it. Two runners harm nothing: this keeps them from doing the same work.
    *
    * @param readTo offset up to which the writer had read the partition
    */
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -22,8 +22,8 @@
   long incarnation();
 
   /**
-   * Claim; valid if its epoch is one more than the epoch folded so far, or higher where the writer
-   * had read all that the log still told of the holder.
+   * Claim; valid if its epoch is higher than the one folded so far, and its writer had read to
+   * behind the holder's newest record.
    *
    * @param readTo offset up to which the writer had read the stream
    */
