--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -43,7 +43,10 @@
   /** A caller that came this lately is likely to come again: trainers read twice a second. */
   private static final long CALLED_MILLIS = 5_000;
 
-  /** Candidates behind these are patient for longer than {@link #IDLE_PAUSE_MILLIS}. */
+  /**
+   * Candidates behind these may claim a run that was taken less than {@link #IDLE_PAUSE_MILLIS}
+   * ago, since they have not read so yet: their claims are void, a few appends for each new run.
+   */
   private static final int CLOSE_CANDIDATES = 6;
 
   private static final long RANK_AGAIN_MILLIS = 2_000;
