JobLog: tests of claims where the log drops records

What RunOwners decides was tested, not that the node's log tells it of a gap, of offsets and of the time to renew. No program change.

--- a/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
@@ -9,12 +9,15 @@
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.member.MemberBeat;
 
 class JobLogTest {
   private static final int PARTITIONS = 16;
   private final ManualTimers timers = new ManualTimers();
   private final BeatTable beats = new BeatTable(1_500);
+  private final MemoryLog records = new MemoryLog(timers);
   private final JobLog log =
       new JobLog(
           new GatewayContext(
@@ -22,7 +25,7 @@
               1,
               timers,
               bound -> 0,
-              new MemoryLog(timers),
+              records,
               new GatewayFixture.NoTables(),
               new GatewayFixture.NoServers(),
               new GatewayFixture.NoDocuments(),
@@ -51,4 +54,37 @@
     assertThat(log.isCaughtUp(others), is(true));
     assertThat(log.isCaughtUp(), is(true));
   }
+
+  @Test
+  void whereTheLogHasDroppedClaimsTheNextOneIsAboveThem() {
+    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0), 0);
+    String run = runOfAPartitionWhoseFirstCandidateIs("n");
+    String stream = log.streamOf(run);
+    for (long epoch = 1; epoch <= 10; epoch++) {
+      JobRecord claim = new JobRecord.RunTaken(run, epoch, "other", 1, epoch - 1);
+      records.stream(stream).add(Codec.encode(claim));
+    }
+    records.truncate(stream, 10);
+    log.start(beats);
+    timers.advance(100);
+    assertThat(log.owners().epochOf(run), is(0L));
+    JobRecord.RunTaken next = log.claim(run).orElseThrow();
+    assertThat(next.epoch(), is(11L));
+    assertThat(next.readTo(), is(10L));
+  }
+
+  @Test
+  void aRunnersClaimIsWrittenAgainBeforeTheLogDropsIt() {
+    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0), 0);
+    String run = runOfAPartitionWhoseFirstCandidateIs("n");
+    String stream = log.streamOf(run);
+    log.start(beats);
+    timers.advance(100);
+    records.stream(stream).add(Codec.encode(log.claim(run).orElseThrow()));
+    timers.advance(10_000);
+    assertThat(log.isRunner(), is(true));
+    assertThat(records.stream(stream).size(), is(1));
+    timers.advance(76_000);
+    assertThat(records.stream(stream).size(), is(2));
+  }
 }
