Logs tell which request an attempt was, and keep more than a minute of an outage

Cause: the path of a request stood on the line of a 502 only, so the attempts of one request at several nodes could be joined by hand alone; and 1,727 of 1,822 lines of failed attempts in the incident's logs were refused connections, which filled the 200 KB a node that are kept within 53 s. Now each broken attempt names the path, and a refused connection is told at DEBUG; the line of the request that is given up names what its last attempt came to.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -24,6 +24,7 @@
 import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Brings requests to servers as their {@link ForwardPlan} decides. */
 public final class RequestForwarder {
@@ -91,6 +92,7 @@
     private final Map<Integer, Cancellable> attempts = new HashMap<>();
     private Timers.Timer deadline;
     private int nextAttempt;
+    private String lastReason = "";
     private boolean done;
 
     Forward(Route route, Call call, UniEmitter<? super ForwardOutcome> emitter) {
@@ -192,9 +194,12 @@
 
     private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
       context.metrics().attemptsFailed.increment();
-      LOG.atInfo()
+      lastReason = reason;
+      // While no server of a service is up, refused connections come by the hundred a second.
+      LOG.atLevel(outcome == Outcome.NOT_RUN ? Level.DEBUG : Level.INFO)
           .addKeyValue("request", call.id())
           .addKeyValue("route", route.name())
+          .addKeyValue("path", path())
           .addKeyValue("server", server.instance())
           .addKeyValue("outcome", outcome)
           .addKeyValue("reason", reason)
@@ -202,6 +207,12 @@
           .log("request: attempt failed");
     }
 
+    /** Path without its query, by which repeats of one request are told in the log. */
+    private String path() {
+      int query = call.uri().indexOf('?');
+      return query < 0 ? call.uri() : call.uri().substring(0, query);
+    }
+
     private void decide(Outcome outcome, Answer answer) {
       if (done) {
         return;
@@ -245,6 +256,7 @@
           .addKeyValue("attempts", nextAttempt)
           .addKeyValue("outcome", outcome.getClass().getSimpleName())
           .addKeyValue("reason", reason)
+          .addKeyValue("lastAttempt", lastReason)
           .addKeyValue("tookMillis", context.now() - beganAt)
           .log("request: given up");
       finish(outcome);
