The stand-in and the soak make crashing requests and suspended machines

A plain request, an item or a scoring call becomes, from its next run on, one that crashes each server that begins it; the caller of a plain one sends it again with the same path and body, at any node. New promise CRASHES_BOUNDED, with histories that break it.

--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -47,7 +47,10 @@
             .addOption(Flags.withValue("repository", "DIR", "where the program was built; ."))
             .addOption(Flags.withValue("judge", "DIR", "only judges the run of this folder again"))
             .addOption(Flags.simple("final-fault", "ends every run with the loss of all nodes"))
-            .addOption(Flags.simple("calm", "does nothing to the system before the end"));
+            .addOption(Flags.simple("calm", "does nothing to the system before the end"))
+            .addOption(
+                Flags.simple(
+                    "crashes", "adds requests that crash servers, and suspended machines"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -122,6 +125,7 @@
                         trafficMillis,
                         line.hasOption("final-fault"),
                         line.hasOption("calm"),
+                        line.hasOption("crashes"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -32,6 +32,8 @@
   QUIET_AFTER_END,
   /** Nothing is begun at a back end once its drain has been acknowledged. */
   QUIET_AFTER_DRAIN,
+  /** A request that has crashed three back ends is kept from them but for a few trials. */
+  CRASHES_BOUNDED,
   /** No process ends by itself. */
   PROCESS_STAYS
 }
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -38,6 +38,8 @@
       beginStore(onStore);
     } else if (fault instanceof Fault.OnBackEnd on) {
       hands.harmBackEnd(on.backEnd(), on.harm(), on.forMillis());
+    } else if (fault instanceof Fault.OnRequest on) {
+      hands.harmRequest(on.harm());
     } else if (fault instanceof Fault.Change change) {
       hands.change(change.change(), change.backEnd());
     }
@@ -81,6 +83,10 @@
         frozenCounts.merge(node, 1, Integer::sum);
         hands.freeze(node);
       }
+      case SUSPEND -> {
+        frozenCounts.merge(node, 1, Integer::sum);
+        hands.suspend(node);
+      }
       case TERMINATE -> downCounts.merge(node, 1, Integer::sum);
       case KILL -> kill(node);
       case POWER_LOSS -> {
@@ -99,7 +105,7 @@
 
   private void endProcess(ProcessHarm harm, int node) {
     switch (harm) {
-      case FREEZE -> {
+      case FREEZE, SUSPEND -> {
         if (frozenCounts.merge(node, -1, Integer::sum) == 0) {
           hands.thaw(node);
         }
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -5,6 +5,7 @@
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.RequestHarm;
 import org.passhaven.soak.plan.StoreHarm;
 
 /** What can be done to the system from outside. Nodes and back ends are given by their index. */
@@ -45,6 +46,12 @@
   /** A back end's harm is over. */
   void healBackEnd(int backEnd, BackEndHarm harm);
 
+  /** The next request of a kind becomes one that crashes servers. */
+  void harmRequest(RequestHarm harm);
+
+  /** Suspends a node's machine: its steady clock doesn't count the time until it goes on. */
+  void suspend(int node);
+
   /** Does planned work. */
   void change(OperatorChange change, int backEnd);
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -86,6 +86,29 @@
     }
   }
 
+  /** The next request of a kind crashes each server that begins it, from then on. */
+  record OnRequest(long atMillis, RequestHarm harm) implements Fault {
+    /** Checks. */
+    public OnRequest {
+      checkTimes(atMillis, 0);
+    }
+
+    @Override
+    public long forMillis() {
+      return 0;
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "request-" + harm;
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -1,8 +1,11 @@
 package org.passhaven.soak.plan;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -29,6 +32,14 @@
   private static final int FINAL_FAULT_ONE_IN = 2;
   private static final int ALL_AT_ONCE_ONE_IN = 4;
 
+  // Apart enough that the bound on a request, three crashes and 3 s later, binds in a run of a
+  // minute.
+  private static final long CRASHING_EVERY_MILLIS = 9_000;
+
+  /** Drawn among others; a machine is suspended only where that is asked for. */
+  private static final Set<ProcessHarm> USUAL_HARMS =
+      Collections.unmodifiableSet(EnumSet.complementOf(EnumSet.of(ProcessHarm.SUSPEND)));
+
   private enum Episode {
     LINK,
     PROCESS,
@@ -66,11 +77,32 @@
       atMillis = random.nextInt(OVERLAP_ONE_IN) == 0 ? midway(atMillis, endMillis) : endMillis;
       atMillis += between(LEAST_PAUSE_MILLIS, MOST_PAUSE_MILLIS);
     }
+    if (settings.hasCrashesAndSuspensions()) {
+      addCrashesAndSuspensions(seed, lastMillis);
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
   }
 
+  /** Drawn apart, so that the rest of the plan is the seed's own. */
+  private void addCrashesAndSuspensions(long seed, long lastMillis) {
+    UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 5);
+    RequestHarm[] harms = RequestHarm.values();
+    int next = drawing.nextInt(harms.length);
+    for (long atMillis = CALM_START_MILLIS;
+        atMillis < lastMillis;
+        atMillis += CRASHING_EVERY_MILLIS) {
+      faults.add(new Fault.OnRequest(atMillis, harms[next++ % harms.length]));
+      long forMillis =
+          LEAST_HARM_MILLIS + drawing.nextLong(MOST_HARM_MILLIS - LEAST_HARM_MILLIS + 1);
+      int node = drawing.nextInt(settings.nodeCount());
+      long suspendedAtMillis = atMillis + drawing.nextLong(CRASHING_EVERY_MILLIS);
+      faults.add(
+          new Fault.OnProcess(suspendedAtMillis, forMillis, ProcessHarm.SUSPEND, List.of(node)));
+    }
+  }
+
   /** Adds one episode and tells when it ends. */
   private long episode(long atMillis) {
     long forMillis = between(LEAST_HARM_MILLIS, MOST_HARM_MILLIS);
@@ -79,7 +111,10 @@
       case PROCESS ->
           add(
               new Fault.OnProcess(
-                  atMillis, forMillis, draw(processBag, ProcessHarm.values()), someNodes()));
+                  atMillis,
+                  forMillis,
+                  draw(processBag, USUAL_HARMS.toArray(ProcessHarm[]::new)),
+                  someNodes()));
       case STORE -> store(atMillis, forMillis);
       case BACK_END ->
           add(
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -7,9 +7,15 @@
  * @param backEndCount back ends
  * @param trafficMillis length of the traffic, in ms
  * @param isFinalFaultCertain whether the run must end with the loss of all nodes at once
+ * @param hasCrashesAndSuspensions whether requests that crash servers and suspended machines are
+ *     added to what the seed gives without them
  */
 public record PlanSettings(
-    int nodeCount, int backEndCount, long trafficMillis, boolean isFinalFaultCertain) {
+    int nodeCount,
+    int backEndCount,
+    long trafficMillis,
+    boolean isFinalFaultCertain,
+    boolean hasCrashesAndSuspensions) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/plan/ProcessHarm.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/ProcessHarm.java
@@ -8,6 +8,8 @@
   TERMINATE,
   /** Killed, and started again later. */
   KILL,
+  /** Stopped and continued later, and its steady clock does not count the time. */
+  SUSPEND,
   /** Its links fall silent, it is killed, and it is started again later. */
   POWER_LOSS
 }
--- /dev/null
+++ b/soak/src/main/java/org/passhaven/soak/plan/RequestHarm.java
@@ -0,0 +1,11 @@
+package org.passhaven.soak.plan;
+
+/** Which request crashes the servers that run it from some moment on. */
+public enum RequestHarm {
+  /** A plain request, which comes again and again at any node. */
+  LOOKUP_CRASHES,
+  /** An item of a batch job. */
+  ITEM_CRASHES,
+  /** The call that scores an item. */
+  SCORE_CRASHES
+}
--- a/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
+++ b/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
@@ -55,6 +55,13 @@
 
   /** Stops it where it stands. */
   public synchronized void freeze() {
+    settings.suspension().end();
+    signal(Signal.STOP, Happening.PAUSED);
+  }
+
+  /** Stops it where it stands, and its steady clock does not count the time until it goes on. */
+  public synchronized void suspend() {
+    settings.suspension().begin();
     signal(Signal.STOP, Happening.PAUSED);
   }
 
--- a/soak/src/main/java/org/passhaven/soak/process/ProcessSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/process/ProcessSettings.java
@@ -12,9 +12,15 @@
  * @param directory where it starts
  * @param environment its variables; it gets no others
  * @param log file that takes what it writes, life after life
+ * @param suspension tells the process which stops its steady clock does not count
  */
 public record ProcessSettings(
-    String node, List<String> command, Path directory, Map<String, String> environment, Path log) {
+    String node,
+    List<String> command,
+    Path directory,
+    Map<String, String> environment,
+    Path log,
+    Suspension suspension) {
   /** Copies. */
   public ProcessSettings {
     command = List.copyOf(command);
--- a/soak/src/main/java/org/passhaven/soak/run/Nodes.java
+++ b/soak/src/main/java/org/passhaven/soak/run/Nodes.java
@@ -21,6 +21,7 @@
 import org.passhaven.soak.process.NodeProcess;
 import org.passhaven.soak.process.ProcessSettings;
 import org.passhaven.soak.process.RunLine;
+import org.passhaven.soak.process.Suspension;
 
 /** The processes of all nodes of a run. */
 final class Nodes implements AutoCloseable {
@@ -56,13 +57,18 @@
       NodePlace place = places.get(i);
       Path file = settings.folder().resolve(place.name() + ".settings.json");
       Files.write(file, settingsFile.apply(place, i));
+      Suspension suspension =
+          new Suspension(settings.folder().resolve(place.name() + ".suspended"));
       ProcessSettings process =
           new ProcessSettings(
               place.name(),
-              line.command(),
+              settings.hasCrashesAndSuspensions()
+                  ? suspension.command(line.command())
+                  : line.command(),
               settings.repository(),
               environment(file),
-              settings.folder().resolve(place.name() + ".log"));
+              settings.folder().resolve(place.name() + ".log"),
+              suspension);
       processes.add(new NodeProcess(process, nowMillis, history));
     }
   }
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -9,6 +9,7 @@
 import org.passhaven.platform.standin.StandinPlatform;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.platform.standin.server.CrashingRequests;
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.platform.standin.store.StoreFault;
 import org.passhaven.soak.fault.Hands;
@@ -16,6 +17,7 @@
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.RequestHarm;
 import org.passhaven.soak.plan.StoreHarm;
 import org.passhaven.soak.proxy.LinkProxy;
 import org.passhaven.soak.proxy.LinkState;
@@ -167,6 +169,23 @@
     }
   }
 
+  @Override
+  public void harmRequest(RequestHarm harm) {
+    platform
+        .crashing()
+        .arm(
+            switch (harm) {
+              case LOOKUP_CRASHES -> CrashingRequests.Target.LOOKUP;
+              case ITEM_CRASHES -> CrashingRequests.Target.ITEM;
+              case SCORE_CRASHES -> CrashingRequests.Target.SCORE;
+            });
+  }
+
+  @Override
+  public void suspend(int node) {
+    nodes.process(node).suspend();
+  }
+
   @Override
   public void change(OperatorChange kind, int backEnd) {
     if (kind == OperatorChange.DRAIN) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -81,7 +81,8 @@
                 settings.nodeCount(),
                 backEndCount,
                 settings.trafficMillis(),
-                settings.isFinalFaultCertain()));
+                settings.isFinalFaultCertain(),
+                settings.hasCrashesAndSuspensions()));
     return settings.isCalm()
         ? new FaultPlan(
             plan.seed(), plan.trafficMillis(), List.of(), settings.isFinalFaultCertain())
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -10,6 +10,7 @@
  * @param trafficMillis time from the first job to the last, in ms
  * @param isFinalFaultCertain whether the run must end with the loss of all nodes at once
  * @param isCalm whether nothing at all is done to the system but a final fault
+ * @param hasCrashesAndSuspensions whether some requests crash servers and machines are suspended
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -20,6 +21,7 @@
     long trafficMillis,
     boolean isFinalFaultCertain,
     boolean isCalm,
+    boolean hasCrashesAndSuspensions,
     SoakLoad load,
     Path repository,
     Path folder) {
--- a/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
@@ -17,6 +17,7 @@
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
 import org.passhaven.platform.standin.history.RequestObservation.RequestBroken;
 import org.passhaven.platform.standin.history.RequestObservation.RequestRefused;
+import org.passhaven.platform.standin.history.ServerObservation.CrashedByRequest;
 import org.passhaven.platform.standin.history.ServerObservation.DrainAcknowledged;
 import org.passhaven.platform.standin.history.ServerObservation.OrderReceived;
 import org.passhaven.platform.standin.history.ServerObservation.RunEnd;
@@ -272,4 +273,38 @@
         .add(missing)
         .assertHolds(Promise.CONFIGURATION_IN_TIME);
   }
+
+  private static Story crashed(int times) {
+    Story story = Story.begin();
+    for (int i = 0; i < times; i++) {
+      long atMillis = SENT_MILLIS + 1_000L * i;
+      story
+          .request(atMillis, Story.FIRST, REQUEST + i, true)
+          .run(atMillis + 5, REQUEST + i, 1)
+          .add(new CrashedByRequest(atMillis + 25, Story.INSTANCE, Story.PATH));
+    }
+    return story;
+  }
+
+  private static Story sentLater(Story story, int times, String node) {
+    for (int i = 0; i < times; i++) {
+      long atMillis = SENT_MILLIS + 10_000L + 1_000L * i;
+      story.request(atMillis, node, "later" + i, true).run(atMillis + 5, "later" + i, 1);
+    }
+    return story;
+  }
+
+  @Test
+  void aRequestThatHasCrashedThreeBackEndsIsTriedThreeTimesMoreAtMost() {
+    sentLater(crashed(3), 3, Story.FIRST).assertHolds(Promise.CRASHES_BOUNDED);
+    sentLater(crashed(3), 4, Story.FIRST).assertBroken(Promise.CRASHES_BOUNDED);
+    sentLater(sentLater(crashed(3), 2, Story.FIRST), 2, Story.SECOND)
+        .assertBroken(Promise.CRASHES_BOUNDED);
+    sentLater(crashed(2), 9, Story.FIRST).assertNotChecked(Promise.CRASHES_BOUNDED);
+    sentLater(
+            crashed(3).add(new ProcessEvent(SENT_MILLIS + 9_000, Story.FIRST, Happening.PAUSED, 1)),
+            9,
+            Story.FIRST)
+        .assertUnbound(Promise.CRASHES_BOUNDED);
+  }
 }
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -6,6 +6,7 @@
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
+import org.passhaven.soak.plan.RequestHarm;
 import org.passhaven.soak.plan.StoreHarm;
 
 /** Hands that only note what they are asked to do. */
@@ -66,6 +67,16 @@
     done.add("heal " + backEnd + " " + harm);
   }
 
+  @Override
+  public void harmRequest(RequestHarm harm) {
+    done.add("request " + harm);
+  }
+
+  @Override
+  public void suspend(int node) {
+    done.add("suspend " + node);
+  }
+
   @Override
   public void change(OperatorChange change, int backEnd) {
     done.add("change " + change + " " + backEnd);
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -16,7 +16,9 @@
 
 class FaultPlannerTest {
   private static final long TRAFFIC_MILLIS = 180_000;
-  private static final PlanSettings SETTINGS = new PlanSettings(5, 4, TRAFFIC_MILLIS, false);
+  private static final PlanSettings SETTINGS = new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false);
+  private static final PlanSettings WITH_CRASHES =
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true);
   private static final int SEEDS = 60;
 
   private static List<FaultPlan> plans() {
@@ -53,7 +55,7 @@
             .map(Fault::kind)
             .collect(Collectors.toSet());
     for (ProcessHarm harm : ProcessHarm.values()) {
-      assertThat(kinds, hasItem("process-" + harm));
+      assertThat(kinds.contains("process-" + harm), equalTo(harm != ProcessHarm.SUSPEND));
     }
     for (StoreHarm harm : StoreHarm.values()) {
       assertThat(kinds, hasItem("store-" + harm));
@@ -69,7 +71,7 @@
     long some = plans().stream().filter(FaultPlan::isFinalFault).count();
     assertThat(some, greaterThan(10L));
     assertThat(some, lessThan(50L));
-    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true);
+    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true, false);
     assertThat(
         LongStream.range(0, SEEDS)
             .allMatch(seed -> FaultPlanner.plan(seed, certain).isFinalFault()),
@@ -86,4 +88,22 @@
     }
     return false;
   }
+
+  @Test
+  void crashesAndSuspensionsAreAddedToWhatTheSeedGives() {
+    for (long seed = 0; seed < SEEDS; seed++) {
+      List<Fault> faults = FaultPlanner.plan(seed, WITH_CRASHES).faults();
+      List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
+      assertThat(faults.containsAll(usual), equalTo(true));
+      Set<String> added =
+          faults.stream()
+              .filter(fault -> !usual.contains(fault))
+              .map(Fault::kind)
+              .collect(Collectors.toSet());
+      assertThat(added, hasItem("process-" + ProcessHarm.SUSPEND));
+      for (RequestHarm harm : RequestHarm.values()) {
+        assertThat(added, hasItem("request-" + harm));
+      }
+    }
+  }
 }
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -32,7 +32,15 @@
     Path folder = module.resolve("target").resolve("soak-ci").resolve("run-" + System.nanoTime());
     SoakSettings settings =
         new SoakSettings(
-            SEED, NODES, TRAFFIC_MILLIS, true, false, SoakLoad.small(), module.getParent(), folder);
+            SEED,
+            NODES,
+            TRAFFIC_MILLIS,
+            true,
+            false,
+            false,
+            SoakLoad.small(),
+            module.getParent(),
+            folder);
     Verdict verdict = SoakRun.run(settings, System.out::println);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.isKept(), equalTo(true));
