A request under which servers end is remembered by the whole fleet, and held back

Cause: failures were remembered by server (ServerHealth) and for one try (ForwardPlan, ItemRun), nothing by request. So a request that crashes each server that begins it was tried at the next server at once, and began from nothing with its next try, at each node, for ever; a hedge, a continuation elsewhere and a scoring call likewise.

Ruled out: one try doing it alone (none reached more than two servers), servers ending by themselves (two paths at nearly every crash, all others at one).

Change: where a run breaks off, the node asks once whether that start of the server has ended (nothing listens there, or another start does; else its entry decides); a server that leaves as planned doesn't count. An end is noted under the request's fingerprint (method, host, path, body) in a keyed table of the store that all nodes follow. After two ends without a run that ended well in between, the request runs only in trials, one at a time in the whole fleet (the first claim in the table has it), with pauses of 2 s, 6 s, 18 s and so on to 10 min. A run that ends well clears it. While nothing is known of any request, no fingerprint is made. The table is bounded (1,000), forgets after 20 min, and its keys are removed from the store. What is held back and has not run gets 503 with the time of the next trial. Items and their continuations pass the same gate (ItemGate), scoring calls the forwarder's.

--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -55,10 +56,17 @@
   private final ServerPace pace = new ServerPace();
   private final LengthEstimate lengths = new LengthEstimate();
   private final GenerationPicker picker;
+  private final ItemGate gate;
   private long nextAttempt = 1;
 
-  /** Creates the scheduler of a node in {@code zone}. */
+  /** Creates the scheduler of a node in {@code zone} that holds no item back. */
   public JobScheduler(String zone) {
+    this(zone, (job, item) -> true);
+  }
+
+  /** Creates the scheduler of a node in {@code zone}. */
+  public JobScheduler(String zone, ItemGate gate) {
+    this.gate = Objects.requireNonNull(gate, "gate");
     this.picker = new GenerationPicker(zone, health, pace, lengths);
   }
 
@@ -203,6 +211,7 @@
       for (ItemRun run : work.waiting(nowMillis)) {
         picker
             .choose(run, ready, nowMillis)
+            .filter(server -> mayBegin(run))
             .ifPresent(server -> begin(run, server, priority, nowMillis, actions));
       }
     }
@@ -245,6 +254,10 @@
     }
   }
 
+  private boolean mayBegin(ItemRun run) {
+    return gate.mayBegin(run.job.job.submission(), run.item);
+  }
+
   private void begin(
       ItemRun run, ServerEntry server, int priority, long nowMillis, List<JobAction> actions) {
     run.phase = ItemRun.Phase.GENERATING;
@@ -285,7 +298,7 @@
       return;
     }
     Optional<ServerEntry> better = picker.chooseFaster(run, ready, nowMillis);
-    if (better.isPresent()) {
+    if (better.isPresent() && mayBegin(run)) {
       stop(run, "slow server", actions);
       run.moves++;
       begin(run, better.get(), priorityOf(run.job), nowMillis, actions);
@@ -421,9 +434,15 @@
    *
    * @param serverErrors answers of 500 that the request got this time
    * @param mostServerErrors answers of 500 after which the item is given up
+   * @param pauseMillis time for which it makes no sense to ask again
    */
   public List<JobAction> onScoreFailed(
-      String job, String item, int serverErrors, int mostServerErrors, long nowMillis) {
+      String job,
+      String item,
+      int serverErrors,
+      int mostServerErrors,
+      long pauseMillis,
+      long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
     ItemRun run = scoring(job, item);
     if (run == null) {
@@ -434,7 +453,7 @@
       finish(run, false, "", actions);
     } else {
       run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
-      run.notBefore = nowMillis + SCORE_RETRY_MILLIS;
+      run.notBefore = nowMillis + Math.max(SCORE_RETRY_MILLIS, pauseMillis);
     }
     return actions;
   }
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -347,11 +347,11 @@
     scheduler.onBegan(attempt, 1, 5);
     scheduler.onEvent(attempt, 1, 0, "one", 10);
     scheduler.onWhole(attempt, 20);
-    assertThat(scheduler.onScoreFailed("j", "x", 2, 4, 30), empty());
+    assertThat(scheduler.onScoreFailed("j", "x", 2, 4, 0, 30), empty());
     assertThat(
         scheduler.decide(List.of(server("a", 1)), NOTHING_NAMED, 200),
         contains(instanceOf(JobAction.Score.class)));
-    List<JobAction> last = scheduler.onScoreFailed("j", "x", 2, 4, 230);
+    List<JobAction> last = scheduler.onScoreFailed("j", "x", 2, 4, 0, 230);
     assertThat(((JobAction.Finish) last.get(0)).result().completed(), is(false));
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
@@ -0,0 +1,350 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.crash.CrashTable;
+import org.passhaven.core.crash.CrashTable.Verdict;
+import org.passhaven.core.crash.RequestFingerprint;
+import org.passhaven.node.follow.TableFollower;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.CodecException;
+import org.passhaven.protocol.crash.CrashNote;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.BackEndService.Target;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What this node knows, and tells the others, of requests under which servers have ended. Where the
+ * store is away a node goes by what it has seen itself and tells it when the store is back.
+ */
+public final class CrashLog {
+  private static final Logger LOG = LoggerFactory.getLogger(CrashLog.class);
+
+  /** A refused connection is told within a round trip; what is silent this long tells nothing. */
+  private static final long CHECK_MILLIS = 100;
+
+  /** Entries of servers that have ended go after three of their heartbeats, 3.6 s. */
+  private static final long ENTRY_GOES_MILLIS = 5_000;
+
+  /** A claim is written and read back within some 20 ms where the store is sound. */
+  private static final long CLAIM_MILLIS = 400;
+
+  private static final long WRITE_AGAIN_MILLIS = 300;
+  private static final long TIDY_MILLIS = 10_000;
+  private static final int MOST_UNWRITTEN = 1_000;
+  private static final int MOST_UNSURE = 1_000;
+  private final GatewayContext context;
+  private final Directory directory;
+  private final CrashTable table = new CrashTable();
+  private final TableFollower follower;
+  private final Deque<TableService.Entry> unwritten = new ArrayDeque<>();
+  private final List<Unsure> unsure = new ArrayList<>();
+  private final Map<String, Uni<Boolean>> checks = new HashMap<>();
+  private final Map<String, List<UniEmitter<? super Void>>> claims = new HashMap<>();
+  private boolean isWriting;
+
+  /** A run that broke off at a server of which it is not known yet whether it has ended. */
+  private record Unsure(String fingerprint, ServerEntry server, long brokenMillis) {}
+
+  CrashLog(GatewayContext context, Directory directory) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.follower =
+        new TableFollower(
+            context.tables(),
+            context.timers(),
+            context.documents().crashTable(),
+            () -> 0,
+            new NoteReader());
+  }
+
+  /** Begins to follow. */
+  void start() {
+    follower.start();
+    directory.addListener(this::resolveUnsure);
+    context.timers().every(TIDY_MILLIS, this::tidy);
+  }
+
+  /** Whether nothing is known of any request: then no fingerprint need be made. */
+  boolean isQuiet() {
+    return table.isEmpty();
+  }
+
+  /** Tells a request that comes again. */
+  static String fingerprintOf(Call call) {
+    return RequestFingerprint.of(call.method(), call.host(), call.uri(), call.body());
+  }
+
+  /** Whether a request may run now. */
+  Verdict verdict(String fingerprint) {
+    return table.verdict(fingerprint, context.now());
+  }
+
+  /**
+   * Whether this node may run a request that is held back, once; the trial then counts as taken.
+   */
+  boolean takeTrial(String fingerprint) {
+    return table.takeTrial(fingerprint, context.settings().node(), context.incarnation());
+  }
+
+  /** No server ran the request in the trial that was taken. */
+  void giveTrialBack(String fingerprint) {
+    table.giveTrialBack(fingerprint);
+  }
+
+  /**
+   * Claims the trial that is due; gives a result when it is known who has it, or that can't be
+   * known soon. {@link #takeTrial} then tells whether it is this node.
+   */
+  Uni<Void> claimTrial(String fingerprint, int number) {
+    Uni<Void> claimed =
+        Uni.createFrom()
+            .emitter(
+                emitter -> {
+                  boolean isFirst = !claims.containsKey(fingerprint);
+                  claims.computeIfAbsent(fingerprint, key -> new ArrayList<>()).add(emitter);
+                  if (isFirst) {
+                    writeClaim(fingerprint, number);
+                  }
+                });
+    return context
+        .timers()
+        .limit(claimed, CLAIM_MILLIS, "trial")
+        .onFailure()
+        .recoverWithNull()
+        .onTermination()
+        .invoke(() -> claims.remove(fingerprint));
+  }
+
+  private void writeClaim(String fingerprint, int number) {
+    CrashNote.Trial trial =
+        new CrashNote.Trial(fingerprint, number, context.settings().node(), context.incarnation());
+    LOG.atInfo()
+        .addKeyValue("fingerprint", fingerprint)
+        .addKeyValue("trial", number)
+        .addKeyValue("crashes", table.crashes(fingerprint))
+        .log("crash: trial claimed");
+    context
+        .tables()
+        .put(context.documents().crashTable(), List.of(entryOf(trial)))
+        .subscribe()
+        .with(
+            written -> {},
+            failure ->
+                LOG.atInfo()
+                    .addKeyValue("fingerprint", fingerprint)
+                    .addKeyValue("reason", PlatformException.from(failure).getMessage())
+                    .log("crash: a claim failed"));
+  }
+
+  /**
+   * A run of a request broke off at a server. Gives a result when it is known whether the server
+   * has ended, or can't be known soon.
+   */
+  Uni<Void> onBroken(String fingerprint, ServerEntry server) {
+    // What breaks off at a server that leaves as planned is no crash.
+    if (!directory.servers().isReady(server.instance())) {
+      return Uni.createFrom().voidItem();
+    }
+    long brokenAt = context.now();
+    return checks
+        .computeIfAbsent(server.instance(), instance -> check(server))
+        .invoke(
+            hasEnded -> {
+              if (hasEnded) {
+                noteEnd(fingerprint, server.instance());
+              }
+            })
+        .onFailure()
+        .invoke(failure -> addUnsure(new Unsure(fingerprint, server, brokenAt)))
+        .onFailure()
+        .recoverWithItem(false)
+        .replaceWithVoid();
+  }
+
+  /** One question, however many runs broke off there at the same time. */
+  private Uni<Boolean> check(ServerEntry server) {
+    return context
+        .backEnds()
+        .hasEnded(new Target(server.instance(), server.address()), CHECK_MILLIS)
+        .onTermination()
+        .invoke(() -> checks.remove(server.instance()))
+        .memoize()
+        .indefinitely();
+  }
+
+  private void addUnsure(Unsure broken) {
+    if (unsure.size() >= MOST_UNSURE) {
+      unsure.remove(0);
+    }
+    unsure.add(broken);
+  }
+
+  /** A server that has ended is known by its entry, which goes, or by the next start's. */
+  private void resolveUnsure() {
+    if (unsure.isEmpty()) {
+      return;
+    }
+    long now = context.now();
+    for (Unsure broken : List.copyOf(unsure)) {
+      ServerEntry entry = directory.servers().get(broken.server().instance());
+      boolean isOver = now - broken.brokenMillis() >= ENTRY_GOES_MILLIS;
+      boolean leaves = entry != null && !entry.ready();
+      boolean hasEnded = entry == null || isSucceeded(broken.server());
+      if (hasEnded && !isOver) {
+        noteEnd(broken.fingerprint(), broken.server().instance());
+      }
+      if (hasEnded || isOver || leaves) {
+        unsure.remove(broken);
+      }
+    }
+  }
+
+  private boolean isSucceeded(ServerEntry server) {
+    return directory.servers().all().stream()
+        .anyMatch(
+            other ->
+                other.address().equals(server.address())
+                    && !other.instance().equals(server.instance()));
+  }
+
+  private void noteEnd(String fingerprint, String server) {
+    CrashNote.Ended note = new CrashNote.Ended(fingerprint, server);
+    int before = table.crashes(fingerprint);
+    table.onNote(note, context.now());
+    if (table.crashes(fingerprint) == before) {
+      return;
+    }
+    context.metrics().serversEndedUnderRequests.increment();
+    LOG.atInfo()
+        .addKeyValue("fingerprint", fingerprint)
+        .addKeyValue("server", server)
+        .addKeyValue("crashes", before + 1)
+        .log("crash: a server ended under a request");
+    write(List.of(entryOf(note)));
+  }
+
+  /** A run of the request ended well: it does not crash servers. */
+  void onSound(String fingerprint) {
+    if (table.contains(fingerprint)) {
+      forget(fingerprint, "a run ended well");
+    }
+  }
+
+  private void forget(String fingerprint, String why) {
+    LOG.atInfo()
+        .addKeyValue("fingerprint", fingerprint)
+        .addKeyValue("crashes", table.crashes(fingerprint))
+        .addKeyValue("why", why)
+        .log("crash: request forgotten");
+    List<TableService.Entry> removals =
+        table.keysOf(fingerprint).stream().map(key -> new TableService.Entry(key, null)).toList();
+    table.remove(fingerprint);
+    write(removals);
+  }
+
+  private void tidy() {
+    resolveUnsure();
+    table.due(context.now()).forEach(fingerprint -> forget(fingerprint, "old, or too many"));
+  }
+
+  private static TableService.Entry entryOf(CrashNote note) {
+    return new TableService.Entry(note.key(), Codec.encode(note));
+  }
+
+  private void write(List<TableService.Entry> entries) {
+    for (TableService.Entry entry : entries) {
+      if (unwritten.size() >= MOST_UNWRITTEN) {
+        LOG.atWarn()
+            .addKeyValue("key", unwritten.poll().key())
+            .log("crash: a note is dropped, too many are unwritten");
+      }
+      unwritten.add(entry);
+    }
+    if (!isWriting && !unwritten.isEmpty()) {
+      isWriting = true;
+      // What several requests at one server have to tell goes in one call.
+      context.timers().after(1, this::writeOn);
+    }
+  }
+
+  private void writeOn() {
+    List<TableService.Entry> batch = List.copyOf(unwritten);
+    context
+        .tables()
+        .put(context.documents().crashTable(), batch)
+        .subscribe()
+        .with(written -> onWritten(batch), this::onNotWritten);
+  }
+
+  private void onWritten(List<TableService.Entry> batch) {
+    unwritten.removeAll(batch);
+    if (unwritten.isEmpty()) {
+      isWriting = false;
+    } else {
+      writeOn();
+    }
+  }
+
+  private void onNotWritten(Throwable failure) {
+    LOG.atInfo()
+        .addKeyValue("unwritten", unwritten.size())
+        .addKeyValue("reason", PlatformException.from(failure).getMessage())
+        .log("crash: notes can't be written");
+    context.timers().after(WRITE_AGAIN_MILLIS, this::writeOn);
+  }
+
+  private final class NoteReader implements TableFollower.Listener {
+    @Override
+    public void onDocument(String key, byte[] value) {
+      if (value == null) {
+        table.remove(CrashNote.fingerprintOf(key));
+        return;
+      }
+      try {
+        CrashNote note = Codec.decode(value, CrashNote.class);
+        table.onNote(note, context.now());
+        if (note instanceof CrashNote.Trial trial) {
+          answerClaims(trial);
+        }
+      } catch (CodecException e) {
+        LOG.atError()
+            .addKeyValue("key", key)
+            .addKeyValue("reason", e.getMessage())
+            .log("crash: a note can't be read");
+      }
+    }
+
+    private void answerClaims(CrashNote.Trial trial) {
+      List<UniEmitter<? super Void>> waiting = claims.remove(trial.fingerprint());
+      if (waiting != null) {
+        waiting.forEach(emitter -> emitter.complete(null));
+      }
+    }
+
+    @Override
+    public void onListed(Set<String> keys) {
+      Set<String> kept = new HashSet<>();
+      keys.forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
+      kept.addAll(
+          unwritten.stream()
+              .map(entry -> CrashNote.fingerprintOf(entry.key()))
+              .collect(Collectors.toSet()));
+      table.retain(kept);
+    }
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -37,6 +37,7 @@
   private final GatewayContext context;
   private final MemberAgent members;
   private final Directory directory;
+  private final CrashLog crashes;
   private final RequestForwarder forwarder;
   private final JobLog log;
   private final JobService jobs;
@@ -50,12 +51,13 @@
     this.context = Objects.requireNonNull(context, "context");
     this.log = new JobLog(context);
     this.directory = new Directory(context, () -> log.isRunner() ? 0 : IDLE_SERVERS_PAUSE_MILLIS);
-    this.forwarder = new RequestForwarder(context, directory);
+    this.crashes = new CrashLog(context, directory);
+    this.forwarder = new RequestForwarder(context, directory, crashes);
     this.members =
         new MemberAgent(
             context, forwarder::requestsPerSecond, this::isDependedOn, this::beatsPauseMillis);
     this.jobs = new JobService(context, log);
-    this.runner = new JobRunner(context, directory, members, log, forwarder);
+    this.runner = new JobRunner(context, directory, members, log, forwarder, crashes);
     this.orders = new OrderAgent(context, directory, members, log);
   }
 
@@ -67,6 +69,7 @@
         .addKeyValue("incarnation", context.incarnation())
         .log("node: starts");
     directory.start();
+    crashes.start();
     members.start(() -> log.start(members.beats()), log::startSooner);
     context.timers().after(FOLLOW_ANYWAY_MILLIS, () -> log.start(members.beats()));
     log.addOwnerListener(members::hurry);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -50,6 +50,12 @@
   /** Version orders sent. */
   public final Counter ordersSent;
 
+  /** Servers that ended under requests of this node, counted for each such request. */
+  public final Counter serversEndedUnderRequests;
+
+  /** Requests that were not run because servers had ended under them. */
+  public final Counter requestsHeldBack;
+
   private final MeterRegistry registry;
   private final Timer requestLatency;
 
@@ -65,6 +71,8 @@
     generationsStopped = registry.counter("passhaven.gateway.generations.stopped");
     resultsListed = registry.counter("passhaven.gateway.results.listed");
     appendsRepeated = registry.counter("passhaven.gateway.appends.repeated");
+    serversEndedUnderRequests = registry.counter("passhaven.gateway.servers.ended.under.requests");
+    requestsHeldBack = registry.counter("passhaven.gateway.requests.held.back");
     ordersSent = registry.counter("passhaven.gateway.orders.sent");
     requestLatency =
         Timer.builder("passhaven.gateway.request.latency")
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -42,6 +42,7 @@
   private final Directory directory;
   private final MemberAgent members;
   private final JobLog log;
+  private final ItemCrashes crashes;
   private final ResultWriter results;
   private final JobScheduler scheduler;
   private final TextLog texts;
@@ -57,13 +58,15 @@
       Directory directory,
       MemberAgent members,
       JobLog log,
-      RequestForwarder forwarder) {
+      RequestForwarder forwarder,
+      CrashLog crashes) {
+    this.crashes = new ItemCrashes(crashes, this::decideSoon);
     this.context = Objects.requireNonNull(context, "context");
     this.directory = Objects.requireNonNull(directory, "directory");
     this.members = Objects.requireNonNull(members, "members");
     this.log = Objects.requireNonNull(log, "log");
     this.results = new ResultWriter(context, log);
-    this.scheduler = new JobScheduler(context.settings().zone());
+    this.scheduler = new JobScheduler(context.settings().zone(), this.crashes);
     this.texts = new TextLog(context, log.history(), scheduler, this::decideSoon);
     this.scores = new ScoreCalls(context, directory, forwarder, scheduler, this::apply);
     log.addListener(this::onRecord);
@@ -301,15 +304,7 @@
 
   private void begin(JobAction.Start start) {
     JobItem item = start.item();
-    Call call =
-        new Call(
-            item.id(),
-            POST,
-            item.path(),
-            start.job().host(),
-            item.headers(),
-            item.body(),
-            GENERATION_MILLIS);
+    Call call = callOf(start.job(), item);
     long attempt = start.attempt();
     LOG.atLevel(start.lastEvent() > 0 ? Level.INFO : Level.DEBUG)
         .addKeyValue("job", start.job().id())
@@ -328,11 +323,17 @@
             .with(
                 progress -> onProgress(attempt, progress),
                 failure -> onFailed(start, BackEndException.from(failure)),
-                () -> onWhole(attempt));
+                () -> onWhole(start));
     context.metrics().generationsBegun.increment();
     generations.put(attempt, running);
   }
 
+  /** The request by which a server makes an item's text. */
+  static Call callOf(JobSubmission job, JobItem item) {
+    return new Call(
+        item.id(), POST, item.path(), job.host(), item.headers(), item.body(), GENERATION_MILLIS);
+  }
+
   private void onProgress(long attempt, Progress progress) {
     long now = context.now();
     if (progress instanceof Progress.Began began) {
@@ -342,9 +343,10 @@
     }
   }
 
-  private void onWhole(long attempt) {
-    generations.remove(attempt);
-    apply(scheduler.onWhole(attempt, context.now()));
+  private void onWhole(JobAction.Start start) {
+    generations.remove(start.attempt());
+    crashes.onWhole(start);
+    apply(scheduler.onWhole(start.attempt(), context.now()));
     decideSoon();
   }
 
@@ -359,6 +361,7 @@
         .addKeyValue("kind", failure.kind())
         .addKeyValue("reason", failure.getMessage())
         .log("job: generation failed");
+    crashes.onFailed(start, failure.kind());
     apply(scheduler.onFailed(start.attempt(), failureOf(failure.kind()), context.now()));
     decideSoon();
   }
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDocuments.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDocuments.java
@@ -12,6 +12,9 @@
   /** Table of the servers' entries. */
   String serverTable();
 
+  /** Table of the nodes' own notes on requests under which servers have ended. */
+  String crashTable();
+
   /** Whether a document of the operator's table is the configuration. */
   boolean isConfiguration(String key);
 
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -12,6 +12,7 @@
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerPicker;
+import org.passhaven.core.crash.CrashTable.Verdict;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.forward.ForwardPlan.Outcome;
 import org.passhaven.core.request.RateMeter;
@@ -35,8 +36,10 @@
   private static final int MISDIRECTED = 421;
   private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
   private static final long FULL_AVOIDED_MILLIS = 50;
+  private static final String HELD_BACK = "servers have ended under it";
   private final GatewayContext context;
   private final Directory directory;
+  private final CrashLog crashes;
   private final ShareRotation rotation;
   private final ServerHealth health = new ServerHealth();
   private final ServerPicker picker;
@@ -44,9 +47,10 @@
   private int inProgress;
 
   /** Creates a forwarder to the servers of the directory. */
-  public RequestForwarder(GatewayContext context, Directory directory) {
+  RequestForwarder(GatewayContext context, Directory directory, CrashLog crashes) {
     this.context = Objects.requireNonNull(context, "context");
     this.directory = Objects.requireNonNull(directory, "directory");
+    this.crashes = Objects.requireNonNull(crashes, "crashes");
     this.rotation = new ShareRotation(context.randomBelow());
     this.picker = new ServerPicker(health, context.settings().zone());
     this.rate = new RateMeter(context.now());
@@ -93,6 +97,13 @@
     private Timers.Timer deadline;
     private int nextAttempt;
     private String lastReason = "";
+
+    /** Made when it is first needed: on the ordinary path it never is. */
+    private String fingerprint;
+
+    private boolean isInTrial;
+    private boolean isClaiming;
+    private long heldUntil;
     private boolean done;
 
     Forward(Route route, Call call, UniEmitter<? super ForwardOutcome> emitter) {
@@ -108,15 +119,18 @@
       rate.mark(context.now());
       deadline = context.timers().after(call.deadlineMillis(), this::onDeadline);
       if (!tryNext()) {
-        giveUp("no server");
+        giveUp(heldUntil > 0 ? HELD_BACK : "no server");
       }
     }
 
     /** Sends the request to the next server; false if nothing is under way. */
     private boolean tryNext() {
-      if (done) {
+      if (done || isClaiming) {
         return true;
       }
+      if (!mayRun()) {
+        return isClaiming || plan.inProgress() > 0;
+      }
       List<ServerEntry> servers = directory.servers().readyOf(service);
       Optional<ServerEntry> server = plan.next(servers, picker, context.now());
       if (server.isEmpty()) {
@@ -126,6 +140,43 @@
       return true;
     }
 
+    private String fingerprint() {
+      if (fingerprint == null) {
+        fingerprint = CrashLog.fingerprintOf(call);
+      }
+      return fingerprint;
+    }
+
+    /** Whether a server may begin the request now, by what it has done to servers so far. */
+    private boolean mayRun() {
+      if (crashes.isQuiet() || isInTrial) {
+        return true;
+      }
+      Verdict verdict = crashes.verdict(fingerprint());
+      if (verdict instanceof Verdict.Clear) {
+        return true;
+      } else if (verdict instanceof Verdict.Alone) {
+        return plan.inProgress() == 0;
+      } else if (verdict instanceof Verdict.Held held) {
+        heldUntil = held.untilMillis();
+      } else if (verdict instanceof Verdict.TrialDue due && plan.inProgress() == 0) {
+        isClaiming = true;
+        crashes.claimTrial(fingerprint(), due.number()).subscribe().with(ignored -> onClaimed());
+      }
+      return false;
+    }
+
+    private void onClaimed() {
+      isClaiming = false;
+      if (done) {
+        return;
+      }
+      isInTrial = crashes.takeTrial(fingerprint());
+      if (!isInTrial || !tryNext()) {
+        giveUp(HELD_BACK);
+      }
+    }
+
     private void send(ServerEntry server) {
       int attempt = nextAttempt++;
       long sentAt = context.now();
@@ -180,6 +231,9 @@
       if (outcome != Outcome.SUCCESS) {
         logAttempt(server, outcome, "status " + answer.status());
       }
+      if (isInTrial || !crashes.isQuiet()) {
+        noteEnd(outcome);
+      }
       decide(outcome, answer);
     }
 
@@ -189,7 +243,22 @@
       boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
       logAttempt(server, outcome, failure.getMessage());
-      decide(outcome, null);
+      if (notRun) {
+        decide(outcome, null);
+        return;
+      }
+      isInTrial = false;
+      // Where the next run goes, and whether there is one, depends on what became of the server.
+      crashes.onBroken(fingerprint(), server).subscribe().with(ignored -> decide(outcome, null));
+    }
+
+    private void noteEnd(Outcome outcome) {
+      if (outcome == Outcome.SUCCESS || outcome == Outcome.FINAL) {
+        crashes.onSound(fingerprint());
+      }
+      if (outcome != Outcome.NOT_RUN) {
+        isInTrial = false;
+      }
     }
 
     private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
@@ -231,7 +300,7 @@
 
     private void tryNextOrGiveUp() {
       if (!done && !tryNext()) {
-        giveUp("no other server");
+        giveUp(heldUntil > 0 ? HELD_BACK : "no other server");
       }
     }
 
@@ -241,11 +310,18 @@
       }
     }
 
+    private long retryAfterMillis() {
+      return Math.max(RETRY_AFTER_MILLIS, heldUntil - context.now());
+    }
+
     private void giveUp(String reason) {
       boolean timedOut = context.now() >= plan.deadlineMillis();
+      if (reason.equals(HELD_BACK)) {
+        context.metrics().requestsHeldBack.increment();
+      }
       ForwardOutcome outcome =
           plan.hasSurelyNotRun()
-              ? new ForwardOutcome.NotRun(reason, RETRY_AFTER_MILLIS)
+              ? new ForwardOutcome.NotRun(reason, retryAfterMillis())
               : new ForwardOutcome.Unknown(reason, timedOut, plan.serverErrors());
       LOG.atInfo()
           .addKeyValue("request", call.id())
@@ -274,6 +350,9 @@
       }
       done = true;
       inProgress--;
+      if (isInTrial && attempts.isEmpty()) {
+        crashes.giveTrialBack(fingerprint());
+      }
       deadline.cancel();
       List<Cancellable> running = List.copyOf(attempts.values());
       attempts.clear();
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
@@ -69,7 +69,7 @@
     String item = action.item().id();
     Optional<Route> route = directory.routes().find(score.host(), score.path());
     if (route.isEmpty()) {
-      apply.accept(scheduler.onScoreFailed(job, item, 0, 1, context.now()));
+      apply.accept(scheduler.onScoreFailed(job, item, 0, 1, 0, context.now()));
       return;
     }
     inProgress++;
@@ -100,6 +100,11 @@
         .addKeyValue("outcome", outcome.getClass().getSimpleName())
         .log("job: no score");
     apply.accept(
-        scheduler.onScoreFailed(job, item, outcome.serverErrors(), mostErrors, context.now()));
+        scheduler.onScoreFailed(
+            job, item, outcome.serverErrors(), mostErrors, pauseMillis(outcome), context.now()));
+  }
+
+  private static long pauseMillis(ForwardOutcome outcome) {
+    return outcome instanceof ForwardOutcome.NotRun notRun ? notRun.retryAfterMillis() : 0;
   }
 }
--- a/node/src/test/java/org/passhaven/node/follow/TableFollowerTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/TableFollowerTest.java
@@ -26,6 +26,11 @@
           return Uni.createFrom().item(new Page(List.of(), false, 0));
         }
 
+        @Override
+        public Uni<Void> put(String table, List<Entry> entries) {
+          return Uni.createFrom().nothing();
+        }
+
         @Override
         public Uni<Changes> changes(String table, long from, long waitMillis) {
           readAtMillis.add(timers.nowMillis());
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.order.LoadLimit;
@@ -43,6 +44,11 @@
     public Uni<Changes> changes(String table, long from, long waitMillis) {
       return Uni.createFrom().nothing();
     }
+
+    @Override
+    public Uni<Void> put(String table, List<Entry> entries) {
+      return Uni.createFrom().nothing();
+    }
   }
 
   /** Servers that give no answer. */
@@ -57,6 +63,11 @@
       return Multi.createFrom().nothing();
     }
 
+    @Override
+    public Uni<Boolean> hasEnded(Target target, long limitMillis) {
+      return Uni.createFrom().nothing();
+    }
+
     @Override
     public Uni<Report> report(Target target, long limitMillis) {
       return Uni.createFrom().nothing();
@@ -75,6 +86,11 @@
       return "operator";
     }
 
+    @Override
+    public String crashTable() {
+      return "crashes";
+    }
+
     @Override
     public String serverTable() {
       return "servers";
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
@@ -15,6 +15,7 @@
 final class SimulatedDocuments implements PlatformDocuments {
   static final String OPERATOR = "operator";
   static final String SERVERS = "servers";
+  static final String CRASHES = "crashes";
   static final String CONFIGURATION = "configuration";
   static final String HOST = "host";
   static final String JOB_PATH = "/jobs/";
@@ -37,6 +38,11 @@
     return OPERATOR;
   }
 
+  @Override
+  public String crashTable() {
+    return CRASHES;
+  }
+
   @Override
   public String serverTable() {
     return SERVERS;
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
@@ -292,6 +292,24 @@
       }
     }
 
+    @Override
+    public Uni<Boolean> hasEnded(Target target, long limitMillis) {
+      Uni<Boolean> asked =
+          Uni.createFrom()
+              .emitter(
+                  emitter ->
+                      later(
+                          0,
+                          () -> {
+                            Server server = at(target);
+                            boolean isSame = server.instance().equals(target.instance());
+                            if (!server.dark) {
+                              deliver(() -> emitter.complete(server.down || !isSame));
+                            }
+                          }));
+      return process.timers().limit(asked, limitMillis, "presence");
+    }
+
     @Override
     public Uni<Report> report(Target target, long limitMillis) {
       Uni<Report> asked =
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedStore.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
@@ -231,23 +232,28 @@
 
     @Override
     public Uni<Long> append(String stream, List<byte[]> records) {
-      return call(stream, CALL_LIMIT_MILLIS, emitter -> write(stream, records, emitter));
+      return call(
+          stream, CALL_LIMIT_MILLIS, emitter -> write(stream, () -> add(stream, records), emitter));
     }
 
-    private void write(String stream, List<byte[]> records, UniEmitter<? super Long> emitter) {
+    private <T> void write(String stream, Supplier<T> done, UniEmitter<? super T> emitter) {
       boolean lost = random.nextDouble() < share;
       if (manner == Manner.DOES_LATE && lost) {
         long late = LATE_FROM_MILLIS + random.nextInt(LATE_SPREAD_MILLIS);
-        time.after(late * VirtualTime.MICROS_PER_MILLI, () -> add(stream, records));
+        time.after(
+            late * VirtualTime.MICROS_PER_MILLI,
+            () -> {
+              var unused = done.get();
+            });
         return;
       }
       boolean answers = !(manner == Manner.LOSES_ANSWERS && lost);
       time.after(
           WRITE_MICROS * slowness,
           () -> {
-            long offset = add(stream, records);
+            T answer = done.get();
             if (answers && !isSilent(stream)) {
-              deliver(() -> emitter.complete(offset));
+              deliver(() -> emitter.complete(answer));
             }
           });
     }
@@ -368,6 +374,22 @@
           });
     }
 
+    @Override
+    public Uni<Void> put(String table, List<Entry> entries) {
+      return call(
+          "table/" + table,
+          CALL_LIMIT_MILLIS,
+          emitter ->
+              write(
+                  "table/" + table,
+                  () -> {
+                    entries.forEach(
+                        entry -> SimulatedStore.this.put(table, entry.key(), entry.value()));
+                    return null;
+                  },
+                  emitter));
+    }
+
     @Override
     public Uni<Changes> changes(String table, long from, long waitMillis) {
       String name = "table/" + table;
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -120,6 +120,12 @@
     REJECTED
   }
 
+  /**
+   * Whether one start of a server has ended for certain: nothing listens at its address, or another
+   * start does. Fails if that can't be told.
+   */
+  Uni<Boolean> hasEnded(Target target, long limitMillis);
+
   /** Asks a server for its state. */
   Uni<Report> report(Target target, long limitMillis);
 
--- a/spi/src/main/java/org/passhaven/spi/TableService.java
+++ b/spi/src/main/java/org/passhaven/spi/TableService.java
@@ -41,4 +41,7 @@
 
   /** Reads changes; waits up to {@code waitMillis} for a first one. */
   Uni<Changes> changes(String table, long from, long waitMillis);
+
+  /** Writes documents, all or none; those without a value are removed. */
+  Uni<Void> put(String table, List<Entry> entries);
 }
