Whoever wakes from a suspension acts on nothing that may have lapsed meanwhile

Cause: leases, being in touch and callers' deadlines are counted by the monotonic clock alone, which stands still while the machine is suspended.

Ruled out: the process's own pauses (the monotonic clock counts them; GatewayWorldTest has them); a clock that counts the suspension: Java 17 reads none without native code, /proc/uptime has 10 ms and is Linux's own. Adding the gap to the clock is unsafe: whoever waits for a lease to lapse would be misled by a time of day that is set ahead.

A doubt ends an order lease, and a lease of a shard of `passhaven node`, until a record that was sent since then is read back; a node is in touch again when a beat sent since then is; a request under way may still be answered, and is sent to no further server in time that may be gone. Whoever waits goes on counting the monotonic clock only, which can but make it wait longer.

--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -53,6 +53,7 @@
   private int refusals;
   private int inProgress;
   private int serverErrors;
+  private long lostMillis;
 
   /**
    * Creates the plan of one request.
@@ -70,13 +71,26 @@
     return deadlineMillis;
   }
 
+  /**
+   * So much of the caller's time may be gone without having been counted. What is under way goes
+   * on, its answer may still come in time; nothing new is sent in time that may not be there.
+   */
+  public void onTimeLost(long millis) {
+    lostMillis = Math.max(lostMillis, millis);
+  }
+
+  /** Time that a server may take for the request now. */
+  public long leftMillis(long nowMillis) {
+    return deadlineMillis - lostMillis - nowMillis;
+  }
+
   /** The server to send to now; empty if there is none or the attempts are used up. */
   public Optional<ServerEntry> next(
       Collection<ServerEntry> servers, ServerPicker picker, long nowMillis) {
     boolean mayGo =
         mayHaveRun + inProgress < Math.max(1, route.mostAttempts())
             && refusals < MOST_REFUSALS
-            && deadlineMillis - nowMillis >= LEAST_USEFUL_MILLIS
+            && leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS
             && (mayRepeat || (mayHaveRun == 0 && inProgress == 0));
     if (!mayGo) {
       return Optional.empty();
@@ -118,7 +132,7 @@
     }
     boolean attemptsLeft = mayHaveRun + inProgress < Math.max(1, route.mostAttempts());
     boolean repeatable = mayRepeat || mayHaveRun == 0;
-    boolean timeLeft = deadlineMillis - nowMillis >= LEAST_USEFUL_MILLIS;
+    boolean timeLeft = leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
     if (attemptsLeft && repeatable && timeLeft && refusals < MOST_REFUSALS) {
       return Step.TRY_NEXT;
     }
--- a/core/src/main/java/org/passhaven/core/lease/LeaseWatch.java
+++ b/core/src/main/java/org/passhaven/core/lease/LeaseWatch.java
@@ -14,6 +14,9 @@
   private long lastReadAtMillis;
   private long holderStopsAtMillis = Long.MIN_VALUE;
 
+  /** What was sent before says nothing of how long this node may act. */
+  private long countsFromMillis = Long.MIN_VALUE;
+
   /** Creates a watch of a lease that nobody was seen to hold. */
   public LeaseWatch(LeaseTerms terms, long nowMillis) {
     this.terms = Objects.requireNonNull(terms, "terms");
@@ -31,15 +34,29 @@
     own = isOwn;
     released = false;
     lastReadAtMillis = readAtMillis;
-    holderStopsAtMillis = isOwn ? terms.holderStopsAt(sentAtMillis) : Long.MIN_VALUE;
+    holderStopsAtMillis = Long.MIN_VALUE;
+    extend(sentAtMillis);
+  }
+
+  private void extend(long sentAtMillis) {
+    if (own && sentAtMillis >= countsFromMillis) {
+      holderStopsAtMillis = Math.max(holderStopsAtMillis, terms.holderStopsAt(sentAtMillis));
+    }
+  }
+
+  /**
+   * The clocks have moved apart: the lease may have lapsed long ago. The holder acts again once a
+   * record that it sends from now on was read.
+   */
+  public void onClockGap(long nowMillis) {
+    holderStopsAtMillis = Long.MIN_VALUE;
+    countsFromMillis = nowMillis;
   }
 
   /** A fenced record of the current epoch was read; it renews. */
   public void onFencedRead(long readAtMillis, long sentAtMillis) {
     lastReadAtMillis = Math.max(lastReadAtMillis, readAtMillis);
-    if (own) {
-      holderStopsAtMillis = Math.max(holderStopsAtMillis, terms.holderStopsAt(sentAtMillis));
-    }
+    extend(sentAtMillis);
   }
 
   /**
--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/order/OrderLease.java
@@ -111,6 +111,16 @@
     claimedEpoch = 0;
   }
 
+  /**
+   * The clocks have moved apart: intents that were sent before may have lapsed long ago, and so may
+   * the lease. A new one, read back, tells.
+   */
+  public void onClockGap() {
+    validUntil = NEVER;
+    intentSentAt = NEVER;
+    sentAtByNumber.clear();
+  }
+
   private void become(String newHolder, long newIncarnation, long newEpoch) {
     epoch = newEpoch;
     holder = newHolder;
--- a/core/src/test/java/org/passhaven/core/lease/LeaseWatchTest.java
+++ b/core/src/test/java/org/passhaven/core/lease/LeaseWatchTest.java
@@ -55,4 +55,21 @@
             new LeaseTerms(
                 Duration.ofMillis(1_000), Duration.ofMillis(400), Duration.ofMillis(200)));
   }
+
+  @Test
+  void aGapOfTheClocksEndsTheLeaseUntilARecordSentSinceThenIsRead() {
+    LeaseWatch holder = new LeaseWatch(TERMS, 0);
+    holder.onClaimRead(1, true, 0, 0);
+    assertThat("acts", holder.mayAct(100));
+    holder.onClockGap(100);
+    assertThat("doubts", !holder.mayAct(100));
+    holder.onFencedRead(120, 90);
+    assertThat("sent before the gap", !holder.mayAct(120));
+    holder.onFencedRead(150, 130);
+    assertThat("sent since the gap", holder.mayAct(150));
+    LeaseWatch other = new LeaseWatch(TERMS, 0);
+    other.onClaimRead(1, false, 1_000, 1_000);
+    other.onClockGap(1_100);
+    assertThat("waits all the same", !other.mayClaim(1_000 + 6_000 - 1, 0));
+  }
 }
--- a/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
+++ b/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
@@ -46,6 +46,21 @@
     assertThat(a.mayOrder(20 + VALID), is(false));
   }
 
+  @Test
+  void aGapOfTheClocksEndsWhatAnIntentAllowsUntilANewOneIsReadBack() {
+    OrderLease a = lease("a");
+    a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 10);
+    a.onRecord(next(a, 20).orElseThrow(), 30);
+    OrderRecord underWay = next(a, 20 + VALID / 2 + 1).orElseThrow();
+    assertThat(a.mayOrder(600), is(true));
+    a.onClockGap();
+    assertThat(a.mayOrder(600), is(false));
+    a.onRecord(underWay, 610);
+    assertThat("sent before the gap", a.mayOrder(610), is(false));
+    a.onRecord(next(a, 620).orElseThrow(), 630);
+    assertThat("sent since the gap", a.mayOrder(630), is(true));
+  }
+
   @Test
   void aSuccessorWaitsUntilItsPredecessorCanHaveOrderedLastAndTheHandOverTimeLonger() {
     OrderLease b = lease("b");
--- a/node/src/main/java/org/passhaven/node/Node.java
+++ b/node/src/main/java/org/passhaven/node/Node.java
@@ -50,8 +50,8 @@
   private boolean stopping;
 
   /** Creates a node; {@link #start} begins its work. */
-  public Node(NodeContext context) {
-    this.context = Objects.requireNonNull(context, "context");
+  public Node(NodeContext given) {
+    this.context = Objects.requireNonNull(given, "context").watched();
     this.machines = new MachineWatcher(context);
     this.membership = new MembershipAgent(context, machines);
     this.engines = new EngineDirectory(context, machines);
--- a/node/src/main/java/org/passhaven/node/NodeContext.java
+++ b/node/src/main/java/org/passhaven/node/NodeContext.java
@@ -29,4 +29,16 @@
     Objects.requireNonNull(metrics, "metrics");
     Objects.requireNonNull(recordSequence, "recordSequence");
   }
+
+  /** The same with clocks that are watched for gaps. */
+  NodeContext watched() {
+    return new NodeContext(
+        settings,
+        incarnation,
+        platform,
+        new WatchedTimers(timers),
+        randomBelow,
+        metrics,
+        recordSequence);
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -47,8 +47,8 @@
   private boolean stopping;
 
   /** Creates a node; {@link #start} begins its work. */
-  public Gateway(GatewayContext context) {
-    this.context = Objects.requireNonNull(context, "context");
+  public Gateway(GatewayContext given) {
+    this.context = Objects.requireNonNull(given, "context").watched();
     this.log = new JobLog(context);
     this.directory = new Directory(context, () -> log.isRunner() ? 0 : IDLE_SERVERS_PAUSE_MILLIS);
     this.crashes = new CrashLog(context, directory);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.function.IntUnaryOperator;
+import org.passhaven.node.WatchedTimers;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.LogService;
 import org.passhaven.spi.TableService;
@@ -34,6 +35,20 @@
     Objects.requireNonNull(metrics, "metrics");
   }
 
+  /** The same with clocks that are watched for gaps. */
+  GatewayContext watched() {
+    return new GatewayContext(
+        settings,
+        incarnation,
+        new WatchedTimers(timers),
+        randomBelow,
+        log,
+        tables,
+        backEnds,
+        documents,
+        metrics);
+  }
+
   /** Monotonic milliseconds. */
   public long now() {
     return timers.nowMillis();
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -23,6 +23,7 @@
   /** A node that has just started beats often: nobody knows yet what will depend on it. */
   private static final long FRESH_MILLIS = 5_000;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
   private static final long HISTORY_RECORDS = 64;
   private static final long SETTLE_MILLIS = 1_100;
   private static final long FIRST_BEAT_PAUSE_MILLIS = 100;
@@ -36,10 +37,16 @@
   private boolean taking = true;
   private long beganAt;
   private long startedAt;
-  private long beatAt = Long.MIN_VALUE / 2;
+  private long beatAt = NEVER;
   private long beatPeriodMillis;
-  private long ownBeatReadAt = Long.MIN_VALUE / 2;
+  private long ownBeatReadAt = NEVER;
   private long ownBeatsRead;
+
+  /** Offset of the first beat that was sent since the newest gap of the clocks and is written. */
+  private long ownBeatsCountFrom;
+
+  private long clockGapsSeen;
+  private long clockGapsAtAppend;
   private List<String> lastTaking = List.of();
   private boolean isFleetLost;
   private Runnable whenFollowing = () -> {};
@@ -94,7 +101,24 @@
 
   /** Whether this node has lately written to the log and read it back. */
   public boolean isInTouch() {
-    return context.now() - ownBeatReadAt < beats.silenceMillis(beatPeriodMillis);
+    return now() - ownBeatReadAt < beats.silenceMillis(beatPeriodMillis);
+  }
+
+  /**
+   * After a suspension a node knows what has become of the others only when a beat that it sent
+   * since then was read back.
+   */
+  private long now() {
+    long now = context.now();
+    long gaps = context.timers().clockGaps().count();
+    if (gaps != clockGapsSeen) {
+      clockGapsSeen = gaps;
+      ownBeatReadAt = NEVER;
+      ownBeatsCountFrom = Long.MAX_VALUE;
+      beatAt = NEVER;
+      tail.hurry();
+    }
+    return now;
   }
 
   /** Whether this node has followed the beats long enough to know who else is alive. */
@@ -116,7 +140,7 @@
    */
   private void beat() {
     long period = periodMillis();
-    boolean isDue = period < beatPeriodMillis || context.now() - beatAt >= period;
+    boolean isDue = now() - beatAt >= period || period < beatPeriodMillis;
     if (!beating && (isDue || !tailing)) {
       append();
     }
@@ -130,7 +154,8 @@
 
   private void append() {
     beating = true;
-    beatAt = context.now();
+    beatAt = now();
+    clockGapsAtAppend = clockGapsSeen;
     beatPeriodMillis = periodMillis();
     GatewaySettings settings = context.settings();
     MemberBeat beat =
@@ -151,6 +176,7 @@
 
   private void onAppended(long offset) {
     beating = false;
+    noteWritten(offset);
     if (tailing && context.now() - startedAt < SETTLE_MILLIS) {
       // Its own beat, read back, tells a node that starts whether the others are still there.
       tail.hurry();
@@ -163,6 +189,16 @@
     }
   }
 
+  private void noteWritten(long offset) {
+    boolean isSentSinceGap = clockGapsAtAppend == context.timers().clockGaps().count();
+    if (ownBeatsCountFrom == Long.MAX_VALUE && isSentSinceGap) {
+      ownBeatsCountFrom = offset;
+      if (tail.position() > offset) {
+        ownBeatReadAt = context.now();
+      }
+    }
+  }
+
   private void onBeatFailed(Throwable failure) {
     beating = false;
     LOG.debug("members: a beat failed: {}", PlatformException.from(failure).getMessage());
@@ -185,14 +221,21 @@
         beats.onBeatBeforeStart(beat, context.now());
       }
       if (isOwn) {
-        ownBeatReadAt = context.now();
-        ownBeatsRead++;
+        onOwnBeatRead();
       }
     } catch (CodecException e) {
       LOG.warn("members: a record can't be read: {}", e.getMessage());
     }
   }
 
+  private void onOwnBeatRead() {
+    long now = now();
+    ownBeatsRead++;
+    if (tail.position() > ownBeatsCountFrom) {
+      ownBeatReadAt = now;
+    }
+  }
+
   /** Of a fleet that was lost the log still tells: who is gone must hold up nobody. */
   private void noteFleetLost() {
     if (isFleetLost || ownBeatsRead < 2 || !isFresh()) {
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -57,6 +57,7 @@
   private final OrderLease lease;
   private final VersionOrderPlanner planner;
   private final LogTail tail;
+  private long clockGapsSeen;
   private long decidedAtMillis = Long.MIN_VALUE / 2;
   private boolean wasHolder;
   private boolean stopping;
@@ -106,7 +107,7 @@
   private void onRecord(byte[] bytes) {
     try {
       OrderRecord record = Codec.decode(bytes, OrderRecord.class);
-      lease.onRecord(record, context.now());
+      lease.onRecord(record, now());
       if (record instanceof OrderRecord.Reached reached) {
         directory.onReached(reached.server(), reached.model(), reached.version());
         return;
@@ -148,6 +149,17 @@
     return jobs.isRunner() || rank() < CLOSE_CANDIDATES ? STANDBY_READ_MILLIS : IDLE_READ_MILLIS;
   }
 
+  /** Asked before each order: by then a suspension has ended the lease. */
+  private long now() {
+    long now = context.now();
+    long gaps = context.timers().clockGaps().count();
+    if (gaps != clockGapsSeen) {
+      clockGapsSeen = gaps;
+      lease.onClockGap();
+    }
+    return now;
+  }
+
   /** Who neither orders nor is about to take over looks less often whether orders are due. */
   private boolean isOnStandby(long nowMillis) {
     return !lease.isHolder()
@@ -159,7 +171,7 @@
     if (stopping || !tail.isCaughtUp()) {
       return;
     }
-    long now = context.now();
+    long now = now();
     if (isOnStandby(now)) {
       return;
     }
@@ -239,7 +251,7 @@
   }
 
   private void order(Wanted wanted, long sequence) {
-    if (stopping || !lease.mayOrder(context.now())) {
+    if (stopping || !lease.mayOrder(now())) {
       fail(wanted, "the lease is not valid now");
       return;
     }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -93,6 +93,7 @@
     private final ForwardPlan plan;
     private final String service;
     private final long beganAt = context.now();
+    private final long lostAtBegin = lostMillis();
     private final Map<Integer, Cancellable> attempts = new HashMap<>();
     private Timers.Timer deadline;
     private int nextAttempt;
@@ -128,6 +129,7 @@
       if (done || isClaiming) {
         return true;
       }
+      noteTimeLost();
       if (!mayRun()) {
         return isClaiming || plan.inProgress() > 0;
       }
@@ -140,6 +142,10 @@
       return true;
     }
 
+    private void noteTimeLost() {
+      plan.onTimeLost(lostMillis() - lostAtBegin);
+    }
+
     private String fingerprint() {
       if (fingerprint == null) {
         fingerprint = CrashLog.fingerprintOf(call);
@@ -189,7 +195,7 @@
               call.host(),
               call.headers(),
               call.body(),
-              Math.max(1, plan.deadlineMillis() - sentAt));
+              Math.max(1, plan.leftMillis(sentAt)));
       Cancellable sending =
           context
               .backEnds()
@@ -286,6 +292,7 @@
       if (done) {
         return;
       }
+      noteTimeLost();
       switch (plan.onEnded(outcome, context.now())) {
         case DELIVER -> finish(new ForwardOutcome.Answered(answer, plan.serverErrors()));
         case TRY_NEXT -> context.timers().after(pauseAfter(outcome), this::tryNextOrGiveUp);
@@ -360,6 +367,10 @@
     }
   }
 
+  private long lostMillis() {
+    return context.timers().clockGaps().lostMillis();
+  }
+
   private static Outcome classify(Answer answer) {
     if (answer.notRun()) {
       return Outcome.NOT_RUN;
--- a/node/src/main/java/org/passhaven/node/run/RunAgent.java
+++ b/node/src/main/java/org/passhaven/node/run/RunAgent.java
@@ -51,6 +51,7 @@
   private final SampleScorer scorer;
   private final StreamClient stream;
   private final LeaseWatch lease;
+  private long clockGapsSeen;
   private final GenerationRunner generations;
   private final PullQueue pulls;
   private final Set<Long> finishing = new HashSet<>();
@@ -81,7 +82,8 @@
     this.engines = Objects.requireNonNull(engines, "engines");
     this.scorer = Objects.requireNonNull(scorer, "scorer");
     this.stream = new StreamClient(context, shard.stream(), this, READ_WAIT_MILLIS);
-    this.lease = new LeaseWatch(context.settings().lease(), now());
+    this.lease = new LeaseWatch(context.settings().lease(), context.timers().nowMillis());
+    this.clockGapsSeen = context.timers().clockGaps().count();
     this.generations = new GenerationRunner(context, engines, new GenerationListener());
     this.pulls = new PullQueue(context.timers());
   }
@@ -440,8 +442,15 @@
         List.of(), step == null ? (int) pull.cursor() : step.slotCount());
   }
 
+  /** Asked before each act as holder: by then a suspension has ended the lease. */
   private long now() {
-    return context.timers().nowMillis();
+    long now = context.timers().nowMillis();
+    long gaps = context.timers().clockGaps().count();
+    if (gaps != clockGapsSeen) {
+      clockGapsSeen = gaps;
+      lease.onClockGap(now);
+    }
+    return now;
   }
 
   /** Passes what becomes of generations on to the coordinator of the epoch that began them. */
--- a/node/src/test/java/org/passhaven/node/ManualTimers.java
+++ b/node/src/test/java/org/passhaven/node/ManualTimers.java
@@ -12,12 +12,23 @@
       new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::order));
   private long now;
   private long order;
+  private long timeOfDayAheadMillis;
 
   @Override
   public long nowMillis() {
     return now;
   }
 
+  @Override
+  public long timeOfDayMillis() {
+    return now + timeOfDayAheadMillis;
+  }
+
+  /** The machine is suspended for a time, which the monotonic clock does not count. */
+  public void suspend(long millis) {
+    timeOfDayAheadMillis += millis;
+  }
+
   @Override
   public Timer after(long delayMillis, Runnable task) {
     Task set = new Task(now + Math.max(0, delayMillis), order++, task);
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
+import org.passhaven.node.WatchedTimers;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.member.MemberBeat;
 
@@ -25,7 +26,7 @@
           new GatewayContext(
               GatewayFixture.settings(1, 262_144, 2_097_152),
               1,
-              timers,
+              new WatchedTimers(timers),
               bound -> 0,
               log,
               new GatewayFixture.NoTables(),
@@ -143,4 +144,24 @@
     timers.advance(900);
     assertThat(log.appendCalls - before, lessThanOrEqualTo(1));
   }
+
+  @Test
+  void afterASuspensionANodeIsInTouchOnceABeatSentSinceThenWasReadBack() {
+    passTheFirstSeconds();
+    assertThat(agent.isInTouch(), is(true));
+    timers.suspend(5_000);
+    assertThat(agent.isInTouch(), is(false));
+    // It beats at its next tick, whatever its period, and reads at once.
+    timers.advance(600);
+    assertThat(agent.isInTouch(), is(true));
+  }
+
+  @Test
+  void whileTheLogIsAwayANodeThatWokeIsNotInTouch() {
+    passTheFirstSeconds();
+    log.appends = MemoryLog.Manner.SILENT;
+    timers.suspend(5_000);
+    timers.advance(1_000);
+    assertThat(agent.isInTouch(), is(false));
+  }
 }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayFault.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayFault.java
@@ -39,7 +39,9 @@
     /** The call that scores an item of the next step does. */
     SCORE_CRASHES_SERVERS,
     /** A machine stands still, and its steady clock with it. */
-    NODE_SUSPENDED;
+    NODE_SUSPENDED,
+    /** A machine's time of day is set ahead or back, and right again. */
+    CLOCK_SET;
 
     /** Kinds that {@link GatewayWorld#draw} draws from: more of them would change each seed. */
     static final Set<Kind> DRAWN =
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -47,6 +47,7 @@
   /** A server that a request has crashed is back after some seconds. */
   private static final long CRASHED_MILLIS = 2_500;
 
+  private static final long CLOCK_MILLIS = 5_000;
   private static final long REPEATED_MILLIS = 700;
   private static final long REPEATED_FOR_MILLIS = 30_000;
 
@@ -345,6 +346,10 @@
       case ITEM_CRASHES_SERVERS -> crashing.add(SimulatedDocuments.JOB_PATH + nextItem());
       case SCORE_CRASHES_SERVERS -> crashing.add(SimulatedDocuments.SCORE_PATH + nextItem());
       case NODE_SUSPENDED -> host.suspend(fault.forMillis());
+      case CLOCK_SET -> {
+        host.process().setTimeOfDayAhead(fault.target() % 2 == 0 ? CLOCK_MILLIS : -CLOCK_MILLIS);
+        after(fault.forMillis(), () -> host.process().setTimeOfDayAhead(0));
+      }
     }
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
+++ b/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
@@ -24,6 +24,7 @@
   private long suspendedAtMicros;
   private long suspendedMicros;
   private long driftPartsPerMillion;
+  private long timeOfDayAheadMillis;
   private long cpuNanos;
 
   /** Creates a process that is not started. */
@@ -68,6 +69,11 @@
     driftPartsPerMillion = partsPerMillion;
   }
 
+  /** Sets its time of day ahead of true time, or back behind it. */
+  public void setTimeOfDayAhead(long millis) {
+    timeOfDayAheadMillis = millis;
+  }
+
   /** Starts it; gives the generation of this start. */
   public long start() {
     alive = true;
@@ -150,6 +156,11 @@
         return now + now * driftPartsPerMillion / PARTS_PER_MILLION;
       }
 
+      @Override
+      public long timeOfDayMillis() {
+        return time.nowMillis() + timeOfDayAheadMillis;
+      }
+
       @Override
       public Timer after(long delayMillis, Runnable task) {
         boolean[] cancelled = new boolean[1];
--- a/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -44,10 +45,7 @@
   }
 
   @ParameterizedTest
-  @EnumSource(
-      value = GatewayFault.Kind.class,
-      mode = EnumSource.Mode.MATCH_NONE,
-      names = {".*_CRASHES_SERVERS", "NODE_SUSPENDED"})
+  @EnumSource(GatewayFault.Kind.class)
   void eachFaultTwiceBreaksNothingAndStepsGoOn(GatewayFault.Kind kind) {
     for (int target = 0; target < 6; target++) {
       List<GatewayFault> faults =
@@ -83,4 +81,13 @@
     }
     assertThat(handOvers, greaterThan(10));
   }
+
+  @Test
+  void drawnCrashesAndSuspensionsBesideOtherFaultsBreakNothing() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      List<GatewayFault> faults = new ArrayList<>(GatewayWorld.draw(seed, FAULTS / 2, 30_000));
+      faults.addAll(GatewayWorld.drawCrashesAndSuspensions(seed, FAULTS / 2, 30_000));
+      assertThat("seed " + seed, play(seed, faults).violations(), empty());
+    }
+  }
 }
--- a/simulator/src/test/java/org/passhaven/simulator/SuspensionTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/SuspensionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 
 import java.util.ArrayList;
@@ -35,4 +36,18 @@
       assertThat("seed " + seed + " " + report, report.wholeSteps(), greaterThan(4));
     }
   }
+
+  /** A clock that is set makes holders doubt, and that is all: no step is lost by it. */
+  @Test
+  void clocksThatAreSetBreakNothingAndCostNoStep() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      List<GatewayFault> faults = new ArrayList<>();
+      for (int i = 0; i < 4 * NODES; i++) {
+        faults.add(new GatewayFault(Kind.CLOCK_SET, 6_000 + 1_700L * i + 37 * seed, 1_100, i));
+      }
+      Report report = new GatewayWorld(seed).play(faults, LENGTH_MILLIS);
+      assertThat("seed " + seed + " " + report, report.violations(), empty());
+      assertThat("seed " + seed + " " + report, report.wholeSteps(), equalTo(report.steps()));
+    }
+  }
 }
--- a/spi/src/main/java/org/passhaven/spi/Timers.java
+++ b/spi/src/main/java/org/passhaven/spi/Timers.java
@@ -6,7 +6,7 @@
 
 /**
  * Monotonic clock and timers of one node; virtual in the simulator. Callbacks run on the node's own
- * thread.
+ * thread. The monotonic clock does not count the time in which the machine is suspended.
  */
 public interface Timers {
   /** A timer that was set. */
@@ -18,6 +18,19 @@
   /** Monotonic milliseconds since some fixed moment. */
   long nowMillis();
 
+  /**
+   * Time of day in milliseconds. It counts the time in which the machine was suspended, and may
+   * jump both ways.
+   */
+  default long timeOfDayMillis() {
+    return nowMillis();
+  }
+
+  /** Gaps between the clocks, those included that the newest call of {@link #nowMillis} found. */
+  default ClockGaps clockGaps() {
+    return ClockGaps.NONE;
+  }
+
   /** Runs {@code task} once after a delay. */
   Timer after(long delayMillis, Runnable task);
 
--- a/standin/src/main/java/org/passhaven/standin/VertxTimers.java
+++ b/standin/src/main/java/org/passhaven/standin/VertxTimers.java
@@ -27,6 +27,11 @@
     return TimeUnit.NANOSECONDS.toMillis(steadyNanos.getAsLong());
   }
 
+  @Override
+  public long timeOfDayMillis() {
+    return System.currentTimeMillis();
+  }
+
   @Override
   public Timer after(long delayMillis, Runnable task) {
     long id = vertx.setTimer(Math.max(1, delayMillis), ignored -> task.run());
