Tests of the neighbours of a crashing request, and of how a node learns that a server has ended

The last one failed first: with 500 ends in 20 ms the queue of unwritten notes dropped removals, and 33 keys of 1,034 stayed in the store for good. The queue now keeps the newest of each key, and its bound fits what the table can hold. The table is also kept within its bound between two rounds of tidying.

--- a/core/src/main/java/org/passhaven/core/crash/CrashTable.java
+++ b/core/src/main/java/org/passhaven/core/crash/CrashTable.java
@@ -35,7 +35,10 @@
   static final long FORGET_MILLIS = 1_200_000;
 
   /** About 200 bytes each. At 64 requests a server it takes sixteen ends of servers to fill it. */
-  static final int MOST_SUSPECTS = 1_000;
+  public static final int MOST_SUSPECTS = 1_000;
+
+  /** Finding whom to forget takes a look at all: it is done for many at a time. */
+  private static final int OVERFULL_BY = 64;
 
   private final Map<String, Suspect> suspects = new HashMap<>();
 
@@ -77,6 +80,11 @@
     return suspects.size();
   }
 
+  /** Whether there are so many that some are to be forgotten now; {@link #due} tells which. */
+  public boolean isOverfull() {
+    return suspects.size() >= MOST_SUSPECTS + OVERFULL_BY;
+  }
+
   /** Whether something is known of a request. */
   public boolean contains(String fingerprint) {
     return suspects.containsKey(fingerprint);
--- a/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
@@ -2,16 +2,14 @@
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.crash.CrashTable;
 import org.passhaven.core.crash.CrashTable.Verdict;
@@ -45,13 +43,19 @@
 
   private static final long WRITE_AGAIN_MILLIS = 300;
   private static final long TIDY_MILLIS = 10_000;
-  private static final int MOST_UNWRITTEN = 1_000;
+
+  /** For each request that is known, one that comes and one that is forgotten. */
+  private static final int MOST_UNWRITTEN = 2 * CrashTable.MOST_SUSPECTS;
+
   private static final int MOST_UNSURE = 1_000;
   private final GatewayContext context;
   private final Directory directory;
   private final CrashTable table = new CrashTable();
   private final TableFollower follower;
-  private final Deque<TableService.Entry> unwritten = new ArrayDeque<>();
+
+  /** The newest of each key that is to be written, the oldest first. */
+  private final Map<String, TableService.Entry> unwritten = new LinkedHashMap<>();
+
   private final List<Unsure> unsure = new ArrayList<>();
   private final Map<String, Uni<Boolean>> checks = new HashMap<>();
   private final Map<String, List<UniEmitter<? super Void>>> claims = new HashMap<>();
@@ -225,7 +229,7 @@
   private void noteEnd(String fingerprint, String server) {
     CrashNote.Ended note = new CrashNote.Ended(fingerprint, server);
     int before = table.crashes(fingerprint);
-    table.onNote(note, context.now());
+    take(note);
     if (table.crashes(fingerprint) == before) {
       return;
     }
@@ -238,6 +242,13 @@
     write(List.of(entryOf(note)));
   }
 
+  private void take(CrashNote note) {
+    table.onNote(note, context.now());
+    if (table.isOverfull()) {
+      tidy();
+    }
+  }
+
   /** A run of the request ended well: it does not crash servers. */
   void onSound(String fingerprint) {
     if (table.contains(fingerprint)) {
@@ -267,13 +278,11 @@
   }
 
   private void write(List<TableService.Entry> entries) {
-    for (TableService.Entry entry : entries) {
-      if (unwritten.size() >= MOST_UNWRITTEN) {
-        LOG.atWarn()
-            .addKeyValue("key", unwritten.poll().key())
-            .log("crash: a note is dropped, too many are unwritten");
-      }
-      unwritten.add(entry);
+    entries.forEach(entry -> unwritten.put(entry.key(), entry));
+    while (unwritten.size() > MOST_UNWRITTEN) {
+      String oldest = unwritten.keySet().iterator().next();
+      unwritten.remove(oldest);
+      LOG.atWarn().addKeyValue("key", oldest).log("crash: too many notes are unwritten");
     }
     if (!isWriting && !unwritten.isEmpty()) {
       isWriting = true;
@@ -283,7 +292,7 @@
   }
 
   private void writeOn() {
-    List<TableService.Entry> batch = List.copyOf(unwritten);
+    List<TableService.Entry> batch = List.copyOf(unwritten.values());
     context
         .tables()
         .put(context.documents().crashTable(), batch)
@@ -292,7 +301,7 @@
   }
 
   private void onWritten(List<TableService.Entry> batch) {
-    unwritten.removeAll(batch);
+    batch.forEach(entry -> unwritten.remove(entry.key(), entry));
     if (unwritten.isEmpty()) {
       isWriting = false;
     } else {
@@ -317,7 +326,7 @@
       }
       try {
         CrashNote note = Codec.decode(value, CrashNote.class);
-        table.onNote(note, context.now());
+        take(note);
         if (note instanceof CrashNote.Trial trial) {
           answerClaims(trial);
         }
@@ -340,10 +349,7 @@
     public void onListed(Set<String> keys) {
       Set<String> kept = new HashSet<>();
       keys.forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
-      kept.addAll(
-          unwritten.stream()
-              .map(entry -> CrashNote.fingerprintOf(entry.key()))
-              .collect(Collectors.toSet()));
+      unwritten.keySet().forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
       table.retain(kept);
     }
   }
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
@@ -0,0 +1,333 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.crash.CrashTable.Verdict;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.protocol.Codec;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService;
+
+/** What nodes make of runs that break off, with servers and a store that the test moves. */
+class CrashLogTest {
+  private static final String FINGERPRINT = "f";
+  private static final long ANSWER_MILLIS = 2;
+  private final ManualTimers timers = new ManualTimers();
+  private final Store store = new Store();
+  private final Map<String, Boolean> hasEnded = new HashMap<>();
+  private int checks;
+
+  /** Tables of one partition each; followers are told at once. */
+  private final class Store {
+    final Map<String, List<TableService.Entry>> changes = new TreeMap<>();
+    final Map<String, List<Runnable>> waiting = new HashMap<>();
+    boolean isDown;
+    int puts;
+
+    void add(String table, List<TableService.Entry> entries) {
+      changes.computeIfAbsent(table, key -> new ArrayList<>()).addAll(entries);
+      List<Runnable> woken = waiting.remove(table);
+      if (woken != null) {
+        woken.forEach(Runnable::run);
+      }
+    }
+
+    Map<String, byte[]> newest(String table) {
+      Map<String, byte[]> newest = new TreeMap<>();
+      changes
+          .getOrDefault(table, List.of())
+          .forEach(
+              entry -> {
+                if (entry.value() == null) {
+                  newest.remove(entry.key());
+                } else {
+                  newest.put(entry.key(), entry.value());
+                }
+              });
+      return newest;
+    }
+
+    TableService asSeen() {
+      return new TableService() {
+        @Override
+        public Uni<Page> list(String table, String afterKey) {
+          List<Entry> entries = new ArrayList<>();
+          newest(table).forEach((key, value) -> entries.add(new Entry(key, value)));
+          return Uni.createFrom()
+              .item(new Page(entries, false, changes.getOrDefault(table, List.of()).size()));
+        }
+
+        @Override
+        public Uni<Changes> changes(String table, long from, long waitMillis) {
+          return Uni.createFrom().emitter(emitter -> serve(table, (int) from, emitter));
+        }
+
+        @Override
+        public Uni<Void> put(String table, List<Entry> entries) {
+          puts++;
+          if (isDown) {
+            return Uni.createFrom()
+                .failure(new PlatformException(PlatformException.Kind.NOT_RUN, "down"));
+          }
+          add(table, entries);
+          return Uni.createFrom().voidItem();
+        }
+      };
+    }
+
+    private void serve(String table, int from, UniEmitter<? super TableService.Changes> emitter) {
+      List<TableService.Entry> all = changes.getOrDefault(table, List.of());
+      if (from < all.size()) {
+        emitter.complete(
+            new TableService.Changes(all.subList(from, all.size()), false, all.size()));
+      } else {
+        waiting
+            .computeIfAbsent(table, key -> new ArrayList<>())
+            .add(() -> timers.after(1, () -> serve(table, from, emitter)));
+      }
+    }
+  }
+
+  private static final class Documents extends GatewayFixture.NoDocuments {
+    @Override
+    public ServerEntry server(String key, byte[] document) {
+      return Codec.decode(document, ServerEntry.class);
+    }
+  }
+
+  private final class Servers extends GatewayFixture.NoServers {
+    @Override
+    public Uni<Boolean> hasEnded(Target target, long limitMillis) {
+      checks++;
+      Boolean known = hasEnded.get(target.instance());
+      return Uni.createFrom()
+          .emitter(emitter -> timers.after(ANSWER_MILLIS, () -> answer(known, emitter)));
+    }
+
+    private void answer(Boolean known, UniEmitter<? super Boolean> emitter) {
+      if (known == null) {
+        emitter.fail(new PlatformException(PlatformException.Kind.OUTCOME_UNKNOWN, "no answer"));
+      } else {
+        emitter.complete(known);
+      }
+    }
+  }
+
+  private CrashLog node(String name) {
+    GatewayContext context =
+        new GatewayContext(
+            GatewayFixture.settings(name, 1, 262_144, 2_097_152),
+            1,
+            timers,
+            bound -> 0,
+            new MemoryLog(timers),
+            store.asSeen(),
+            new Servers(),
+            new Documents(),
+            new GatewayMetrics(new SimpleMeterRegistry()));
+    Directory directory = new Directory(context, () -> 0);
+    directory.start();
+    CrashLog crashes = new CrashLog(context, directory);
+    crashes.start();
+    return crashes;
+  }
+
+  private static ServerEntry server(String name, boolean ready) {
+    return new ServerEntry(name, "s", name + ":1", "z", 4, ready, Map.of());
+  }
+
+  private void list(ServerEntry server) {
+    store.add("servers", List.of(new TableService.Entry(server.instance(), Codec.encode(server))));
+  }
+
+  private void unlist(String server) {
+    store.add("servers", List.of(new TableService.Entry(server, null)));
+  }
+
+  private void listServers() {
+    for (String name : List.of("a", "b", "c")) {
+      list(server(name, true));
+    }
+  }
+
+  private static void broken(CrashLog node, String fingerprint, String server) {
+    node.onBroken(fingerprint, server(server, true)).subscribe().with(ignored -> {});
+  }
+
+  private void crashes(CrashLog node, String... servers) {
+    for (String server : servers) {
+      hasEnded.put(server, true);
+      broken(node, FINGERPRINT, server);
+    }
+    timers.advance(10);
+  }
+
+  @Test
+  void whatOneNodeHasSeenEveryNodeKnowsAndOneThatStartsLaterToo() {
+    listServers();
+    CrashLog first = node("n");
+    CrashLog second = node("m");
+    crashes(first, "a");
+    crashes(second, "b");
+    CrashLog third = node("o");
+    for (CrashLog node : List.of(first, second, third)) {
+      assertThat(node.verdict(FINGERPRINT), instanceOf(Verdict.Held.class));
+    }
+  }
+
+  @Test
+  void othersAtACrashingServerAreFreeAgainAfterARunThatEndsWell() {
+    listServers();
+    CrashLog first = node("n");
+    CrashLog second = node("m");
+    crashes(first, "a");
+    first.onSound(FINGERPRINT);
+    timers.advance(10);
+    assertThat(first.isQuiet(), is(true));
+    assertThat(second.isQuiet(), is(true));
+    assertThat(store.newest("crashes").keySet(), hasSize(0));
+  }
+
+  @Test
+  void whatBreaksOffAtAServerThatLeavesAsPlannedIsNoCrash() {
+    list(server("a", false));
+    CrashLog node = node("n");
+    unlist("b");
+    crashes(node, "a", "b");
+    assertThat(node.isQuiet(), is(true));
+    assertThat(checks, equalTo(0));
+  }
+
+  @Test
+  void whatBreaksOffAtAServerThatGoesOnIsNoCrash() {
+    listServers();
+    CrashLog node = node("n");
+    hasEnded.put("a", false);
+    hasEnded.put("b", false);
+    broken(node, FINGERPRINT, "a");
+    broken(node, FINGERPRINT, "b");
+    timers.advance(10_000);
+    unlist("a");
+    timers.advance(10);
+    assertThat(node.isQuiet(), is(true));
+  }
+
+  @Test
+  void aNodeThatIsCutOffFromServersThatGoOnAccusesNobody() {
+    listServers();
+    CrashLog node = node("n");
+    for (int i = 0; i < 50; i++) {
+      broken(node, "f" + i, "a");
+      broken(node, "f" + i, "b");
+    }
+    timers.advance(60_000);
+    unlist("a");
+    timers.advance(10);
+    assertThat(node.isQuiet(), is(true));
+    assertThat(store.puts, equalTo(0));
+  }
+
+  @Test
+  void aServerThatCannotBeAskedIsKnownToHaveEndedByItsEntryOrTheNextStart() {
+    listServers();
+    CrashLog node = node("n");
+    broken(node, FINGERPRINT, "a");
+    broken(node, FINGERPRINT, "b");
+    timers.advance(1_000);
+    assertThat(node.isQuiet(), is(true));
+    unlist("a");
+    list(new ServerEntry("b2", "s", "b:1", "z", 4, true, Map.of()));
+    timers.advance(10);
+    assertThat(node.verdict(FINGERPRINT), instanceOf(Verdict.Held.class));
+  }
+
+  @Test
+  void whileTheStoreIsAwayANodeGoesByWhatItHasSeenAndTellsItLater() {
+    listServers();
+    CrashLog first = node("n");
+    CrashLog second = node("m");
+    store.isDown = true;
+    crashes(first, "a", "b");
+    assertThat(first.verdict(FINGERPRINT), instanceOf(Verdict.Held.class));
+    assertThat(second.isQuiet(), is(true));
+    store.isDown = false;
+    timers.advance(400);
+    assertThat(second.verdict(FINGERPRINT), instanceOf(Verdict.Held.class));
+  }
+
+  @Test
+  void aTrialIsOfOneNodeOnly() {
+    listServers();
+    List<CrashLog> nodes = List.of(node("n"), node("m"), node("o"));
+    crashes(nodes.get(0), "a", "b");
+    timers.advance(2_100);
+    nodes.forEach(node -> node.claimTrial(FINGERPRINT, 1).subscribe().with(ignored -> {}));
+    timers.advance(50);
+    long taken = nodes.stream().filter(node -> node.takeTrial(FINGERPRINT)).count();
+    assertThat(taken, equalTo(1L));
+    nodes.forEach(node -> assertThat(node.verdict(FINGERPRINT), instanceOf(Verdict.Held.class)));
+  }
+
+  @Test
+  void withoutTheStoreThereIsNoTrial() {
+    listServers();
+    CrashLog node = node("n");
+    crashes(node, "a", "b");
+    timers.advance(2_100);
+    store.isDown = true;
+    boolean[] isOver = new boolean[1];
+    node.claimTrial(FINGERPRINT, 1).subscribe().with(ignored -> isOver[0] = true);
+    timers.advance(500);
+    assertThat(isOver[0], is(true));
+    assertThat(node.takeTrial(FINGERPRINT), is(false));
+  }
+
+  @Test
+  void manyRunsAtOneServerAskOnceAndAreToldInOneCall() {
+    listServers();
+    CrashLog node = node("n");
+    hasEnded.put("a", true);
+    for (int i = 0; i < 64; i++) {
+      broken(node, "f" + i, "a");
+    }
+    timers.advance(10);
+    assertThat(checks, equalTo(1));
+    assertThat(store.puts, equalTo(1));
+    assertThat(store.newest("crashes").keySet(), hasSize(64));
+  }
+
+  @Test
+  void ofManyRequestsUnderWhichServersEndNeitherNodeNorStoreKeepMoreThanAThousand() {
+    listServers();
+    CrashLog node = node("n");
+    crashes(node, "a", "b");
+    hasEnded.put("c", true);
+    for (int i = 0; i < 20_000; i++) {
+      broken(node, "f" + i, "c");
+      if (i % 500 == 0) {
+        timers.advance(20);
+      }
+    }
+    timers.advance(30_000);
+    assertThat(store.newest("crashes").size(), equalTo(1_000 + 1));
+    assertThat(node.verdict(FINGERPRINT), instanceOf(Verdict.TrialDue.class));
+    timers.advance(1_300_000);
+    assertThat(node.isQuiet(), is(true));
+    assertThat(store.newest("crashes").size(), equalTo(0));
+  }
+}
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -18,8 +18,14 @@
 
   /** Settings of node {@code n} in zone {@code z}. */
   static GatewaySettings settings(int jobPartitions, int maxRecordBytes, int maxAppendBytes) {
+    return settings("n", jobPartitions, maxRecordBytes, maxAppendBytes);
+  }
+
+  /** Settings of some node in zone {@code z}. */
+  static GatewaySettings settings(
+      String node, int jobPartitions, int maxRecordBytes, int maxAppendBytes) {
     return new GatewaySettings(
-        "n",
+        node,
         "z",
         "n:1",
         jobPartitions,
