The first trial of a request waits until servers that crashed are back

Cause: a trial 2 s after the second crash took the last of three servers down while the two others, which take 3.0 to 3.3 s to come back in the incident, were still away. Conclusion: 4 s.

--- a/core/src/main/java/org/passhaven/core/crash/CrashTable.java
+++ b/core/src/main/java/org/passhaven/core/crash/CrashTable.java
@@ -20,12 +20,13 @@
   static final int HELD_AFTER = 2;
 
   /**
-   * Pause before the first trial: a server that crashes is back after some seconds, and a request
-   * that was beside two crashes by chance loses no more than a caller's patience.
+   * Pause before the first trial. Servers that crashed are back after some 3 s: a trial before that
+   * may take the last one down. In virtual time, three servers that take 3.1 s, a pause of 2 s left
+   * 97.9 % of the other lookups served, one of 4 s 99.98 %.
    */
-  static final long FIRST_PAUSE_MILLIS = 2_000;
+  static final long FIRST_PAUSE_MILLIS = 4_000;
 
-  /** With it the second and third trial after a third crash are 18 s and 162 s later. */
+  /** With it the first two trials after a third crash are 36 s and six minutes later. */
   static final long PAUSE_FACTOR = 3;
 
   /** A request that crashes servers costs one of them in ten minutes at most. */
--- a/core/src/test/java/org/passhaven/core/crash/CrashTableTest.java
+++ b/core/src/test/java/org/passhaven/core/crash/CrashTableTest.java
@@ -91,8 +91,8 @@
   void ofTwoNodesThatClaimATrialTheFirstHasItOnce() {
     ended(GUILTY, "a", 0);
     ended(GUILTY, "b", 0);
-    trial(GUILTY, 1, "n", 3_000);
-    trial(GUILTY, 1, "m", 3_001);
+    trial(GUILTY, 1, "n", 5_000);
+    trial(GUILTY, 1, "m", 5_001);
     assertThat(table.takeTrial(GUILTY, "m", 1), is(false));
     assertThat("an earlier start", table.takeTrial(GUILTY, "n", 2), is(false));
     assertThat(table.takeTrial(GUILTY, "n", 1), is(true));
--- a/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
@@ -27,6 +27,7 @@
 class CrashLogTest {
   private static final String FINGERPRINT = "f";
   private static final long ANSWER_MILLIS = 2;
+  private static final long FIRST_TRIAL_MILLIS = 4_100;
   private final ManualTimers timers = new ManualTimers();
   private final Store store = new Store();
   private final Map<String, Boolean> hasEnded = new HashMap<>();
@@ -275,7 +276,7 @@
     listServers();
     List<CrashLog> nodes = List.of(node("n"), node("m"), node("o"));
     crashes(nodes.get(0), "a", "b");
-    timers.advance(2_100);
+    timers.advance(FIRST_TRIAL_MILLIS);
     nodes.forEach(node -> node.claimTrial(FINGERPRINT, 1).subscribe().with(ignored -> {}));
     timers.advance(50);
     long taken = nodes.stream().filter(node -> node.takeTrial(FINGERPRINT)).count();
@@ -288,7 +289,7 @@
     listServers();
     CrashLog node = node("n");
     crashes(node, "a", "b");
-    timers.advance(2_100);
+    timers.advance(FIRST_TRIAL_MILLIS);
     store.isDown = true;
     boolean[] isOver = new boolean[1];
     node.claimTrial(FINGERPRINT, 1).subscribe().with(ignored -> isOver[0] = true);
--- a/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
@@ -34,7 +34,7 @@
   private static final int SEEDS = 12;
 
   /** Lookups are served while at most one of three servers is down at a time. */
-  private static final double SERVED_SHARE = 0.97;
+  private static final double SERVED_SHARE = 0.99;
 
   private static Report play(long seed, List<GatewayFault> faults) {
     GatewayWorld world = new GatewayWorld(seed);
