--- a/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -19,7 +18,6 @@
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.crash.CrashNote;
 import org.passhaven.spi.BackEndService.Call;
-import org.passhaven.spi.BackEndService.Target;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService;
 import org.slf4j.Logger;
@@ -32,41 +30,26 @@
 public final class CrashLog {
   private static final Logger LOG = LoggerFactory.getLogger(CrashLog.class);
 
-  /** A refused connection is told within a round trip; what is silent this long tells nothing. */
-  private static final long CHECK_MILLIS = 100;
-
-  /** Entries of servers that have ended go after three of their heartbeats, 3.6 s. */
-  private static final long ENTRY_GOES_MILLIS = 5_000;
-
   /** A claim is written and read back within some 20 ms where the store is sound. */
   private static final long CLAIM_MILLIS = 400;
 
-  private static final long WRITE_AGAIN_MILLIS = 300;
   private static final long TIDY_MILLIS = 10_000;
 
   /** For each request that is known, one that comes and one that is forgotten. */
   private static final int MOST_UNWRITTEN = 2 * CrashTable.MOST_SUSPECTS;
 
-  private static final int MOST_UNSURE = 1_000;
   private final GatewayContext context;
-  private final Directory directory;
   private final CrashTable table = new CrashTable();
   private final TableFollower follower;
 
-  /** The newest of each key that is to be written, the oldest first. */
-  private final Map<String, TableService.Entry> unwritten = new LinkedHashMap<>();
-
-  private final List<Unsure> unsure = new ArrayList<>();
-  private final Map<String, Uni<Boolean>> checks = new HashMap<>();
   private final Map<String, List<UniEmitter<? super Void>>> claims = new HashMap<>();
-  private boolean isWriting;
-
-  /** A run that broke off at a server of which it is not known yet whether it has ended. */
-  private record Unsure(String fingerprint, ServerEntry server, long brokenMillis) {}
+  private final ServerEnds ends;
+  private final NoteWriter writer;
 
   CrashLog(GatewayContext context, Directory directory) {
     this.context = Objects.requireNonNull(context, "context");
-    this.directory = Objects.requireNonNull(directory, "directory");
+    this.ends = new ServerEnds(context, directory, this::noteEnd);
+    this.writer = new NoteWriter(context, context.documents().crashTable(), MOST_UNWRITTEN);
     this.follower =
         new TableFollower(
             context.tables(),
@@ -79,7 +62,7 @@
   /** Begins to follow. */
   void start() {
     follower.start();
-    directory.addListener(this::resolveUnsure);
+    ends.start();
     context.timers().every(TIDY_MILLIS, this::tidy);
   }
 
@@ -160,70 +143,7 @@
    * has ended, or can't be known soon.
    */
   Uni<Void> onBroken(String fingerprint, ServerEntry server) {
-    // What breaks off at a server that leaves as planned is no crash.
-    if (!directory.servers().isReady(server.instance())) {
-      return Uni.createFrom().voidItem();
-    }
-    long brokenAt = context.now();
-    return checks
-        .computeIfAbsent(server.instance(), instance -> check(server))
-        .invoke(
-            hasEnded -> {
-              if (hasEnded) {
-                noteEnd(fingerprint, server.instance());
-              }
-            })
-        .onFailure()
-        .invoke(failure -> addUnsure(new Unsure(fingerprint, server, brokenAt)))
-        .onFailure()
-        .recoverWithItem(false)
-        .replaceWithVoid();
-  }
-
-  /** One question, however many runs broke off there at the same time. */
-  private Uni<Boolean> check(ServerEntry server) {
-    return context
-        .backEnds()
-        .hasEnded(new Target(server.instance(), server.address()), CHECK_MILLIS)
-        .onTermination()
-        .invoke(() -> checks.remove(server.instance()))
-        .memoize()
-        .indefinitely();
-  }
-
-  private void addUnsure(Unsure broken) {
-    if (unsure.size() >= MOST_UNSURE) {
-      unsure.remove(0);
-    }
-    unsure.add(broken);
-  }
-
-  /** A server that has ended is known by its entry, which goes, or by the next start's. */
-  private void resolveUnsure() {
-    if (unsure.isEmpty()) {
-      return;
-    }
-    long now = context.now();
-    for (Unsure broken : List.copyOf(unsure)) {
-      ServerEntry entry = directory.servers().get(broken.server().instance());
-      boolean isOver = now - broken.brokenMillis() >= ENTRY_GOES_MILLIS;
-      boolean leaves = entry != null && !entry.ready();
-      boolean hasEnded = entry == null || isSucceeded(broken.server());
-      if (hasEnded && !isOver) {
-        noteEnd(broken.fingerprint(), broken.server().instance());
-      }
-      if (hasEnded || isOver || leaves) {
-        unsure.remove(broken);
-      }
-    }
-  }
-
-  private boolean isSucceeded(ServerEntry server) {
-    return directory.servers().all().stream()
-        .anyMatch(
-            other ->
-                other.address().equals(server.address())
-                    && !other.instance().equals(server.instance()));
+    return ends.onBroken(fingerprint, server);
   }
 
   private void noteEnd(String fingerprint, String server) {
@@ -239,7 +159,7 @@
         .addKeyValue("server", server)
         .addKeyValue("crashes", before + 1)
         .log("crash: a server ended under a request");
-    write(List.of(entryOf(note)));
+    writer.write(List.of(entryOf(note)));
   }
 
   private void take(CrashNote note) {
@@ -265,11 +185,10 @@
     List<TableService.Entry> removals =
         table.keysOf(fingerprint).stream().map(key -> new TableService.Entry(key, null)).toList();
     table.remove(fingerprint);
-    write(removals);
+    writer.write(removals);
   }
 
   private void tidy() {
-    resolveUnsure();
     table.due(context.now()).forEach(fingerprint -> forget(fingerprint, "old, or too many"));
   }
 
@@ -277,46 +196,6 @@
     return new TableService.Entry(note.key(), Codec.encode(note));
   }
 
-  private void write(List<TableService.Entry> entries) {
-    entries.forEach(entry -> unwritten.put(entry.key(), entry));
-    while (unwritten.size() > MOST_UNWRITTEN) {
-      String oldest = unwritten.keySet().iterator().next();
-      unwritten.remove(oldest);
-      LOG.atWarn().addKeyValue("key", oldest).log("crash: too many notes are unwritten");
-    }
-    if (!isWriting && !unwritten.isEmpty()) {
-      isWriting = true;
-      // What several requests at one server have to tell goes in one call.
-      context.timers().after(1, this::writeOn);
-    }
-  }
-
-  private void writeOn() {
-    List<TableService.Entry> batch = List.copyOf(unwritten.values());
-    context
-        .tables()
-        .put(context.documents().crashTable(), batch)
-        .subscribe()
-        .with(written -> onWritten(batch), this::onNotWritten);
-  }
-
-  private void onWritten(List<TableService.Entry> batch) {
-    batch.forEach(entry -> unwritten.remove(entry.key(), entry));
-    if (unwritten.isEmpty()) {
-      isWriting = false;
-    } else {
-      writeOn();
-    }
-  }
-
-  private void onNotWritten(Throwable failure) {
-    LOG.atInfo()
-        .addKeyValue("unwritten", unwritten.size())
-        .addKeyValue("reason", PlatformException.from(failure).getMessage())
-        .log("crash: notes can't be written");
-    context.timers().after(WRITE_AGAIN_MILLIS, this::writeOn);
-  }
-
   private final class NoteReader implements TableFollower.Listener {
     @Override
     public void onDocument(String key, byte[] value) {
@@ -349,7 +228,7 @@
     public void onListed(Set<String> keys) {
       Set<String> kept = new HashSet<>();
       keys.forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
-      unwritten.keySet().forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
+      writer.unwrittenKeys().forEach(key -> kept.add(CrashNote.fingerprintOf(key)));
       table.retain(kept);
     }
   }
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerEnds.java
@@ -0,0 +1,117 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.spi.BackEndService.Target;
+
+/** Finds out whether a server has ended where a run broke off. */
+final class ServerEnds {
+  /** A refused connection is told within a round trip; what is silent this long tells nothing. */
+  private static final long CHECK_MILLIS = 100;
+
+  /** Entries of servers that have ended go after three of their heartbeats, 3.6 s. */
+  private static final long ENTRY_GOES_MILLIS = 5_000;
+
+  private static final int MOST_UNSURE = 1_000;
+  private final GatewayContext context;
+  private final Directory directory;
+  private final Listener listener;
+  private final List<Unsure> unsure = new ArrayList<>();
+  private final Map<String, Uni<Boolean>> checks = new HashMap<>();
+
+  /** Hears of servers that have ended. */
+  interface Listener {
+    /** A server has ended while it ran a request. */
+    void onEnded(String fingerprint, String server);
+  }
+
+  /** A run that broke off at a server of which it is not known yet whether it has ended. */
+  private record Unsure(String fingerprint, ServerEntry server, long brokenMillis) {}
+
+  ServerEnds(GatewayContext context, Directory directory, Listener listener) {
+    this.context = Objects.requireNonNull(context, "context");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.listener = Objects.requireNonNull(listener, "listener");
+  }
+
+  /** Begins to follow the servers' entries. */
+  void start() {
+    directory.addListener(this::resolve);
+  }
+
+  /**
+   * A run of a request broke off at a server. Gives a result when it is known whether the server
+   * has ended, or can't be known soon.
+   */
+  Uni<Void> onBroken(String fingerprint, ServerEntry server) {
+    // What breaks off at a server that leaves as planned is no crash.
+    if (!directory.servers().isReady(server.instance())) {
+      return Uni.createFrom().voidItem();
+    }
+    long brokenAt = context.now();
+    return checks
+        .computeIfAbsent(server.instance(), instance -> check(server))
+        .invoke(
+            hasEnded -> {
+              if (hasEnded) {
+                listener.onEnded(fingerprint, server.instance());
+              }
+            })
+        .onFailure()
+        .invoke(failure -> addUnsure(new Unsure(fingerprint, server, brokenAt)))
+        .onFailure()
+        .recoverWithItem(false)
+        .replaceWithVoid();
+  }
+
+  /** One question, however many runs broke off there at the same time. */
+  private Uni<Boolean> check(ServerEntry server) {
+    return context
+        .backEnds()
+        .hasEnded(new Target(server.instance(), server.address()), CHECK_MILLIS)
+        .onTermination()
+        .invoke(() -> checks.remove(server.instance()))
+        .memoize()
+        .indefinitely();
+  }
+
+  private void addUnsure(Unsure broken) {
+    if (unsure.size() >= MOST_UNSURE) {
+      unsure.remove(0);
+    }
+    unsure.add(broken);
+  }
+
+  /** A server that has ended is known by its entry, which goes, or by the next start's. */
+  private void resolve() {
+    if (unsure.isEmpty()) {
+      return;
+    }
+    long now = context.now();
+    for (Unsure broken : List.copyOf(unsure)) {
+      ServerEntry entry = directory.servers().get(broken.server().instance());
+      boolean isOver = now - broken.brokenMillis() >= ENTRY_GOES_MILLIS;
+      boolean leaves = entry != null && !entry.ready();
+      boolean hasEnded = entry == null || isSucceeded(broken.server());
+      if (hasEnded && !isOver) {
+        listener.onEnded(broken.fingerprint(), broken.server().instance());
+      }
+      if (hasEnded || isOver || leaves) {
+        unsure.remove(broken);
+      }
+    }
+  }
+
+  private boolean isSucceeded(ServerEntry server) {
+    return directory.servers().all().stream()
+        .anyMatch(
+            other ->
+                other.address().equals(server.address())
+                    && !other.instance().equals(server.instance()));
+  }
+}
