--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -9,12 +9,9 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.order.LoadLimit;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.node.gateway.GatewaySettings;
-import org.passhaven.node.gateway.JobOutcome;
-import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.simulator.gateway.SimulatedServers.Server;
 import org.passhaven.simulator.time.SimulatedProcess;
@@ -29,9 +26,7 @@
   private static final long LEASE_MILLIS = 3_000;
   private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
   private static final long RELEASED_MILLIS = LEASE_MILLIS + 100;
-  private static final long LIST_PERIOD_MILLIS = 300;
   private static final long RESTART_MILLIS = 900;
-  private static final long DRAIN_MILLIS = 2_000;
   private static final long GRACE_MILLIS = 6_000;
   private static final long SLOW_STORE = 50;
   private static final long SLOW_SERVER = 4;
@@ -41,7 +36,6 @@
   /** Time after the end of all trouble in which every job can be read at every node again. */
   private static final long READ_BACK_MILLIS = 15_000;
 
-  private static final long READ_AGAIN_MILLIS = 500;
   private static final long IN_TOUCH_MILLIS = 3_000;
 
   /** A server that a request has crashed is back after some seconds. */
@@ -78,7 +72,7 @@
   private final SimulatedStore store;
   private final SimulatedServers servers;
   private final List<GatewayHost> hosts = new ArrayList<>();
-  private final List<String> draining = new ArrayList<>();
+  private final ServerEntries entries;
   private final SimulatedTrainer trainer;
   private final CrashingRequests crashing;
   private final SimulatedCallers callers;
@@ -96,9 +90,13 @@
   public GatewayWorld(long seed, int nodes) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     store = new SimulatedStore(time, random);
+    entries = new ServerEntries(time, store);
     crashing =
         new CrashingRequests(
-            time, checker, server -> crashByRequest(server, CRASHED_MILLIS), this::isInTouch);
+            time,
+            checker,
+            server -> entries.crashByRequest(server, CRASHED_MILLIS),
+            this::isInTouch);
     servers = new SimulatedServers(time, random, checker, ZONES, crashing);
     trainer = new SimulatedTrainer(this, time, random);
     callers =
@@ -184,7 +182,7 @@
         SimulatedDocuments.OPERATOR,
         SimulatedDocuments.CONFIGURATION,
         SimulatedDocuments.version(1));
-    list();
+    entries.start(servers.all());
     hosts.forEach(GatewayHost::start);
     after(3_000, trainer::start);
     if (lookupPaths > 0) {
@@ -218,55 +216,7 @@
   private void readBack(long untilMillis) {
     for (GatewayHost host : hosts) {
       for (JobSubmission job : trainer.acceptedJobs()) {
-        new ReadBack(host, job.id(), untilMillis).read(0);
-      }
-    }
-  }
-
-  /** Reading of one job at one node. */
-  private final class ReadBack {
-    private final GatewayHost host;
-    private final String job;
-    private final long untilMillis;
-
-    ReadBack(GatewayHost host, String job, long untilMillis) {
-      this.host = host;
-      this.job = job;
-      this.untilMillis = untilMillis;
-    }
-
-    void read(int from) {
-      if (time.nowMillis() + READ_AGAIN_MILLIS >= untilMillis) {
-        checker.broken(job + " can't be read at the end at " + host.process().name());
-        return;
-      }
-      if (!host.isRunning()) {
-        after(READ_AGAIN_MILLIS, () -> read(from));
-        return;
-      }
-      host.process()
-          .execute(
-              host.process().generation(),
-              () ->
-                  host.gateway()
-                      .jobs()
-                      .read(job, from, 0)
-                      .subscribe()
-                      .with(outcome -> onRead(from, outcome)));
-    }
-
-    private void onRead(int from, JobOutcome outcome) {
-      if (outcome instanceof JobOutcome.Results results) {
-        checker.onRead(job, from, results.results());
-        if (!results.results().isEmpty()) {
-          read(results.next());
-        } else if (from < checker.readResults(job)) {
-          checker.broken(job + " lacks results at the end at " + host.process().name());
-        }
-      } else if (outcome instanceof JobOutcome.NotFound) {
-        checker.broken(job + " is unknown at the end at " + host.process().name());
-      } else {
-        after(READ_AGAIN_MILLIS, () -> read(from));
+        new ReadBack(time, checker, host, job.id(), untilMillis).read(0);
       }
     }
   }
@@ -275,32 +225,6 @@
     time.after(millis * VirtualTime.MICROS_PER_MILLI, task);
   }
 
-  /** Servers list themselves, those that run only. */
-  private void list() {
-    for (Server server : servers.all()) {
-      boolean isModel = server.name.startsWith("llm");
-      if (server.down) {
-        continue;
-      }
-      ServerEntry entry =
-          new ServerEntry(
-              server.instance(),
-              isModel ? "llm" : "portal",
-              server.name,
-              server.zone,
-              8,
-              !draining.contains(server.instance()),
-              isModel ? Map.of(SimulatedServers.MODEL, server.version) : Map.of());
-      byte[] document = Codec.encode(entry);
-      if (!java.util.Arrays.equals(document, listed.put(server.instance(), document))) {
-        store.put(SimulatedDocuments.SERVERS, server.instance(), document);
-      }
-    }
-    after(LIST_PERIOD_MILLIS, this::list);
-  }
-
-  private final Map<String, byte[]> listed = new java.util.HashMap<>();
-
   private void begin(GatewayFault fault) {
     GatewayHost host = hosts.get(fault.target() % hosts.size());
     List<Server> all = servers.all();
@@ -323,13 +247,13 @@
         store.setSlowness(SLOW_STORE);
         after(fault.forMillis(), () -> store.setSlowness(1));
       }
-      case SERVER_CRASHES -> crash(server, false, fault.forMillis());
-      case SERVER_DARK -> crash(server, true, fault.forMillis());
+      case SERVER_CRASHES -> entries.crash(server, false, fault.forMillis());
+      case SERVER_DARK -> entries.crash(server, true, fault.forMillis());
       case SERVER_SLOW -> {
         server.setSlowness(SLOW_SERVER);
         after(fault.forMillis(), () -> server.setSlowness(1));
       }
-      case SERVER_LEAVES -> drain(server);
+      case SERVER_LEAVES -> entries.drain(server);
       case ORDERS_LATE -> {
         servers.setLateOrders(LOST_SHARE);
         after(fault.forMillis(), () -> servers.setLateOrders(0));
@@ -408,49 +332,6 @@
     after(fault.forMillis(), () -> store.setRefusedNodes(name -> false));
   }
 
-  private void crash(Server server, boolean silently, long forMillis) {
-    if (server.down) {
-      return;
-    }
-    String instance = server.instance();
-    server.crash(silently);
-    endStart(server, instance, forMillis);
-  }
-
-  private void crashByRequest(Server server, long forMillis) {
-    String instance = server.instance();
-    server.crashByRequest();
-    endStart(server, instance, forMillis);
-  }
-
-  private void endStart(Server server, String instance, long forMillis) {
-    after(DRAIN_MILLIS, () -> unlist(instance));
-    after(forMillis, server::restart);
-  }
-
-  private void drain(Server server) {
-    if (server.down) {
-      return;
-    }
-    String instance = server.instance();
-    draining.add(instance);
-    after(
-        DRAIN_MILLIS,
-        () -> {
-          if (server.instance().equals(instance) && !server.down) {
-            server.crash(false);
-            unlist(instance);
-            after(RESTART_MILLIS, server::restart);
-          }
-        });
-  }
-
-  private void unlist(String instance) {
-    if (listed.remove(instance) != null) {
-      store.put(SimulatedDocuments.SERVERS, instance, null);
-    }
-  }
-
   /** Names a weight version. */
   void name(long version) {
     store.put(
--- /dev/null
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/ServerEntries.java
@@ -0,0 +1,108 @@
+package org.passhaven.simulator.gateway;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.protocol.Codec;
+import org.passhaven.simulator.gateway.SimulatedServers.Server;
+import org.passhaven.simulator.time.VirtualTime;
+
+/** Entries of servers in the store, as they start, crash and leave. */
+final class ServerEntries {
+  private static final long LIST_PERIOD_MILLIS = 300;
+  private static final long RESTART_MILLIS = 900;
+  private static final long DRAIN_MILLIS = 2_000;
+  private final VirtualTime time;
+  private final SimulatedStore store;
+  private final Map<String, byte[]> listed = new HashMap<>();
+  private final List<String> draining = new ArrayList<>();
+  private List<Server> servers = List.of();
+
+  ServerEntries(VirtualTime time, SimulatedStore store) {
+    this.time = time;
+    this.store = store;
+  }
+
+  /** Begins to list servers. */
+  void start(List<Server> all) {
+    servers = List.copyOf(all);
+    list();
+  }
+
+  private void after(long millis, Runnable task) {
+    time.after(millis * VirtualTime.MICROS_PER_MILLI, task);
+  }
+
+  /** Servers list themselves, those that run only. */
+  private void list() {
+    for (Server server : servers) {
+      boolean isModel = server.name.startsWith("llm");
+      if (server.down) {
+        continue;
+      }
+      ServerEntry entry =
+          new ServerEntry(
+              server.instance(),
+              isModel ? "llm" : "portal",
+              server.name,
+              server.zone,
+              8,
+              !draining.contains(server.instance()),
+              isModel ? Map.of(SimulatedServers.MODEL, server.version) : Map.of());
+      byte[] document = Codec.encode(entry);
+      if (!Arrays.equals(document, listed.put(server.instance(), document))) {
+        store.put(SimulatedDocuments.SERVERS, server.instance(), document);
+      }
+    }
+    after(LIST_PERIOD_MILLIS, this::list);
+  }
+
+  /** A server crashes; a dark one says nothing any more. */
+  void crash(Server server, boolean silently, long forMillis) {
+    if (server.down) {
+      return;
+    }
+    String instance = server.instance();
+    server.crash(silently);
+    endStart(server, instance, forMillis);
+  }
+
+  /** A server crashes by a request that it began. */
+  void crashByRequest(Server server, long forMillis) {
+    String instance = server.instance();
+    server.crashByRequest();
+    endStart(server, instance, forMillis);
+  }
+
+  private void endStart(Server server, String instance, long forMillis) {
+    after(DRAIN_MILLIS, () -> unlist(instance));
+    after(forMillis, server::restart);
+  }
+
+  /** A server says that it leaves, serves on for a while, and is replaced. */
+  void drain(Server server) {
+    if (server.down) {
+      return;
+    }
+    String instance = server.instance();
+    draining.add(instance);
+    after(
+        DRAIN_MILLIS,
+        () -> {
+          if (server.instance().equals(instance) && !server.down) {
+            server.crash(false);
+            unlist(instance);
+            after(RESTART_MILLIS, server::restart);
+          }
+        });
+  }
+
+  private void unlist(String instance) {
+    if (listed.remove(instance) != null) {
+      store.put(SimulatedDocuments.SERVERS, instance, null);
+    }
+  }
+}
