--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -22,9 +20,6 @@
  * the log; a successor generates it anew. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class JobScheduler {
-  private static final int AWAITED_PRIORITY = 2;
-  private static final int LATER_PRIORITY = 6;
-  private static final int MOST_ROUTE_PRIORITY = 3;
   private static final int MOST_MOVES = 6;
   private static final long MOVE_AFTER_MILLIS = 500;
   private static final long FIRST_EVENT_MILLIS = 1_200;
@@ -49,7 +44,7 @@
     CUT
   }
 
-  private final Map<String, JobWork> jobs = new LinkedHashMap<>();
+  private final RunningJobs jobs = new RunningJobs();
   private final Map<Long, ItemRun> generating = new HashMap<>();
   private final KeptTexts kept = new KeptTexts();
   private final ServerHealth health = new ServerHealth();
@@ -72,20 +67,17 @@
 
   /** Whether this node runs a job. */
   public boolean isRunning(String job) {
-    return jobs.containsKey(job);
+    return jobs.get(job) != null;
   }
 
   /** Whether this node runs a job and one of its items has no result yet. */
   public boolean isOpen(String job, String item) {
-    JobWork work = jobs.get(job);
-    ItemRun run = work == null ? null : work.runs.get(item);
-    return run != null && run.phase != ItemRun.Phase.DONE;
+    return jobs.item(job, item).filter(run -> run.phase != ItemRun.Phase.DONE).isPresent();
   }
 
   /** How an item came to where it is; empty if its job does not run here. */
   public Optional<ItemHistory> historyOf(String job, String item) {
-    JobWork work = jobs.get(job);
-    return Optional.ofNullable(work == null ? null : work.runs.get(item)).map(ItemRun::history);
+    return jobs.item(job, item).map(ItemRun::history);
   }
 
   /** Whether this node runs any job. */
@@ -95,7 +87,7 @@
 
   /** Names of the jobs that this node runs. */
   public List<String> running() {
-    return List.copyOf(jobs.keySet());
+    return jobs.ids();
   }
 
   /**
@@ -110,7 +102,7 @@
       return;
     }
     JobWork work = new JobWork(job, policy);
-    jobs.put(job.id(), work);
+    jobs.put(work);
     for (ItemRun run : work.runs.values()) {
       kept.restore(run);
       KeptTexts.adopt(run, texts);
@@ -122,20 +114,13 @@
    * being there unless {@link #onTextsNotSaved} says otherwise.
    */
   public List<TextPart> takeUnsavedTexts(String run) {
-    return jobs.values().stream()
-        .filter(work -> work.job.submission().run().equals(run))
-        .flatMap(work -> work.takeUnsaved().stream())
-        .toList();
+    return jobs.takeUnsavedTexts(run);
   }
 
   /** The log may not have taken parts that {@link #takeUnsavedTexts} gave. */
   public void onTextsNotSaved(List<TextPart> parts) {
     for (TextPart part : parts) {
-      JobWork work = jobs.get(part.job());
-      ItemRun run = work == null ? null : work.runs.get(part.item());
-      if (run != null) {
-        run.onUnsaved(part.afterEvent());
-      }
+      jobs.item(part.job(), part.item()).ifPresent(run -> run.onUnsaved(part.afterEvent()));
     }
   }
 
@@ -201,13 +186,13 @@
     health.retain(ready.instances());
     picker.retain(ready.instances());
     picker.beginRound(ready, nowMillis);
-    for (JobWork work : byUrgency()) {
+    for (JobWork work : jobs.byUrgency()) {
       giveUpOld(work, nowMillis, actions);
       work.runs.values().stream()
           .filter(run -> run.phase == ItemRun.Phase.WAITING_FOR_SCORE)
           .filter(run -> run.notBefore <= nowMillis)
           .forEach(run -> scoreOrFinish(run, actions));
-      int priority = priorityOf(work);
+      int priority = jobs.priorityOf(work);
       for (ItemRun run : work.waiting(nowMillis)) {
         picker
             .choose(run, ready, nowMillis)
@@ -221,26 +206,6 @@
     return actions;
   }
 
-  /** Jobs that a trainer waits for first: the lowest step of each run before later ones. */
-  private List<JobWork> byUrgency() {
-    return jobs.values().stream()
-        .sorted(Comparator.comparingLong((JobWork work) -> work.job.submission().step()))
-        .toList();
-  }
-
-  private int priorityOf(JobWork work) {
-    String run = work.job.submission().run();
-    long step = work.job.submission().step();
-    boolean earlier =
-        jobs.values().stream()
-            .anyMatch(
-                other ->
-                    other.job.submission().run().equals(run)
-                        && other.job.submission().step() < step);
-    int rank = Math.max(0, Math.min(MOST_ROUTE_PRIORITY, work.policy.priority()));
-    return rank + (earlier ? LATER_PRIORITY : AWAITED_PRIORITY);
-  }
-
   private void giveUpOld(JobWork work, long nowMillis, List<JobAction> actions) {
     long limit = work.policy.giveUpMillis();
     if (limit <= 0 || nowMillis - work.job.acceptedAtMillis() < limit) {
@@ -301,7 +266,7 @@
     if (better.isPresent() && mayBegin(run)) {
       stop(run, "slow server", actions);
       run.moves++;
-      begin(run, better.get(), priorityOf(run.job), nowMillis, actions);
+      begin(run, better.get(), jobs.priorityOf(run.job), nowMillis, actions);
     }
   }
 
@@ -459,9 +424,7 @@
   }
 
   private ItemRun scoring(String job, String item) {
-    JobWork work = jobs.get(job);
-    ItemRun run = work == null ? null : work.runs.get(item);
-    return run != null && run.phase == ItemRun.Phase.SCORING ? run : null;
+    return jobs.item(job, item).filter(run -> run.phase == ItemRun.Phase.SCORING).orElse(null);
   }
 
   private void finish(ItemRun run, boolean completed, String score, List<JobAction> actions) {
@@ -479,8 +442,7 @@
 
   /** Number of items by phase, for logs and metrics. */
   public Map<String, Long> phases() {
-    return jobs.values().stream()
-        .flatMap(work -> work.runs.values().stream())
+    return jobs.items()
         .collect(
             Collectors.groupingBy(run -> run.phase.name(), TreeMap::new, Collectors.counting()));
   }
