--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/MemoryTables.java
@@ -0,0 +1,87 @@
+package org.passhaven.node.gateway;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService;
+
+/** Tables of one partition each; followers are told at once. */
+final class MemoryTables {
+  private final ManualTimers timers;
+  final Map<String, List<TableService.Entry>> changes = new TreeMap<>();
+  final Map<String, List<Runnable>> waiting = new HashMap<>();
+  boolean isDown;
+  int puts;
+
+  MemoryTables(ManualTimers timers) {
+    this.timers = timers;
+  }
+
+  void add(String table, List<TableService.Entry> entries) {
+    changes.computeIfAbsent(table, key -> new ArrayList<>()).addAll(entries);
+    List<Runnable> woken = waiting.remove(table);
+    if (woken != null) {
+      woken.forEach(Runnable::run);
+    }
+  }
+
+  Map<String, byte[]> newest(String table) {
+    Map<String, byte[]> newest = new TreeMap<>();
+    changes
+        .getOrDefault(table, List.of())
+        .forEach(
+            entry -> {
+              if (entry.value() == null) {
+                newest.remove(entry.key());
+              } else {
+                newest.put(entry.key(), entry.value());
+              }
+            });
+    return newest;
+  }
+
+  TableService asSeen() {
+    return new TableService() {
+      @Override
+      public Uni<Page> list(String table, String afterKey) {
+        List<Entry> entries = new ArrayList<>();
+        newest(table).forEach((key, value) -> entries.add(new Entry(key, value)));
+        return Uni.createFrom()
+            .item(new Page(entries, false, changes.getOrDefault(table, List.of()).size()));
+      }
+
+      @Override
+      public Uni<Changes> changes(String table, long from, long waitMillis) {
+        return Uni.createFrom().emitter(emitter -> serve(table, (int) from, emitter));
+      }
+
+      @Override
+      public Uni<Void> put(String table, List<Entry> entries) {
+        puts++;
+        if (isDown) {
+          return Uni.createFrom()
+              .failure(new PlatformException(PlatformException.Kind.NOT_RUN, "down"));
+        }
+        add(table, entries);
+        return Uni.createFrom().voidItem();
+      }
+    };
+  }
+
+  private void serve(String table, int from, UniEmitter<? super TableService.Changes> emitter) {
+    List<TableService.Entry> all = changes.getOrDefault(table, List.of());
+    if (from < all.size()) {
+      emitter.complete(new TableService.Changes(all.subList(from, all.size()), false, all.size()));
+    } else {
+      waiting
+          .computeIfAbsent(table, key -> new ArrayList<>())
+          .add(() -> timers.after(1, () -> serve(table, from, emitter)));
+    }
+  }
+}
