--- a/bench/seed-table.py
+++ b/bench/seed-table.py
@@ -57,7 +57,8 @@
     for day, reports in days.items():
         print(row(day, reports))
     troubled = [report["G"] for day, reports in days.items() if not day.startswith("quiet") for report in reports]
-    print(f"mean worth of {len(troubled)} plays of days with trouble: {statistics.mean(troubled):.3f}")
+    if troubled:
+        print(f"mean worth of {len(troubled)} plays of days with trouble: {statistics.mean(troubled):.3f}")
 
 
 if __name__ == "__main__":
