--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.not;
 
 import java.nio.file.Path;
@@ -22,26 +23,48 @@
   private static final long TRAFFIC_MILLIS = 60_000;
   private static final int NODES = 3;
 
+  // Four crashing requests and two suspensions beside the rest; on a program that forgets such
+  // requests 162 of 174 checks of CRASHES_BOUNDED break.
+  private static final long CRASHES_SEED = 217;
+  private static final long CRASHES_TRAFFIC_MILLIS = 45_000;
+
   /** Not each run has a refusal, a drain that matters, or half a minute of calm. */
   private static final Set<Promise> RARE =
-      EnumSet.of(Promise.REFUSED_NOT_RUN, Promise.QUIET_AFTER_DRAIN, Promise.READABLE_IN_TIME);
+      EnumSet.of(
+          Promise.REFUSED_NOT_RUN,
+          Promise.QUIET_AFTER_DRAIN,
+          Promise.READABLE_IN_TIME,
+          Promise.CRASHES_BOUNDED);
 
-  @Test
-  void everyPromiseHolds() throws Exception {
+  private static Verdict run(long seed, long trafficMillis, boolean hasCrashesAndSuspensions)
+      throws Exception {
     Path module = Path.of("").toAbsolutePath();
     Path folder = module.resolve("target").resolve("soak-ci").resolve("run-" + System.nanoTime());
     SoakSettings settings =
         new SoakSettings(
-            SEED,
+            seed,
             NODES,
-            TRAFFIC_MILLIS,
+            trafficMillis,
             true,
             false,
-            false,
+            hasCrashesAndSuspensions,
             SoakLoad.small(),
             module.getParent(),
             folder);
-    Verdict verdict = SoakRun.run(settings, System.out::println);
+    return SoakRun.run(settings, System.out::println);
+  }
+
+  @Test
+  void everyPromiseHoldsBesideRequestsThatCrashBackEndsAndSuspendedMachines() throws Exception {
+    Verdict verdict = run(CRASHES_SEED, CRASHES_TRAFFIC_MILLIS, true);
+    assertThat(verdict.findings(), empty());
+    assertThat(verdict.unchecked(), not(hasItem(Promise.CRASHES_BOUNDED)));
+    assertThat(verdict.counts().getOrDefault("CrashedByRequest", 0L), greaterThan(3L));
+  }
+
+  @Test
+  void everyPromiseHolds() throws Exception {
+    Verdict verdict = run(SEED, TRAFFIC_MILLIS, false);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.isKept(), equalTo(true));
     List<Promise> unchecked = verdict.unchecked();
