JobScheduler: tests of items that are held back and of scores that wait

What the gate holds back does not begin and others do; a cut text is kept while its item is held and goes on after its last event; a scoring call that can't be asked for yet is asked for when its pause is over. Tests only, written after the change that they guard.

--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -11,8 +11,10 @@
 import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.job.JobScheduler.Failure;
@@ -76,6 +78,52 @@
     assertThat(result.score(), equalTo("sig"));
   }
 
+  @Test
+  void whatTheGateHoldsBackDoesNotBeginAndTheOthersDo() {
+    Set<String> held = new HashSet<>(Set.of("x"));
+    JobScheduler gated = new JobScheduler("z", (job, item) -> !held.contains(item.id()));
+    List<ServerEntry> servers = List.of(server("a", 1));
+    gated.take(
+        job("j", 0, 1, item("x", "g", 9, false), item("y", "g", 0, false)), POLICY, NOTHING_LEFT);
+    List<JobAction.Start> first = starts(gated.decide(servers, NOTHING_NAMED, 0));
+    assertThat(first.stream().map(start -> start.item().id()).toList(), contains("y"));
+    held.clear();
+    List<JobAction.Start> second = starts(gated.decide(servers, NOTHING_NAMED, 10));
+    assertThat(second.stream().map(start -> start.item().id()).toList(), contains("x"));
+  }
+
+  @Test
+  void aCutGenerationThatTheGateHoldsBackKeepsItsTextAndGoesOnWhenItMay() {
+    boolean[] isHeld = new boolean[1];
+    JobScheduler gated = new JobScheduler("z", (job, item) -> !isHeld[0]);
+    List<ServerEntry> servers = List.of(server("a", 1), server("b", 1));
+    gated.take(job("j", 0, 1, item("x", "g", 0, false)), POLICY, NOTHING_LEFT);
+    long attempt = starts(gated.decide(servers, NOTHING_NAMED, 0)).get(0).attempt();
+    gated.onBegan(attempt, 1, 5);
+    gated.onEvent(attempt, 1, 0, "one", 10);
+    gated.onFailed(attempt, Failure.CUT, 20);
+    isHeld[0] = true;
+    for (long now = 100; now < 4_000; now += 100) {
+      assertThat(gated.decide(servers, NOTHING_NAMED, now), empty());
+    }
+    isHeld[0] = false;
+    assertThat(starts(gated.decide(servers, NOTHING_NAMED, 4_000)).get(0).lastEvent(), is(1L));
+  }
+
+  @Test
+  void aScoreThatCannotBeAskedForYetIsAskedForWhenItsPauseIsOver() {
+    scheduler.take(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NOTHING_LEFT);
+    long attempt = onlyStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onBegan(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onWhole(attempt, 20);
+    assertThat(scheduler.onScoreFailed("j", "x", 0, 4, 4_000, 30), empty());
+    assertThat(scheduler.decide(List.of(server("a", 1)), NOTHING_NAMED, 4_029), empty());
+    assertThat(
+        scheduler.decide(List.of(server("a", 1)), NOTHING_NAMED, 4_030),
+        contains(instanceOf(JobAction.Score.class)));
+  }
+
   @Test
   void aCutGenerationGoesOnAfterItsLastEventAtAnotherServer() {
     List<ServerEntry> servers = List.of(server("a", 1), server("b", 1));
