--- a/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
@@ -14,8 +14,8 @@
 import org.passhaven.simulator.gateway.GatewayWorld.Report;
 
 /**
- * What happened: at a service of three servers all three ended at the same moment, were back
- * after 3 s, and ended again, ten times in 80 s; in between no lookup was served.
+ * What happened: at a service of three servers all three ended at the same moment, were back after
+ * 3 s, and ended again, ten times in 80 s; in between no lookup was served.
  *
  * <p>Sequence: a lookup of one path crashes the server that begins it; its node tries it at a
  * second server within a millisecond, which crashes too; the caller comes again at another node,
