LeaseWatch: what was sent at the very time of a gap does not count either

Cause: the monotonic clock stands still in a suspension, so a record that was sent right before it bears the time at which the gap is found, and extended the lease of a shard. LeaseWatchTest.aGapOfTheClocksEndsTheLeaseUntilARecordSentSinceThenIsRead fails without it, holds with it.

--- a/core/src/main/java/org/passhaven/core/lease/LeaseWatch.java
+++ b/core/src/main/java/org/passhaven/core/lease/LeaseWatch.java
@@ -14,7 +14,7 @@
   private long lastReadAtMillis;
   private long holderStopsAtMillis = Long.MIN_VALUE;
 
-  /** What was sent before says nothing of how long this node may act. */
+  /** What was sent until then says nothing of how long this node may act. */
   private long countsFromMillis = Long.MIN_VALUE;
 
   /** Creates a watch of a lease that nobody was seen to hold. */
@@ -39,7 +39,7 @@
   }
 
   private void extend(long sentAtMillis) {
-    if (own && sentAtMillis >= countsFromMillis) {
+    if (own && sentAtMillis > countsFromMillis) {
       holderStopsAtMillis = Math.max(holderStopsAtMillis, terms.holderStopsAt(sentAtMillis));
     }
   }
--- a/core/src/test/java/org/passhaven/core/lease/LeaseWatchTest.java
+++ b/core/src/test/java/org/passhaven/core/lease/LeaseWatchTest.java
@@ -65,6 +65,9 @@
     assertThat("doubts", !holder.mayAct(100));
     holder.onFencedRead(120, 90);
     assertThat("sent before the gap", !holder.mayAct(120));
+    // The clock stood still meanwhile, so this may have been sent right before the suspension.
+    holder.onFencedRead(120, 100);
+    assertThat("sent at the time of the gap", !holder.mayAct(120));
     holder.onFencedRead(150, 130);
     assertThat("sent since the gap", holder.mayAct(150));
     LeaseWatch other = new LeaseWatch(TERMS, 0);
