A server's start is its id and the time of it, through the whole system

Cause: a server may start again under the id that it had. The table merged its entry with what the start before had told, health, pace, prompt affinity and loads under way were kept by id, and an end under a crashing request was known only by an entry that went or by another id at the address: a server that is back under its id was believed to hold weights that it lost, and the end was never noted. Change: ServerStart (id, born) is the one key of all of these; an entry of an earlier start is ignored; reports of another start than the one wanted end a load; the note of a weight reached names the start; a later start of the same id tells that the one before ended. An entry that is not wholly one (a field missing, of another type or out of range, unknown state, a key that is no id) names no server and what stood there is no longer used.

--- a/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
@@ -7,13 +7,13 @@
 /**
  * One start of a server, as it lists itself.
  *
- * @param instance name of this start
+ * @param start the start that this entry is of
  * @param slots requests that it works on at once
  * @param ready whether it takes new work
  * @param versions weight version by model; empty for servers without models
  */
 public record ServerEntry(
-    String instance,
+    ServerStart start,
     String service,
     String address,
     String zone,
@@ -21,7 +21,7 @@
     boolean ready,
     Map<String, Long> versions) {
   public ServerEntry {
-    Objects.requireNonNull(instance, "instance");
+    Objects.requireNonNull(start, "start");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(zone, "zone");
@@ -32,7 +32,7 @@
   public ServerEntry withAtLeast(Map<String, Long> told) {
     Map<String, Long> merged = new HashMap<>(versions);
     told.forEach((model, version) -> merged.merge(model, version, Math::max));
-    return new ServerEntry(instance, service, address, zone, slots, ready, merged);
+    return new ServerEntry(start, service, address, zone, slots, ready, merged);
   }
 
   /** Weight version of a model; zero if the server does not say that it serves it. */
--- a/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
@@ -13,7 +13,7 @@
   private static final long MOST_AVOIDED_MILLIS = 3_000;
   private static final double LATENCY_WEIGHT = 0.2;
   private static final long LATENCY_TRUSTED_MILLIS = 10_000;
-  private final Map<String, Seen> seen = new HashMap<>();
+  private final Map<ServerStart, Seen> seen = new HashMap<>();
 
   private static final class Seen {
     int inProgress;
@@ -23,29 +23,29 @@
     long latencyAt = Long.MIN_VALUE;
   }
 
-  private Seen of(String instance) {
-    return seen.computeIfAbsent(instance, name -> new Seen());
+  private Seen of(ServerStart start) {
+    return seen.computeIfAbsent(start, key -> new Seen());
   }
 
   /** Forgets servers that are not listed any more. */
-  public void retain(Set<String> instances) {
-    seen.entrySet().removeIf(e -> !instances.contains(e.getKey()) && e.getValue().inProgress == 0);
+  public void retain(Set<ServerStart> starts) {
+    seen.entrySet().removeIf(e -> !starts.contains(e.getKey()) && e.getValue().inProgress == 0);
   }
 
   /** A request was sent to a server. */
-  public void onSent(String instance) {
-    of(instance).inProgress++;
+  public void onSent(ServerStart start) {
+    of(start).inProgress++;
   }
 
   /** A request at a server has ended, whatever its outcome. */
-  public void onEnded(String instance) {
-    Seen server = of(instance);
+  public void onEnded(ServerStart start) {
+    Seen server = of(start);
     server.inProgress = Math.max(0, server.inProgress - 1);
   }
 
   /** A server answered after {@code tookMillis}. */
-  public void onSuccess(String instance, long tookMillis, long nowMillis) {
-    Seen server = of(instance);
+  public void onSuccess(ServerStart start, long tookMillis, long nowMillis) {
+    Seen server = of(start);
     server.failuresInRow = 0;
     server.avoidUntil = Long.MIN_VALUE;
     boolean stale = nowMillis - server.latencyAt > LATENCY_TRUSTED_MILLIS;
@@ -57,34 +57,34 @@
   }
 
   /** A request failed on the way to a server or in it. */
-  public void onFailure(String instance, long nowMillis) {
-    Seen server = of(instance);
+  public void onFailure(ServerStart start, long nowMillis) {
+    Seen server = of(start);
     int doublings = Math.min(server.failuresInRow, 4);
     server.failuresInRow++;
-    avoid(instance, Math.min(MOST_AVOIDED_MILLIS, FIRST_AVOIDED_MILLIS << doublings), nowMillis);
+    avoid(start, Math.min(MOST_AVOIDED_MILLIS, FIRST_AVOIDED_MILLIS << doublings), nowMillis);
   }
 
   /** Leaves a server out for a time, unless there is no other. */
-  public void avoid(String instance, long forMillis, long nowMillis) {
-    Seen server = of(instance);
+  public void avoid(ServerStart start, long forMillis, long nowMillis) {
+    Seen server = of(start);
     server.avoidUntil = Math.max(server.avoidUntil, nowMillis + forMillis);
   }
 
   /** Whether a server is better left out now. */
-  public boolean isAvoided(String instance, long nowMillis) {
-    Seen server = seen.get(instance);
+  public boolean isAvoided(ServerStart start, long nowMillis) {
+    Seen server = seen.get(start);
     return server != null && nowMillis < server.avoidUntil;
   }
 
   /** Requests of this node at a server. */
-  public int inProgress(String instance) {
-    Seen server = seen.get(instance);
+  public int inProgress(ServerStart start) {
+    Seen server = seen.get(start);
     return server == null ? 0 : server.inProgress;
   }
 
   /** Smoothed time of answers; zero if it is unknown or old. */
-  public double latencyMillis(String instance, long nowMillis) {
-    Seen server = seen.get(instance);
+  public double latencyMillis(ServerStart start, long nowMillis) {
+    Seen server = seen.get(start);
     boolean known = server != null && nowMillis - server.latencyAt <= LATENCY_TRUSTED_MILLIS;
     return known && server.latencyAt != Long.MIN_VALUE ? server.latencyMillis : 0;
   }
--- a/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
@@ -25,30 +25,30 @@
 
   /** The server to send to; empty if there is none but the excluded ones. */
   public Optional<ServerEntry> pick(
-      Collection<ServerEntry> servers, Set<String> excluded, long nowMillis) {
+      Collection<ServerEntry> servers, Set<ServerStart> excluded, long nowMillis) {
     List<ServerEntry> open =
-        servers.stream().filter(server -> !excluded.contains(server.instance())).toList();
+        servers.stream().filter(server -> !excluded.contains(server.start())).toList();
     List<ServerEntry> sound =
-        open.stream().filter(server -> !health.isAvoided(server.instance(), nowMillis)).toList();
+        open.stream().filter(server -> !health.isAvoided(server.start(), nowMillis)).toList();
     List<ServerEntry> candidates = sound.isEmpty() ? open : sound;
     double fastest =
         candidates.stream()
-            .mapToDouble(server -> health.latencyMillis(server.instance(), nowMillis))
+            .mapToDouble(server -> health.latencyMillis(server.start(), nowMillis))
             .filter(latency -> latency > 0)
             .min()
             .orElse(0);
     return candidates.stream()
         .min(
             Comparator.comparingDouble((ServerEntry server) -> cost(server, fastest, nowMillis))
-                .thenComparing(ServerEntry::instance));
+                .thenComparing(ServerEntry::start));
   }
 
   private double cost(ServerEntry server, double fastest, long nowMillis) {
-    double cost = health.inProgress(server.instance()) / (double) Math.max(1, server.slots());
+    double cost = health.inProgress(server.start()) / (double) Math.max(1, server.slots());
     if (!server.zone().equals(zone)) {
       cost += OTHER_ZONE_COST;
     }
-    if (fastest > 0 && health.latencyMillis(server.instance(), nowMillis) > SLOW_FACTOR * fastest) {
+    if (fastest > 0 && health.latencyMillis(server.start(), nowMillis) > SLOW_FACTOR * fastest) {
       cost += SLOW_COST;
     }
     return cost;
--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerPicker;
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.core.route.Route;
 
 /**
@@ -48,7 +49,7 @@
   private final Route route;
   private final boolean mayRepeat;
   private final long deadlineMillis;
-  private final Set<String> tried = new HashSet<>();
+  private final Set<ServerStart> tried = new HashSet<>();
   private int mayHaveRun;
   private int refusals;
   private int inProgress;
@@ -100,7 +101,7 @@
         fresh.isPresent() || inProgress > 0 ? fresh : picker.pick(servers, Set.of(), nowMillis);
     chosen.ifPresent(
         server -> {
-          tried.add(server.instance());
+          tried.add(server.start());
           inProgress++;
         });
     return chosen;
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.backend.ServerStart;
 
 /**
  * Chooses the server of a generation: one whose weights are allowed and that has a free slot, by
@@ -33,14 +34,14 @@
   private final ServerHealth health;
   private final ServerPace pace;
   private final LengthEstimate lengths;
-  private Map<String, Double> pausesMillis = Map.of();
-  private final Map<String, String> serverByGroup = new LinkedHashMap<>();
+  private Map<ServerStart, Double> pausesMillis = Map.of();
+  private final Map<String, ServerStart> serverByGroup = new LinkedHashMap<>();
 
   /** Servers whose last word to a generation was that they do not take it. */
-  private final Set<String> refusing = new HashSet<>();
+  private final Set<ServerStart> refusing = new HashSet<>();
 
   /** Generations sent that the server has neither begun nor refused, by server. */
-  private final Map<String, Integer> unanswered = new HashMap<>();
+  private final Map<ServerStart, Integer> unanswered = new HashMap<>();
 
   GenerationPicker(String zone, ServerHealth health, ServerPace pace, LengthEstimate lengths) {
     this.zone = Objects.requireNonNull(zone, "zone");
@@ -51,9 +52,9 @@
 
   /** Begins a round of decisions: how fast the servers are stays the same in it. */
   void beginRound(ReadyServers servers, long nowMillis) {
-    Map<String, Double> pauses = new HashMap<>();
+    Map<ServerStart, Double> pauses = new HashMap<>();
     for (String service : servers.services()) {
-      pauses.putAll(pace.pausesMillis(servers.instancesOf(service), nowMillis));
+      pauses.putAll(pace.pausesMillis(servers.startsOf(service), nowMillis));
     }
     pausesMillis = pauses;
   }
@@ -65,42 +66,42 @@
         .min(
             Comparator.comparingDouble(
                     (ServerEntry server) -> cost(run, server, servers, nowMillis))
-                .thenComparing(ServerEntry::instance));
+                .thenComparing(ServerEntry::start));
   }
 
   /** A generation of a group began at a server, which now keeps the group's prompt. */
-  void onBegun(String group, String instance) {
+  void onBegun(String group, ServerStart start) {
     serverByGroup.remove(group);
-    serverByGroup.put(group, instance);
+    serverByGroup.put(group, start);
     if (serverByGroup.size() > MAX_GROUPS) {
       serverByGroup.remove(serverByGroup.keySet().iterator().next());
     }
   }
 
   /** A generation was sent to a server. */
-  void onSent(String instance) {
-    unanswered.merge(instance, 1, Integer::sum);
+  void onSent(ServerStart start) {
+    unanswered.merge(start, 1, Integer::sum);
   }
 
   /** A server has begun a generation. */
-  void onTaken(String instance) {
-    onAnswered(instance);
-    refusing.remove(instance);
+  void onTaken(ServerStart start) {
+    onAnswered(start);
+    refusing.remove(start);
   }
 
   /** A server does not take a generation: it is full, or loads weights. */
-  void onRefused(String instance) {
-    refusing.add(instance);
+  void onRefused(ServerStart start) {
+    refusing.add(start);
   }
 
   /** A generation that was sent waits for its server no longer, whatever came of it. */
-  void onAnswered(String instance) {
-    unanswered.computeIfPresent(instance, (name, count) -> count > 1 ? count - 1 : null);
+  void onAnswered(ServerStart start) {
+    unanswered.computeIfPresent(start, (name, count) -> count > 1 ? count - 1 : null);
   }
 
   /** Forgets servers that are not listed any more. */
-  void retain(Set<String> instances) {
-    refusing.retainAll(instances);
+  void retain(Set<ServerStart> starts) {
+    refusing.retainAll(starts);
   }
 
   /** A server on which a generation would end so much sooner that it is worth to move it. */
@@ -111,7 +112,7 @@
       return Optional.empty();
     }
     return choose(run, servers, nowMillis)
-        .filter(server -> !server.instance().equals(run.server))
+        .filter(server -> !server.start().equals(run.server))
         .filter(server -> isSettled(run, server, servers))
         .filter(server -> here >= MIN_MOVE_RATIO * pauseMillis(server))
         .filter(server -> remaining * (here - pauseMillis(server)) >= MIN_MOVE_GAIN_MILLIS);
@@ -119,12 +120,12 @@
 
   /** Whether a server neither loads weights, by all that is known, nor is about to. */
   private boolean isSettled(ItemRun run, ServerEntry server, ReadyServers servers) {
-    return !refusing.contains(server.instance())
+    return !refusing.contains(server.start())
         && !servers.lacksNewestWeights(server, run.job.job.submission().model());
   }
 
   private double pauseMillis(ServerEntry server) {
-    return pausesMillis.getOrDefault(server.instance(), 0.0);
+    return pausesMillis.getOrDefault(server.start(), 0.0);
   }
 
   private double remainingEvents(ItemRun run) {
@@ -135,20 +136,19 @@
     String model = run.job.job.submission().model();
     boolean versionFits =
         model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
-    boolean isProbed =
-        refusing.contains(server.instance()) && unanswered.containsKey(server.instance());
+    boolean isProbed = refusing.contains(server.start()) && unanswered.containsKey(server.start());
     return versionFits
         && !isProbed
-        && !health.isAvoided(server.instance(), nowMillis)
-        && health.inProgress(server.instance()) < Math.max(1, server.slots());
+        && !health.isAvoided(server.start(), nowMillis)
+        && health.inProgress(server.start()) < Math.max(1, server.slots());
   }
 
   /** Expected time of the rest of a text at a server, and what else speaks against it. */
   private double cost(ItemRun run, ServerEntry server, ReadyServers servers, long nowMillis) {
-    String instance = server.instance();
-    double load = health.inProgress(instance) / (double) Math.max(1, server.slots());
+    ServerStart start = server.start();
+    double load = health.inProgress(start) / (double) Math.max(1, server.slots());
     double cost = remainingEvents(run) * pauseMillis(server) + FULL_MILLIS * load;
-    if (instance.equals(serverByGroup.get(run.item.group()))) {
+    if (start.equals(serverByGroup.get(run.item.group()))) {
       cost -= AFFINITY_GAIN_MILLIS;
     }
     if (!server.zone().equals(zone)) {
--- a/core/src/main/java/org/passhaven/core/job/ItemHistory.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemHistory.java
@@ -1,5 +1,7 @@
 package org.passhaven.core.job;
 
+import org.passhaven.core.backend.ServerStart;
+
 /**
  * How an item came to its result at this node, for the log. Times in monotonic milliseconds; zero
  * where it did not come to that.
@@ -23,4 +25,4 @@
     long events,
     int attempts,
     int moves,
-    String server) {}
+    ServerStart server) {}
--- a/core/src/main/java/org/passhaven/core/job/ItemRun.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemRun.java
@@ -1,5 +1,6 @@
 package org.passhaven.core.job;
 
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
@@ -28,7 +29,7 @@
   /** Whether the server of the attempt has begun it. */
   boolean answered;
 
-  String server = "";
+  ServerStart server = ServerStart.of("");
   long version;
   long startedAt;
   long progressAt;
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -182,9 +182,9 @@
       Collection<ServerEntry> servers, Map<String, NamedVersion> newest, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
     ReadyServers ready = new ReadyServers(servers, newest);
-    pace.retain(ready.instances());
-    health.retain(ready.instances());
-    picker.retain(ready.instances());
+    pace.retain(ready.starts());
+    health.retain(ready.starts());
+    picker.retain(ready.starts());
     picker.beginRound(ready, nowMillis);
     for (JobWork work : jobs.byUrgency()) {
       giveUpOld(work, nowMillis, actions);
@@ -229,15 +229,15 @@
     run.attempt = nextAttempt++;
     run.attempts++;
     run.firstBegunAt = run.attempts == 1 ? nowMillis : run.firstBegunAt;
-    run.server = server.instance();
+    run.server = server.start();
     run.version = 0;
     run.startedAt = nowMillis;
     run.progressAt = nowMillis;
     generating.put(run.attempt, run);
-    health.onSent(server.instance());
-    picker.onSent(server.instance());
+    health.onSent(server.start());
+    picker.onSent(server.start());
     run.answered = false;
-    picker.onBegun(run.item.group(), server.instance());
+    picker.onBegun(run.item.group(), server.start());
     actions.add(
         new JobAction.Start(
             run.attempt,
--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -9,12 +9,13 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 
 /**
  * Servers that take new work, and the weight versions named, as one round of decisions sees them.
  */
 final class ReadyServers {
-  private final Map<String, ServerEntry> byInstance = new LinkedHashMap<>();
+  private final Map<ServerStart, ServerEntry> byStart = new LinkedHashMap<>();
   private final Map<String, List<ServerEntry>> byService;
   private final Map<String, NamedVersion> named;
 
@@ -22,20 +23,20 @@
     this.named = Objects.requireNonNull(named, "named");
     servers.stream()
         .filter(ServerEntry::ready)
-        .forEach(server -> byInstance.put(server.instance(), server));
+        .forEach(server -> byStart.put(server.start(), server));
     byService =
-        byInstance.values().stream()
+        byStart.values().stream()
             .collect(
                 Collectors.groupingBy(ServerEntry::service, TreeMap::new, Collectors.toList()));
   }
 
-  Set<String> instances() {
-    return byInstance.keySet();
+  Set<ServerStart> starts() {
+    return byStart.keySet();
   }
 
   /** The entry of a server; null if it takes no new work. */
-  ServerEntry get(String instance) {
-    return byInstance.get(instance);
+  ServerEntry get(ServerStart start) {
+    return byStart.get(start);
   }
 
   Set<String> services() {
@@ -46,8 +47,8 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  List<String> instancesOf(String service) {
-    return of(service).stream().map(ServerEntry::instance).toList();
+  List<ServerStart> startsOf(String service) {
+    return of(service).stream().map(ServerEntry::start).toList();
   }
 
   /** Whether a server does not hold the newest weights of a model, so that it will load them. */
--- a/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
+++ b/core/src/main/java/org/passhaven/core/order/VersionOrderPlanner.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 
 /**
  * Chooses which servers load which weight version next, of those that {@link WeightPlacement}
@@ -22,9 +23,9 @@
   public record Wanted(ServerEntry server, String model, long version) {}
 
   private final LoadLimit limit;
-  private final Map<String, Wanted> loading = new TreeMap<>();
-  private final Map<String, Long> notBeforeMillis = new HashMap<>();
-  private final Map<String, Long> suspectUntilMillis = new HashMap<>();
+  private final Map<ServerStart, Wanted> loading = new TreeMap<>();
+  private final Map<ServerStart, Long> notBeforeMillis = new HashMap<>();
+  private final Map<ServerStart, Long> suspectUntilMillis = new HashMap<>();
   private final WeightPlacement placement = new WeightPlacement(ServerEntry::versionOf);
 
   /**
@@ -40,15 +41,15 @@
         servers.stream()
             .filter(
                 server ->
-                    nowMillis >= suspectUntilMillis.getOrDefault(server.instance(), Long.MIN_VALUE))
+                    nowMillis >= suspectUntilMillis.getOrDefault(server.start(), Long.MIN_VALUE))
             .toList();
-    Map<String, Set<String>> placed =
+    Map<ServerStart, Set<String>> placed =
         placement.place(sound, demand.newestVersions().keySet(), demand.openItems());
     List<Wanted> due = new ArrayList<>();
     for (ServerEntry server : sound) {
-      for (String model : new TreeSet<>(placed.getOrDefault(server.instance(), Set.of()))) {
+      for (String model : new TreeSet<>(placed.getOrDefault(server.start(), Set.of()))) {
         long version = demand.newestVersions().get(model);
-        if (server.versionOf(model) < version && !loading.containsKey(server.instance())) {
+        if (server.versionOf(model) < version && !loading.containsKey(server.start())) {
           due.add(new Wanted(server, model, version));
         }
       }
@@ -63,7 +64,8 @@
 
   /** Loads to begin now; they count as under way until {@link #onDone} or {@link #onFailed}. */
   public List<Wanted> begin(Collection<ServerEntry> servers, WeightDemand demand, long nowMillis) {
-    loading.keySet().removeIf(name -> servers.stream().noneMatch(s -> s.instance().equals(name)));
+    forgetOld(nowMillis);
+    loading.keySet().removeIf(start -> servers.stream().noneMatch(s -> s.start().equals(start)));
     List<Wanted> begun = new ArrayList<>();
     while (true) {
       List<Wanted> due =
@@ -78,9 +80,9 @@
               .min(
                   Comparator.comparingLong((Wanted wanted) -> served(servers, wanted))
                       .thenComparing(wanted -> wanted.server().versionOf(wanted.model()))
-                      .thenComparing(wanted -> wanted.server().instance()))
+                      .thenComparing(wanted -> wanted.server().start()))
               .orElseThrow();
-      loading.put(next.server().instance(), next);
+      loading.put(next.server().start(), next);
       begun.add(next);
     }
   }
@@ -93,7 +95,7 @@
             .filter(wanted -> wanted.server().service().equals(server.service()))
             .count();
     return loadingNow < limit.of(sameService)
-        && nowMillis >= notBeforeMillis.getOrDefault(server.instance(), Long.MIN_VALUE);
+        && nowMillis >= notBeforeMillis.getOrDefault(server.start(), Long.MIN_VALUE);
   }
 
   /** Servers that have the wanted version or are loading it. */
@@ -108,20 +110,25 @@
   }
 
   /** A load has ended well. */
-  public void onDone(String instance) {
-    loading.remove(instance);
+  public void onDone(ServerStart start) {
+    loading.remove(start);
   }
 
   /** A load came to nothing; the server is left alone until {@code retryAtMillis}. */
-  public void onFailed(String instance, long retryAtMillis) {
-    loading.remove(instance);
-    notBeforeMillis.put(instance, retryAtMillis);
+  public void onFailed(ServerStart start, long retryAtMillis) {
+    loading.remove(start);
+    notBeforeMillis.put(start, retryAtMillis);
   }
 
   /** A server gave no answer; other servers take its place until {@code retryAtMillis}. */
-  public void onUnreachable(String instance, long retryAtMillis) {
-    onFailed(instance, retryAtMillis);
-    suspectUntilMillis.put(instance, retryAtMillis);
+  public void onUnreachable(ServerStart start, long retryAtMillis) {
+    onFailed(start, retryAtMillis);
+    suspectUntilMillis.put(start, retryAtMillis);
+  }
+
+  private void forgetOld(long nowMillis) {
+    notBeforeMillis.values().removeIf(until -> until <= nowMillis);
+    suspectUntilMillis.values().removeIf(until -> until <= nowMillis);
   }
 
   /** Forgets all loads under way and all failures. */
--- a/core/src/main/java/org/passhaven/core/order/WeightPlacement.java
+++ b/core/src/main/java/org/passhaven/core/order/WeightPlacement.java
@@ -13,6 +13,7 @@
 import java.util.function.ToLongBiFunction;
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 
 /**
  * Decides which servers of a service are to hold the newest weights of which model. Models that
@@ -30,20 +31,20 @@
   }
 
   /**
-   * Models that each server is to hold in their newest version, by instance.
+   * Models that each server is to hold in their newest version.
    *
    * @param servers servers that may be ordered
    * @param models models that are trained
    * @param openItems items that wait or generate, by model
    */
-  public Map<String, Set<String>> place(
+  public Map<ServerStart, Set<String>> place(
       Collection<ServerEntry> servers, Collection<String> models, Map<String, Integer> openItems) {
     Map<String, List<ServerEntry>> byService =
         servers.stream()
             .filter(ServerEntry::ready)
             .collect(
                 Collectors.groupingBy(ServerEntry::service, TreeMap::new, Collectors.toList()));
-    Map<String, Set<String>> placed = new HashMap<>();
+    Map<ServerStart, Set<String>> placed = new HashMap<>();
     byService.values().forEach(service -> placeService(service, models, openItems, placed));
     return placed;
   }
@@ -52,7 +53,7 @@
       List<ServerEntry> service,
       Collection<String> models,
       Map<String, Integer> openItems,
-      Map<String, Set<String>> placed) {
+      Map<ServerStart, Set<String>> placed) {
     Set<String> served = new TreeSet<>();
     service.forEach(server -> served.addAll(server.versions().keySet()));
     served.retainAll(models);
@@ -76,7 +77,7 @@
 
   /** Gives a model servers until it has {@code wanted}: those with the fewest models first. */
   private void grow(
-      List<ServerEntry> service, String model, int wanted, Map<String, Set<String>> placed) {
+      List<ServerEntry> service, String model, int wanted, Map<ServerStart, Set<String>> placed) {
     long have = service.stream().filter(server -> modelsAt(server, placed).contains(model)).count();
     service.stream()
         .filter(server -> server.versions().containsKey(model))
@@ -84,15 +85,14 @@
         .sorted(
             Comparator.comparingInt((ServerEntry server) -> modelsAt(server, placed).size())
                 .thenComparingLong(server -> -heldVersion.applyAsLong(server, model))
-                .thenComparing(ServerEntry::instance))
+                .thenComparing(ServerEntry::start))
         .limit(Math.max(0, wanted - have))
         .toList()
         .forEach(
-            server ->
-                placed.computeIfAbsent(server.instance(), name -> new HashSet<>()).add(model));
+            server -> placed.computeIfAbsent(server.start(), key -> new HashSet<>()).add(model));
   }
 
-  private static Set<String> modelsAt(ServerEntry server, Map<String, Set<String>> placed) {
-    return placed.getOrDefault(server.instance(), Set.of());
+  private static Set<String> modelsAt(ServerEntry server, Map<ServerStart, Set<String>> placed) {
+    return placed.getOrDefault(server.start(), Set.of());
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/backend/ServerTableTest.java
@@ -0,0 +1,77 @@
+package org.passhaven.core.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ServerTableTest {
+  private static final ServerStart FIRST = new ServerStart("a", 100);
+  private static final ServerStart SECOND = new ServerStart("a", 200);
+  private final ServerTable table = new ServerTable();
+
+  private static ServerEntry entry(ServerStart start, boolean ready, long version) {
+    return new ServerEntry(start, "s", "h:1", "z", 4, ready, Map.of("m", version));
+  }
+
+  @Test
+  void aStartUnderTheSameIdKnowsNothingOfTheOneBefore() {
+    table.put(entry(FIRST, true, 7));
+    table.put(entry(SECOND, true, 1));
+    assertThat(table.get(SECOND).versionOf("m"), equalTo(1L));
+    assertThat(table.get(FIRST), nullValue());
+    assertThat(table.isReady(FIRST), is(false));
+    assertThat(table.isSucceeded(FIRST), is(true));
+    assertThat(table.isSucceeded(SECOND), is(false));
+  }
+
+  @Test
+  void whatTheEarlierStartIsSaidToHoldIsNotTheLaterOnes() {
+    table.put(entry(SECOND, true, 1));
+    table.onReached(FIRST, "m", 9);
+    assertThat(table.get(SECOND).versionOf("m"), equalTo(1L));
+    table.onReached(SECOND, "m", 3);
+    table.put(entry(SECOND, true, 2));
+    assertThat(table.get(SECOND).versionOf("m"), equalTo(3L));
+  }
+
+  @Test
+  void anEntryOfAnEarlierStartIsIgnored() {
+    table.put(entry(SECOND, true, 1));
+    table.put(entry(FIRST, false, 9));
+    assertThat(table.isReady(SECOND), is(true));
+    assertThat(table.readyOf("s"), hasSize(1));
+  }
+
+  @Test
+  void anEntryWithoutAStartUnderAnIdThatToldOneNamesNoServer() {
+    table.put(entry(FIRST, true, 1));
+    table.put(entry(ServerStart.of("b"), true, 1));
+    table.put(entry(ServerStart.of("a"), true, 1));
+    assertThat(
+        table.all().stream().map(ServerEntry::start).toList(), contains(ServerStart.of("b")));
+  }
+
+  @Test
+  void aServerThatBeginsToTellItsStartHasStartedAnew() {
+    table.put(entry(ServerStart.of("a"), true, 7));
+    table.put(entry(FIRST, true, 1));
+    assertThat(table.get(FIRST).versionOf("m"), equalTo(1L));
+    assertThat(table.isSucceeded(ServerStart.of("a")), is(true));
+  }
+
+  @Test
+  void whereNoServerTellsItsStartAllIsAsItIs() {
+    ServerStart start = ServerStart.of("b");
+    table.put(entry(start, true, 2));
+    table.put(entry(start, false, 1));
+    assertThat(table.get(start).versionOf("m"), equalTo(2L));
+    assertThat(table.isReady(start), is(false));
+    assertThat(table.isSucceeded(start), is(false));
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/CrashLog.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.core.crash.CrashTable;
 import org.passhaven.core.crash.CrashTable.Verdict;
 import org.passhaven.core.crash.RequestFingerprint;
@@ -151,8 +152,8 @@
     return ends.onBroken(fingerprint, server);
   }
 
-  private void noteEnd(String fingerprint, String server) {
-    CrashNote.Ended note = new CrashNote.Ended(fingerprint, server);
+  private void noteEnd(String fingerprint, ServerStart server) {
+    CrashNote.Ended note = new CrashNote.Ended(fingerprint, server.toString());
     int before = table.crashes(fingerprint);
     take(note);
     if (table.crashes(fingerprint) == before) {
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.core.backend.ServerTable;
 import org.passhaven.core.job.NamedVersion;
 import org.passhaven.core.route.RouteTable;
@@ -22,6 +23,10 @@
  */
 public final class Directory {
   private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
+
+  /** Keys of entries that can't be read that are remembered, so that each is logged once. */
+  private static final int MOST_UNREADABLE = 1_000;
+
   private final GatewayContext context;
   private final PlatformDocuments documents;
   private final ServerTable servers = new ServerTable();
@@ -105,10 +110,10 @@
   }
 
   /** A server told that it holds a weight version, before its entry says so. */
-  public void onReached(String instance, String model, long version) {
-    ServerEntry before = servers.get(instance);
-    servers.onReached(instance, model, version);
-    if (!Objects.equals(before, servers.get(instance))) {
+  public void onReached(ServerStart start, String model, long version) {
+    ServerEntry before = servers.get(start);
+    servers.onReached(start, model, version);
+    if (!Objects.equals(before, servers.get(start))) {
       changed();
     }
   }
@@ -130,6 +135,7 @@
           documents.namedVersion(key, value).forEach(this::name);
         }
       } catch (DocumentException e) {
+        context.metrics().documentsUnreadable.increment();
         LOG.atError()
             .addKeyValue("key", key)
             .addKeyValue("reason", e.getMessage())
@@ -167,29 +173,49 @@
   }
 
   private final class ServerListener implements TableFollower.Listener {
+    /** Why entries can't be read, by key. */
+    private final Map<String, String> unreadable = new HashMap<>();
+
     @Override
     public void onDocument(String key, byte[] value) {
-      ServerEntry before = servers.get(key);
+      ServerEntry before = servers.listed(key);
       if (value == null) {
         servers.remove(key);
+        unreadable.remove(key);
       } else {
-        try {
-          servers.put(documents.server(key, value));
-        } catch (DocumentException e) {
-          LOG.atError()
-              .addKeyValue("server", key)
-              .addKeyValue("reason", e.getMessage())
-              .log("servers: an entry can't be read");
-          return;
-        }
+        put(key, value);
       }
-      ServerEntry after = servers.get(key);
+      ServerEntry after = servers.listed(key);
       if (!Objects.equals(before, after)) {
         logChange(key, before, after);
         changed();
       }
     }
 
+    /** What can't be read names no server: the entry that stood there before is not used either. */
+    private void put(String key, byte[] value) {
+      try {
+        servers.put(documents.server(key, value));
+        unreadable.remove(key);
+      } catch (DocumentException e) {
+        servers.remove(key);
+        context.metrics().documentsUnreadable.increment();
+        logUnreadable(key, e.getMessage());
+      }
+    }
+
+    /** Entries are written anew with each heartbeat: a line tells of the first one only. */
+    private void logUnreadable(String key, String reason) {
+      boolean isNews = !reason.equals(unreadable.get(key));
+      if (isNews && unreadable.size() < MOST_UNREADABLE) {
+        unreadable.put(key, reason);
+        LOG.atError()
+            .addKeyValue("server", key)
+            .addKeyValue("reason", reason)
+            .log("servers: an entry can't be read, it names no server");
+      }
+    }
+
     private void logChange(String key, ServerEntry before, ServerEntry after) {
       String state = after == null ? "gone" : after.ready() ? "ready" : "draining";
       boolean isNews = before == null || after == null || before.ready() != after.ready();
@@ -207,6 +233,7 @@
     @Override
     public void onListed(Set<String> keys) {
       servers.retain(keys);
+      unreadable.keySet().retainAll(keys);
       changed();
     }
   }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -56,6 +56,9 @@
   /** Requests that were not run because servers had ended under them. */
   public final Counter requestsHeldBack;
 
+  /** Documents of the platform's store that can't be read: entries of servers and others. */
+  public final Counter documentsUnreadable;
+
   private final MeterRegistry registry;
   private final Timer requestLatency;
 
@@ -73,6 +76,7 @@
     appendsRepeated = registry.counter("passhaven.gateway.appends.repeated");
     serversEndedUnderRequests = registry.counter("passhaven.gateway.servers.ended.under.requests");
     requestsHeldBack = registry.counter("passhaven.gateway.requests.held.back");
+    documentsUnreadable = registry.counter("passhaven.gateway.documents.unreadable");
     ordersSent = registry.counter("passhaven.gateway.orders.sent");
     requestLatency =
         Timer.builder("passhaven.gateway.request.latency")
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -310,14 +310,14 @@
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", item.id())
         .addKeyValue("attempt", attempt)
-        .addKeyValue("server", start.server().instance())
+        .addKeyValue("server", start.server().start())
         .addKeyValue("after", start.lastEvent())
         .log("job: generation begins");
     Cancellable running =
         context
             .backEnds()
             .generate(
-                new BackEndService.Target(start.server().instance(), start.server().address()),
+                ServerTargets.of(start.server()),
                 new BackEndService.Generation(call, start.lastEvent(), start.priority()))
             .subscribe()
             .with(
@@ -357,7 +357,7 @@
     LOG.atLevel(failure.kind() == BackEndException.Kind.REFUSED ? Level.DEBUG : Level.INFO)
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", start.item().id())
-        .addKeyValue("server", start.server().instance())
+        .addKeyValue("server", start.server().start())
         .addKeyValue("kind", failure.kind())
         .addKeyValue("reason", failure.getMessage())
         .log("job: generation failed");
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.core.order.OrderLease;
 import org.passhaven.core.order.VersionOrderPlanner;
@@ -16,7 +17,6 @@
 import org.passhaven.spi.BackEndService.Order;
 import org.passhaven.spi.BackEndService.OrderOutcome;
 import org.passhaven.spi.BackEndService.Report;
-import org.passhaven.spi.BackEndService.Target;
 import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -114,7 +114,10 @@
       OrderRecord record = Codec.decode(bytes, OrderRecord.class);
       lease.onRecord(record, now());
       if (record instanceof OrderRecord.Reached reached) {
-        directory.onReached(reached.server(), reached.model(), reached.version());
+        directory.onReached(
+            new ServerStart(reached.server(), reached.serverBornMillis()),
+            reached.model(),
+            reached.version());
         return;
       }
     } catch (CodecException e) {
@@ -232,21 +235,19 @@
                     .log("orders: an append failed"));
   }
 
-  private static Target targetOf(ServerEntry server) {
-    return new Target(server.instance(), server.address());
-  }
-
   /** Asks a server what it serves, then orders it on. */
   private void look(Wanted wanted) {
     context
         .backEnds()
-        .report(targetOf(wanted.server()), CALL_LIMIT_MILLIS)
+        .report(ServerTargets.of(wanted.server()), CALL_LIMIT_MILLIS)
         .subscribe()
         .with(report -> onReport(wanted, report), failure -> unreachable(wanted, failure));
   }
 
   private void onReport(Wanted wanted, Report report) {
-    if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
+    if (isOfOtherStart(wanted, report)) {
+      fail(wanted, "another start of the server answered");
+    } else if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
       done(wanted);
     } else if (report.busy()) {
       fail(wanted, "another order is under way");
@@ -255,6 +256,11 @@
     }
   }
 
+  /** What another start says of its weights and orders is not true of the one that is wanted. */
+  private static boolean isOfOtherStart(Wanted wanted, Report report) {
+    return report.bornMillis() != wanted.server().start().bornMillis();
+  }
+
   private void order(Wanted wanted, long sequence) {
     if (stopping || !lease.mayOrder(now())) {
       fail(wanted, "the lease is not valid now");
@@ -264,7 +270,7 @@
         new Order(
             wanted.model(), wanted.version(), context.settings().node(), lease.epoch(), sequence);
     LOG.atInfo()
-        .addKeyValue("server", wanted.server().instance())
+        .addKeyValue("server", wanted.server().start())
         .addKeyValue("model", wanted.model())
         .addKeyValue("version", wanted.version())
         .addKeyValue("fence", lease.epoch())
@@ -274,7 +280,7 @@
     ordersUnderWay++;
     context
         .backEnds()
-        .order(targetOf(wanted.server()), order, CALL_LIMIT_MILLIS)
+        .order(ServerTargets.of(wanted.server()), order, CALL_LIMIT_MILLIS)
         .subscribe()
         .with(
             outcome -> {
@@ -303,7 +309,7 @@
 
   /** Looks whether a load has ended. */
   private void watch(Wanted wanted, long untilMillis) {
-    ServerEntry entry = directory.servers().get(wanted.server().instance());
+    ServerEntry entry = directory.servers().get(wanted.server().start());
     if (entry != null && entry.versionOf(wanted.model()) >= wanted.version()) {
       done(wanted);
       return;
@@ -314,7 +320,7 @@
     }
     context
         .backEnds()
-        .report(targetOf(wanted.server()), CALL_LIMIT_MILLIS)
+        .report(ServerTargets.of(wanted.server()), CALL_LIMIT_MILLIS)
         .subscribe()
         .with(
             report -> onWatched(wanted, report, untilMillis),
@@ -322,7 +328,9 @@
   }
 
   private void onWatched(Wanted wanted, Report report, long untilMillis) {
-    if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
+    if (isOfOtherStart(wanted, report)) {
+      fail(wanted, "the server started anew while it loaded");
+    } else if (report.versions().getOrDefault(wanted.model(), 0L) >= wanted.version()) {
       done(wanted);
     } else {
       context.timers().after(LOOK_AGAIN_MILLIS, () -> watch(wanted, untilMillis));
@@ -330,14 +338,15 @@
   }
 
   private void done(Wanted wanted) {
-    String server = wanted.server().instance();
+    ServerStart server = wanted.server().start();
     directory.onReached(server, wanted.model(), wanted.version());
     append(
         new OrderRecord.Reached(
             lease.epoch(),
             context.settings().node(),
             context.incarnation(),
-            server,
+            server.id(),
+            server.bornMillis(),
             wanted.model(),
             wanted.version()));
     planner.onDone(server);
@@ -346,17 +355,17 @@
 
   private void unreachable(Wanted wanted, Throwable failure) {
     logNotDone(wanted, failure.getMessage());
-    planner.onUnreachable(wanted.server().instance(), context.now() + UNREACHABLE_MILLIS);
+    planner.onUnreachable(wanted.server().start(), context.now() + UNREACHABLE_MILLIS);
   }
 
   private void fail(Wanted wanted, String reason) {
     logNotDone(wanted, reason);
-    planner.onFailed(wanted.server().instance(), context.now() + RETRY_MILLIS);
+    planner.onFailed(wanted.server().start(), context.now() + RETRY_MILLIS);
   }
 
   private static void logNotDone(Wanted wanted, String reason) {
     LOG.atInfo()
-        .addKeyValue("server", wanted.server().instance())
+        .addKeyValue("server", wanted.server().start())
         .addKeyValue("model", wanted.model())
         .addKeyValue("version", wanted.version())
         .addKeyValue("reason", reason)
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -17,7 +17,6 @@
 import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.ShareRotation;
-import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
 import org.passhaven.spi.PlatformException;
@@ -57,7 +56,7 @@
         () ->
             health.retain(
                 directory.servers().all().stream()
-                    .map(ServerEntry::instance)
+                    .map(ServerEntry::start)
                     .collect(Collectors.toSet())));
   }
 
@@ -152,7 +151,7 @@
     private void send(ServerEntry server) {
       int attempt = nextAttempt++;
       long sentAt = context.now();
-      health.onSent(server.instance());
+      health.onSent(server.start());
       Call left =
           new Call(
               call.id(),
@@ -165,9 +164,9 @@
       Cancellable sending =
           context
               .backEnds()
-              .call(new BackEndService.Target(server.instance(), server.address()), left)
+              .call(ServerTargets.of(server), left)
               .onTermination()
-              .invoke(() -> health.onEnded(server.instance()))
+              .invoke(() -> health.onEnded(server.start()))
               .subscribe()
               .with(
                   answer -> onAnswer(attempt, server, answer, sentAt),
@@ -183,7 +182,7 @@
       if (!done && attempts.containsKey(attempt)) {
         LOG.atDebug()
             .addKeyValue("request", call.id())
-            .addKeyValue("server", server.instance())
+            .addKeyValue("server", server.start())
             .log("request: silent server, another one is asked");
         tryNext();
       }
@@ -194,11 +193,11 @@
       long now = context.now();
       Outcome outcome = classify(answer);
       if (outcome == Outcome.SUCCESS) {
-        health.onSuccess(server.instance(), now - sentAt, now);
+        health.onSuccess(server.start(), now - sentAt, now);
       } else if (outcome == Outcome.NOT_RUN) {
         long avoided =
             answer.status() == MISDIRECTED ? MISDIRECTED_AVOIDED_MILLIS : FULL_AVOIDED_MILLIS;
-        health.avoid(server.instance(), avoided, now);
+        health.avoid(server.start(), avoided, now);
       }
       if (outcome != Outcome.SUCCESS) {
         logAttempt(server, outcome, "status " + answer.status());
@@ -209,7 +208,7 @@
 
     private void onFailure(int attempt, ServerEntry server, PlatformException failure) {
       attempts.remove(attempt);
-      health.onFailure(server.instance(), context.now());
+      health.onFailure(server.start(), context.now());
       boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
       logAttempt(server, outcome, failure.getMessage());
@@ -228,7 +227,7 @@
           .addKeyValue("request", call.id())
           .addKeyValue("route", route.name())
           .addKeyValue("path", path())
-          .addKeyValue("server", server.instance())
+          .addKeyValue("server", server.start())
           .addKeyValue("outcome", outcome)
           .addKeyValue("reason", reason)
           .addKeyValue("afterMillis", context.now() - beganAt)
--- a/node/src/main/java/org/passhaven/node/gateway/ServerEnds.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerEnds.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.passhaven.core.backend.ServerEntry;
-import org.passhaven.spi.BackEndService.Target;
+import org.passhaven.core.backend.ServerStart;
 
 /** Finds out whether a server has ended where a run broke off. */
 final class ServerEnds {
@@ -22,12 +22,12 @@
   private final Directory directory;
   private final Listener listener;
   private final List<Unsure> unsure = new ArrayList<>();
-  private final Map<String, Uni<Boolean>> checks = new HashMap<>();
+  private final Map<ServerStart, Uni<Boolean>> checks = new HashMap<>();
 
   /** Hears of servers that have ended. */
   interface Listener {
     /** A server has ended while it ran a request. */
-    void onEnded(String fingerprint, String server);
+    void onEnded(String fingerprint, ServerStart server);
   }
 
   /** A run that broke off at a server of which it is not known yet whether it has ended. */
@@ -50,16 +50,23 @@
    */
   Uni<Void> onBroken(String fingerprint, ServerEntry server) {
     // What breaks off at a server that leaves as planned is no crash.
-    if (!directory.servers().isReady(server.instance())) {
+    if (directory.servers().isSucceeded(server.start())) {
+      listener.onEnded(fingerprint, server.start());
+      return Uni.createFrom().voidItem();
+    }
+    if (!directory.servers().isReady(server.start())) {
       return Uni.createFrom().voidItem();
     }
     long brokenAt = context.now();
     return checks
-        .computeIfAbsent(server.instance(), instance -> check(server))
+        .computeIfAbsent(server.start(), start -> check(server))
         .invoke(
             hasEnded -> {
               if (hasEnded) {
-                listener.onEnded(fingerprint, server.instance());
+                listener.onEnded(fingerprint, server.start());
+              } else if (server.start().isBornTold()) {
+                // What answered may be the next start under the same id.
+                addUnsure(new Unsure(fingerprint, server, brokenAt));
               }
             })
         .onFailure()
@@ -73,9 +80,9 @@
   private Uni<Boolean> check(ServerEntry server) {
     return context
         .backEnds()
-        .hasEnded(new Target(server.instance(), server.address()), CHECK_MILLIS)
+        .hasEnded(ServerTargets.of(server), CHECK_MILLIS)
         .onTermination()
-        .invoke(() -> checks.remove(server.instance()))
+        .invoke(() -> checks.remove(server.start()))
         .memoize()
         .indefinitely();
   }
@@ -94,12 +101,12 @@
     }
     long now = context.now();
     for (Unsure broken : List.copyOf(unsure)) {
-      ServerEntry entry = directory.servers().get(broken.server().instance());
+      ServerEntry entry = directory.servers().get(broken.server().start());
       boolean isOver = now - broken.brokenMillis() >= ENTRY_GOES_MILLIS;
       boolean leaves = entry != null && !entry.ready();
       boolean hasEnded = entry == null || isSucceeded(broken.server());
       if (hasEnded && !isOver) {
-        listener.onEnded(broken.fingerprint(), broken.server().instance());
+        listener.onEnded(broken.fingerprint(), broken.server().start());
       }
       if (hasEnded || isOver || leaves) {
         unsure.remove(broken);
@@ -111,7 +118,6 @@
     return directory.servers().all().stream()
         .anyMatch(
             other ->
-                other.address().equals(server.address())
-                    && !other.instance().equals(server.instance()));
+                other.address().equals(server.address()) && !other.start().equals(server.start()));
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerTargets.java
@@ -0,0 +1,13 @@
+package org.passhaven.node.gateway;
+
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.spi.BackEndService.Target;
+
+/** Names servers to the interface by which they are called. */
+final class ServerTargets {
+  private ServerTargets() {}
+
+  static Target of(ServerEntry server) {
+    return new Target(server.start().id(), server.address());
+  }
+}
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
@@ -42,8 +42,18 @@
   /** The holder orders no more, and each of its orders was answered before it sent this record. */
   record Released(long epoch, String node, long incarnation) implements OrderRecord {}
 
-  /** A server told the holder that it holds a version; its own entry says so only later. */
+  /**
+   * A server told the holder that it holds a version; its own entry says so only later.
+   *
+   * @param serverBornMillis when the server that told it was started; zero if it does not tell
+   */
   record Reached(
-      long epoch, String node, long incarnation, String server, String model, long version)
+      long epoch,
+      String node,
+      long incarnation,
+      String server,
+      long serverBornMillis,
+      String model,
+      long version)
       implements OrderRecord {}
 }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -135,6 +135,11 @@
     restartSpreadMillis = millis;
   }
 
+  /** Servers that end start again under the id that they had; set before the run is played. */
+  public void restartServersInPlace() {
+    entries.setRestartsInPlace();
+  }
+
   /** Callers ask for one of so many things each time. */
   public void addLookups(int paths, long everyMillis) {
     lookupPaths = paths;
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -94,8 +94,10 @@
    *
    * @param busy whether an order is under way
    * @param sequence orders taken since its start
+   * @param bornMillis time of day of its start, in milliseconds since 1970; zero if it tells none
    */
-  record Report(boolean busy, long sequence, java.util.Map<String, Long> versions) {
+  record Report(
+      boolean busy, long sequence, long bornMillis, java.util.Map<String, Long> versions) {
     public Report {
       versions = java.util.Map.copyOf(versions);
     }
