Documents of other writers never stop a fold

Cause: a runtime error of a listener ended the reading of a table for good; the codec let errors of the MessagePack library and a bare nil through. Change: TableFollower goes on behind a document that is not taken, Codec tells both as CodecException. ForeignEntryTest: each field missing or wrong, 40,000 documents of drawn bytes.

--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -164,8 +164,17 @@
     }
   }
 
+  /** A document that its listener can't take must not end the reading of all that follow. */
   private void give(TableService.Entry entry) {
-    listener.onDocument(entry.key(), entry.value());
+    try {
+      listener.onDocument(entry.key(), entry.value());
+    } catch (RuntimeException e) {
+      LOG.atError()
+          .addKeyValue("table", table)
+          .addKeyValue("key", entry.key())
+          .setCause(e)
+          .log("table: a document was not taken");
+    }
   }
 
   private void onFailure(Throwable failure, Runnable again) {
--- a/protocol/src/main/java/org/passhaven/protocol/Codec.java
+++ b/protocol/src/main/java/org/passhaven/protocol/Codec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** MessagePack encoding of all internal messages and log records. Thread-safe. */
@@ -29,8 +30,12 @@
    */
   public static <T> T decode(byte[] bytes, Class<T> type) {
     try {
-      return MAPPER.readValue(bytes, type);
-    } catch (IOException e) {
+      T message = MAPPER.readValue(bytes, type);
+      if (message == null) {
+        throw new CodecException("cannot decode " + type.getSimpleName() + ": nothing", null);
+      }
+      return message;
+    } catch (IOException | MessagePackException e) {
       throw new CodecException("cannot decode " + type.getSimpleName(), e);
     }
   }
