Tenants and their keys: who is let in, and for whom a request runs

Change: core.tenant holds an immutable table by key. Each request is looked at (not each connection): without a known key on a route that is not public it is answered 401 and never sent on; servers get the tenant, whatever the caller says, and no key. A job belongs to its tenant: items, continuations and repeats run for it, its kept texts are its own, another tenant's key gets the 404 of an unknown job, another job under its id is refused (409). A tenant's rank goes before the route's. Two ways for an unknown key while the configuration may be old: 401 at once, or "not run, ask another". A 401 there is false for each key that was just added, and counts as such also from machines out of touch; a 503 costs the caller one more try. The second is kept; a configuration counts as new for 3 s after the store last said so (a read that waits is answered within 2.2 s).

--- a/core/src/main/java/org/passhaven/core/job/KeptTexts.java
+++ b/core/src/main/java/org/passhaven/core/job/KeptTexts.java
@@ -12,11 +12,18 @@
 
   private record KeptText(ItemText text, boolean whole) {}
 
-  private final Map<String, KeptText> texts = new LinkedHashMap<>();
+  /** Items of two tenants are never the same, whatever their names. */
+  private record Key(String tenant, String item) {
+    static Key of(ItemRun run) {
+      return new Key(run.job.job.submission().tenant(), run.item.id());
+    }
+  }
+
+  private final Map<Key, KeptText> texts = new LinkedHashMap<>();
 
   /** Keeps an item's text; the oldest one gives way to it. */
   void keep(ItemRun run, boolean whole) {
-    texts.put(run.item.id(), new KeptText(run.text, whole));
+    texts.put(Key.of(run), new KeptText(run.text, whole));
     if (texts.size() > MAX_TEXTS) {
       texts.remove(texts.keySet().iterator().next());
     }
@@ -24,7 +31,7 @@
 
   /** Gives an item the text that is kept for it, if there is one that it may use. */
   void restore(ItemRun run) {
-    KeptText left = texts.remove(run.item.id());
+    KeptText left = texts.remove(Key.of(run));
     if (left != null && run.phase == ItemRun.Phase.WAITING) {
       use(run, left.text(), left.whole());
     }
--- a/core/src/main/java/org/passhaven/core/route/Route.java
+++ b/core/src/main/java/org/passhaven/core/route/Route.java
@@ -14,6 +14,7 @@
  * @param singleVersion whether one text must come from one weight version
  * @param priority rank of its requests, 0 first
  * @param giveUpMillis time after which an item of a job may be given up; zero for never
+ * @param isPublic whether its requests need no key where there are tenants
  */
 public record Route(
     String name,
@@ -27,7 +28,8 @@
     boolean resumable,
     boolean singleVersion,
     int priority,
-    long giveUpMillis) {
+    long giveUpMillis,
+    boolean isPublic) {
   /** What may be repeated, and how answers come. */
   public enum Kind {
     /** May run more than once. */
--- a/core/src/main/java/org/passhaven/core/route/RouteTable.java
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -6,21 +6,26 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import org.passhaven.core.tenant.TenantTable;
 
 /** All routes of one configuration version; immutable. */
 public final class RouteTable {
   /** No configuration yet. */
-  public static final RouteTable EMPTY = new RouteTable(0, List.of(), RequestLimits.DEFAULT);
+  public static final RouteTable EMPTY =
+      new RouteTable(0, List.of(), RequestLimits.DEFAULT, TenantTable.NONE);
 
   private final long version;
   private final RequestLimits limits;
+  private final TenantTable tenants;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
 
   /** Creates the table of configuration {@code version}; zero stands for none. */
-  public RouteTable(long version, List<Route> routes, RequestLimits limits) {
+  public RouteTable(long version, List<Route> routes, RequestLimits limits, TenantTable tenants) {
     this.version = version;
     this.limits = limits;
+    this.tenants = Objects.requireNonNull(tenants, "tenants");
     for (Route route : routes) {
       routesByHost.computeIfAbsent(hostKey(route.host()), key -> new ArrayList<>()).add(route);
     }
@@ -39,6 +44,11 @@
     return limits;
   }
 
+  /** Who may call. */
+  public TenantTable tenants() {
+    return tenants;
+  }
+
   /** Number of routes. */
   public int size() {
     return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
+++ b/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
@@ -41,7 +41,8 @@
             false,
             false,
             0,
-            0);
+            0,
+            true);
     return new ForwardPlan(route, 1_000);
   }
 
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -42,7 +42,8 @@
   }
 
   private static Job job(String id, long step, long oldest, JobItem... items) {
-    return new Job(new JobSubmission(id, "h", "/p/", "m", "m", step, oldest, 1, List.of(items)), 0);
+    return new Job(
+        new JobSubmission(id, "h", "/p/", "", "m", "m", step, oldest, 1, List.of(items)), 0);
   }
 
   private List<JobAction.Start> starts(List<JobAction> actions) {
--- a/core/src/test/java/org/passhaven/core/job/JobTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobTableTest.java
@@ -29,7 +29,7 @@
 
   static JobSubmission submission(String id, long step, long oldestVersion, JobItem... items) {
     return new JobSubmission(
-        id, "a.example", "/p/", "m", "m", step, oldestVersion, 1, List.of(items));
+        id, "a.example", "/p/", "", "m", "m", step, oldestVersion, 1, List.of(items));
   }
 
   private static JobPart whole(String id, long attempt, String... items) {
--- a/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.passhaven.core.tenant.TenantTable;
 
 class RouteTableTest {
   static Route route(String name, String prefix, ServiceShare... shares) {
@@ -24,7 +25,8 @@
         false,
         false,
         0,
-        0);
+        0,
+        true);
   }
 
   private final RouteTable table =
@@ -33,7 +35,8 @@
           List.of(
               route("short", "/a/", new ServiceShare("s", 1)),
               route("long", "/a/b/", new ServiceShare("t", 1))),
-          RequestLimits.DEFAULT);
+          RequestLimits.DEFAULT,
+          TenantTable.NONE);
 
   private Optional<String> find(String host, String uri) {
     return table.find(host, uri).map(Route::name);
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -39,6 +39,7 @@
   private boolean isReading;
   private final Outage outage;
   private Timers.Timer pausing;
+  private long answeredAtMillis = Long.MIN_VALUE / 2;
 
   /**
    * Creates a follower; {@link #start} begins.
@@ -82,6 +83,11 @@
         .with(page -> onPage(page, key.isEmpty()), failure -> onFailure(failure, this::listAnew));
   }
 
+  /** Whether the table was read to its end within a time, as far as this node's clock tells. */
+  public boolean wasReadWithin(long millis) {
+    return listed && timers.nowMillis() - answeredAtMillis <= millis;
+  }
+
   private void onPage(TableService.Page page, boolean isFirst) {
     outage.onSuccess(position);
     if (isFirst) {
@@ -103,6 +109,7 @@
           .log("table: listed");
     }
     listed = true;
+    answeredAtMillis = timers.nowMillis();
     readOn();
   }
 
@@ -127,6 +134,7 @@
 
   /** The read that waits may never be answered: another one takes its place. */
   public void renew() {
+    answeredAtMillis = Long.MIN_VALUE / 2;
     if (pausing != null) {
       hurry();
     } else if (isReading) {
@@ -143,6 +151,7 @@
     }
     changes.entries().forEach(this::give);
     position = changes.end();
+    answeredAtMillis = timers.nowMillis();
     long pause = changes.entries().isEmpty() ? 0 : betweenMillis.getAsLong();
     if (pause > 0) {
       pausing = timers.after(pause, this::endPause);
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -24,6 +24,9 @@
 public final class Directory {
   private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
+  /** Two reads of 2.2 s each would be the longest time without news; some is left for answers. */
+  private static final long CURRENT_MILLIS = 3_000;
+
   /** Keys of entries that can't be read that are remembered, so that each is logged once. */
   private static final int MOST_UNREADABLE = 1_000;
 
@@ -92,6 +95,14 @@
     return routes.version() > 0 && serverEntries.isListed();
   }
 
+  /**
+   * Whether the configuration in force is the newest, as far as that can be known: a read that
+   * waits for news is answered within 2.2 s, and one more may be on its way.
+   */
+  public boolean isCurrent() {
+    return operator.wasReadWithin(CURRENT_MILLIS);
+  }
+
   /** Servers as they list themselves. */
   public ServerTable servers() {
     return servers;
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -119,6 +119,16 @@
     return directory.routes();
   }
 
+  /** Whether the configuration in force is the newest, as far as that can be known. */
+  public boolean isCurrent() {
+    return directory.isCurrent();
+  }
+
+  /** What this node measures. */
+  public GatewayMetrics metrics() {
+    return context.metrics();
+  }
+
   /** Ordinary requests. */
   public RequestForwarder forwarder() {
     return forwarder;
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -9,6 +9,7 @@
 
 /** Counters and latency histograms of a gateway node, named as docs/OPERATIONS.md lists them. */
 public final class GatewayMetrics {
+  private static final String REJECTED = "passhaven.gateway.requests.rejected";
   private static final Duration[] LATENCY_BOUNDS = {
     Duration.ofMillis(25),
     Duration.ofMillis(50),
@@ -59,6 +60,15 @@
   /** Documents of the platform's store that can't be read: entries of servers and others. */
   public final Counter documentsUnreadable;
 
+  /** Requests not let in that show no key. */
+  public final Counter requestsWithoutKey;
+
+  /** Requests not let in whose key no tenant has. */
+  public final Counter requestsWithUnknownKey;
+
+  /** Requests with an unknown key sent elsewhere, since the configuration here may be old. */
+  public final Counter requestsWithUnsureKey;
+
   private final MeterRegistry registry;
   private final Timer requestLatency;
 
@@ -77,6 +87,9 @@
     serversEndedUnderRequests = registry.counter("passhaven.gateway.servers.ended.under.requests");
     requestsHeldBack = registry.counter("passhaven.gateway.requests.held.back");
     documentsUnreadable = registry.counter("passhaven.gateway.documents.unreadable");
+    requestsWithoutKey = registry.counter(REJECTED, "reason", "no-key");
+    requestsWithUnknownKey = registry.counter(REJECTED, "reason", "unknown-key");
+    requestsWithUnsureKey = registry.counter(REJECTED, "reason", "unsure");
     ordersSent = registry.counter("passhaven.gateway.orders.sent");
     requestLatency =
         Timer.builder("passhaven.gateway.request.latency")
--- a/node/src/main/java/org/passhaven/node/gateway/JobOutcome.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobOutcome.java
@@ -17,6 +17,9 @@
   /** There is no such job or item. */
   record NotFound() implements JobOutcome {}
 
+  /** Another job has the id. */
+  record Taken() implements JobOutcome {}
+
   /**
    * Results from a position on.
    *
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -256,7 +256,11 @@
                     route.shares().get(0).service(),
                     Math.max(1, route.mostAttempts()),
                     route.singleVersion(),
-                    route.priority(),
+                    directory
+                        .routes()
+                        .tenants()
+                        .priorityOf(submission.tenant())
+                        .orElse(route.priority()),
                     route.giveUpMillis()));
   }
 
@@ -331,7 +335,14 @@
   /** The request by which a server makes an item's text. */
   static Call callOf(JobSubmission job, JobItem item) {
     return new Call(
-        item.id(), POST, item.path(), job.host(), item.headers(), item.body(), GENERATION_MILLIS);
+        item.id(),
+        job.tenant(),
+        POST,
+        item.path(),
+        job.host(),
+        item.headers(),
+        item.body(),
+        GENERATION_MILLIS);
   }
 
   private void onProgress(long attempt, Progress progress) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -56,8 +56,25 @@
     waiters.wake(record.job());
   }
 
-  /** Hands a job in; gives the outcome within {@code limitMillis}. */
+  /**
+   * Hands a job in; gives the outcome within {@code limitMillis}. A job of another tenant under the
+   * same id is none of the caller's, and its own was not taken.
+   */
   public Uni<JobOutcome> submit(JobSubmission submission, long limitMillis) {
+    return append(submission, limitMillis)
+        .map(
+            outcome ->
+                outcome instanceof JobOutcome.Done && isOfOther(submission)
+                    ? new JobOutcome.Taken()
+                    : outcome);
+  }
+
+  private boolean isOfOther(JobSubmission submission) {
+    Job job = log.table().get(submission.id());
+    return job != null && !job.submission().tenant().equals(submission.tenant());
+  }
+
+  private Uni<JobOutcome> append(JobSubmission submission, long limitMillis) {
     called.onCall(submission.id(), 0);
     log.onCall(submission.run());
     long attempt = context.incarnation() ^ context.randomBelow().applyAsInt(Integer.MAX_VALUE);
@@ -89,11 +106,11 @@
   }
 
   /** Ends a job; gives the outcome within {@code limitMillis}. */
-  public Uni<JobOutcome> end(String id, long limitMillis) {
+  public Uni<JobOutcome> end(String tenant, String id, long limitMillis) {
     return known(id)
         .chain(
             sure -> {
-              Job job = log.table().get(id);
+              Job job = jobOf(tenant, id);
               if (job == null) {
                 return Uni.createFrom().item(unknownJob(id, sure));
               }
@@ -116,12 +133,12 @@
    * are none is said only after the log was read to its end: another node may have told of some
    * already, and a read that waits here may hang since an outage.
    */
-  public Uni<JobOutcome> read(String id, int from, long waitMillis) {
+  public Uni<JobOutcome> read(String tenant, String id, int from, long waitMillis) {
     long untilMillis = context.now() + waitMillis + ANSWER_MARGIN_MILLIS;
     return known(id)
         .chain(
             sure -> {
-              Job job = log.table().get(id);
+              Job job = jobOf(tenant, id);
               if (job == null) {
                 return Uni.createFrom().item(unknownJob(id, sure));
               }
@@ -216,11 +233,11 @@
   }
 
   /** Body of an item. */
-  public Uni<JobOutcome> body(String id, String item) {
+  public Uni<JobOutcome> body(String tenant, String id, String item) {
     return known(id)
         .map(
             sure -> {
-              Job job = log.table().get(id);
+              Job job = jobOf(tenant, id);
               if (job == null) {
                 return unknownJob(id, sure);
               }
@@ -229,6 +246,12 @@
             });
   }
 
+  /** A job of a tenant; null if there is none, or it is another's: that can't be told apart. */
+  private Job jobOf(String tenant, String id) {
+    Job job = log.table().get(id);
+    return job != null && job.submission().tenant().equals(tenant) ? job : null;
+  }
+
   /** Gives whether it is sure that a job does not exist if it is not known here. */
   private Uni<Boolean> known(String id) {
     return log.table().get(id) != null ? Uni.createFrom().item(true) : refreshed();
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -155,6 +155,7 @@
       Call left =
           new Call(
               call.id(),
+              call.tenant(),
               call.method(),
               call.uri(),
               call.host(),
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
@@ -75,7 +75,14 @@
     inProgress++;
     Call call =
         new Call(
-            score.id(), POST, score.path(), score.host(), List.of(), score.body(), SCORE_MILLIS);
+            score.id(),
+            "",
+            POST,
+            score.path(),
+            score.host(),
+            List.of(),
+            score.body(),
+            SCORE_MILLIS);
     forwarder
         .forward(route.get(), call)
         .subscribe()
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -22,6 +22,7 @@
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.core.route.ServiceShare;
+import org.passhaven.core.tenant.TenantTable;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
 import org.passhaven.protocol.Codec;
@@ -56,7 +57,7 @@
     timers.advance(2_000);
     JobItem item = new JobItem("x", "/p/x", List.of(), new byte[0], "g", 0, null);
     JobSubmission submission =
-        new JobSubmission("j", "h", "/p/", MODEL, MODEL, 0, 1, 1, List.of(item));
+        new JobSubmission("j", "h", "/p/", "", MODEL, MODEL, 0, 1, 1, List.of(item));
     gateway.jobs().submit(submission, 2_000).subscribe().with(outcome -> {});
     timers.advance(500);
     assertThat(servers.running, hasSize(1));
@@ -216,8 +217,9 @@
               false,
               false,
               0,
-              0);
-      return new RouteTable(1, List.of(route), RequestLimits.DEFAULT);
+              0,
+              true);
+      return new RouteTable(1, List.of(route), RequestLimits.DEFAULT, TenantTable.NONE);
     }
 
     @Override
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
@@ -45,7 +46,12 @@
 
   private static JobSubmission submission(String id, byte[] body) {
     JobItem item = new JobItem("x", "/p/x", List.of(), body, "g", 0, null);
-    return new JobSubmission(id, "h", "/p/", "m", "m", 0, 0, 1, List.of(item));
+    return new JobSubmission(id, "h", "/p/", "", "m", "m", 0, 0, 1, List.of(item));
+  }
+
+  private static JobSubmission submissionOf(String tenant, String id) {
+    JobSubmission job = submission(id, new byte[1]);
+    return new JobSubmission(id, "h", "/p/", tenant, "m", "m", 0, 0, 1, job.items());
   }
 
   private List<JobOutcome> ask(Uni<JobOutcome> asked) {
@@ -149,7 +155,7 @@
     begin();
     ask(service.submit(submission("j", new byte[3]), 2_000));
     timers.advance(100);
-    List<JobOutcome> got = ask(service.read("j", 0, 1_000));
+    List<JobOutcome> got = ask(service.read("", "j", 0, 1_000));
     timers.advance(200);
     assertThat(got, hasSize(0));
     finish("x");
@@ -164,7 +170,7 @@
     begin();
     ask(service.submit(submission("j", new byte[3]), 2_000));
     timers.advance(100);
-    List<JobOutcome> got = ask(service.read("j", 0, 1_000));
+    List<JobOutcome> got = ask(service.read("", "j", 0, 1_000));
     timers.advance(1_100);
     assertThat(((JobOutcome.Results) got.get(0)).results(), hasSize(0));
   }
@@ -179,7 +185,7 @@
     finish("x");
     log.hangReads = false;
     // The read that waits was sent while the log was silent and hangs on.
-    List<JobOutcome> got = ask(service.read("j", 0, 0));
+    List<JobOutcome> got = ask(service.read("", "j", 0, 0));
     timers.advance(10);
     assertThat(((JobOutcome.Results) got.get(0)).next(), is(1));
   }
@@ -189,7 +195,7 @@
     begin();
     ask(service.submit(submission("j", new byte[3]), 2_000));
     timers.advance(100);
-    List<JobOutcome> got = ask(service.read("j", 0, 1_000));
+    List<JobOutcome> got = ask(service.read("", "j", 0, 1_000));
     timers.advance(10);
     log.stream(jobLog.streamOf("m")).add(Codec.encode((JobRecord) new JobRecord.JobEnded("j")));
     finish("x");
@@ -206,7 +212,7 @@
         new JobRecord.ItemFinished("j", "x", true, new TextPlace(0, 30), List.of(1L), "s");
     log.stream(jobLog.streamOf("m")).add(Codec.encode(record));
     timers.advance(200);
-    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
+    assertThat(ask(service.read("", "j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
   }
 
   @Test
@@ -217,7 +223,7 @@
     log.hangReads = true;
     finish("x");
     timers.advance(50);
-    List<JobOutcome> got = ask(service.read("j", 0, 0));
+    List<JobOutcome> got = ask(service.read("", "j", 0, 0));
     timers.advance(1_300);
     assertThat(got.get(0), instanceOf(JobOutcome.Refused.class));
   }
@@ -228,21 +234,21 @@
     ask(service.submit(submission("j", new byte[3]), 2_000));
     timers.advance(100);
     log.reads = MemoryLog.Manner.REFUSES;
-    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
+    assertThat(ask(service.read("", "j", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
     log.reads = MemoryLog.Manner.SOUND;
     timers.advance(1_000);
     finish("x");
     timers.advance(1_000);
     log.reads = MemoryLog.Manner.REFUSES;
-    assertThat(ask(service.read("j", 0, 0)).get(0), instanceOf(JobOutcome.Results.class));
+    assertThat(ask(service.read("", "j", 0, 0)).get(0), instanceOf(JobOutcome.Results.class));
   }
 
   @Test
   void anUnknownJobIsNotFoundOnlyIfTheLogWasReadToItsEnd() {
     begin();
-    assertThat(ask(service.read("k", 0, 0)), contains(new JobOutcome.NotFound()));
+    assertThat(ask(service.read("", "k", 0, 0)), contains(new JobOutcome.NotFound()));
     log.reads = MemoryLog.Manner.REFUSES;
-    assertThat(ask(service.read("k", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
+    assertThat(ask(service.read("", "k", 0, 0)).get(0), instanceOf(JobOutcome.Refused.class));
   }
 
   @Test
@@ -251,7 +257,37 @@
     JobRecord part =
         new JobRecord.JobPart("j", 5, 0, 1, Codec.encode(submission("j", new byte[3])));
     log.stream(jobLog.streamOf("m")).add(Codec.encode(part));
-    assertThat(ask(service.body("j", "x")).get(0), instanceOf(JobOutcome.Body.class));
+    assertThat(ask(service.body("", "j", "x")).get(0), instanceOf(JobOutcome.Body.class));
+  }
+
+  @Test
+  void aJobOfAnotherTenantIsLikeNoJob() {
+    begin();
+    List<JobOutcome> first = ask(service.submit(submissionOf("one", "t"), 800));
+    timers.advance(100);
+    assertThat(first, contains(new JobOutcome.Done()));
+    List<JobOutcome> seen = new ArrayList<>();
+    seen.addAll(ask(service.read("two", "t", 0, 0)));
+    seen.addAll(ask(service.body("two", "t", "x")));
+    seen.addAll(ask(service.end("two", "t", 800)));
+    seen.addAll(ask(service.read("", "t", 0, 0)));
+    timers.advance(100);
+    assertThat(seen, hasSize(4));
+    assertThat(seen, everyItem(equalTo(new JobOutcome.NotFound())));
+    assertThat(ask(service.read("one", "t", 0, 0)).get(0), instanceOf(JobOutcome.Results.class));
+    assertThat(jobLog.table().get("t").ended(), is(false));
+  }
+
+  @Test
+  void aJobUnderTheIdOfAnotherTenantsIsNotTaken() {
+    begin();
+    ask(service.submit(submissionOf("one", "t"), 800));
+    timers.advance(100);
+    List<JobOutcome> second = ask(service.submit(submissionOf("two", "t"), 800));
+    List<JobOutcome> again = ask(service.submit(submissionOf("one", "t"), 800));
+    timers.advance(100);
+    assertThat(second, contains(new JobOutcome.Taken()));
+    assertThat(again, contains(new JobOutcome.Done()));
   }
 
   @Test
@@ -260,15 +296,15 @@
     ask(service.submit(submission("j", new byte[3]), 2_000));
     timers.advance(100);
     log.appends = MemoryLog.Manner.SILENT;
-    List<JobOutcome> got = ask(service.end("j", 800));
+    List<JobOutcome> got = ask(service.end("", "j", 800));
     timers.advance(500);
     assertThat(got, hasSize(0));
     timers.advance(400);
     assertThat(got.get(0), instanceOf(JobOutcome.Unknown.class));
     log.appends = MemoryLog.Manner.SOUND;
-    assertThat(ask(service.end("j", 800)), contains(new JobOutcome.Done()));
+    assertThat(ask(service.end("", "j", 800)), contains(new JobOutcome.Done()));
     timers.advance(100);
     assertThat(jobLog.table().get("j").ended(), is(true));
-    assertThat(ask(service.end("j", 800)), contains(new JobOutcome.Done()));
+    assertThat(ask(service.end("", "j", 800)), contains(new JobOutcome.Done()));
   }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -111,8 +111,9 @@
             false,
             false,
             0,
-            0);
-    Call call = new Call("id", "GET", path, "h", List.of(), new byte[0], DEADLINE_MILLIS);
+            0,
+            true);
+    Call call = new Call("id", "", "GET", path, "h", List.of(), new byte[0], DEADLINE_MILLIS);
     forwarder.forward(route, call).subscribe().with(outcomes::add);
     timers.advance(5);
   }
--- a/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
@@ -53,7 +53,7 @@
     for (int i = 0; i < ITEMS; i++) {
       items.add(new JobItem("x" + i, "/p/x", List.of(), new byte[0], "g", 0, null));
     }
-    JobSubmission submission = new JobSubmission("j", "h", "/p/", "m", "m", 0, 0, 1, items);
+    JobSubmission submission = new JobSubmission("j", "h", "/p/", "", "m", "m", 0, 0, 1, items);
     JobRecord part = new JobRecord.JobPart("j", 5, 0, 1, Codec.encode(submission));
     log.stream("jobs.0").add(Codec.encode(part));
     jobLog.start(new BeatTable(1_500));
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
@@ -9,7 +9,9 @@
  * @param id unique name; a second submission under it is the same job
  * @param host host whose routes carry the items
  * @param path path that the job was submitted to
- * @param run name under which jobs belong together: the trained model, or the route's path
+ * @param tenant tenant that the job belongs to; empty if it belongs to none
+ * @param run name under which jobs belong together: the trained model, or the route's path, of one
+ *     tenant
  * @param model model that generates; empty if the items name none
  * @param step number of the training step; zero if there is none
  * @param oldestVersion oldest weight version that may generate
@@ -19,6 +21,7 @@
     String id,
     String host,
     String path,
+    String tenant,
     String run,
     String model,
     long step,
@@ -29,6 +32,7 @@
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(host, "host");
     Objects.requireNonNull(path, "path");
+    Objects.requireNonNull(tenant, "tenant");
     Objects.requireNonNull(run, "run");
     Objects.requireNonNull(model, "model");
     items = List.copyOf(items);
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedCallers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedCallers.java
@@ -81,6 +81,7 @@
               Call call =
                   new Call(
                       id,
+                      "",
                       "GET",
                       path,
                       SimulatedDocuments.HOST,
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
@@ -8,6 +8,7 @@
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.core.route.ServiceShare;
+import org.passhaven.core.tenant.TenantTable;
 import org.passhaven.node.gateway.PlatformDocuments;
 import org.passhaven.protocol.Codec;
 
@@ -61,7 +62,8 @@
             route("jobs", JOB_PATH, "llm", Route.Kind.JOBS),
             route("scores", SCORE_PATH, "portal", Route.Kind.REPEATABLE),
             route("lookups", LOOKUP_PATH, "portal", Route.Kind.REPEATABLE)),
-        RequestLimits.DEFAULT);
+        RequestLimits.DEFAULT,
+        TenantTable.NONE);
   }
 
   private static Route route(String name, String prefix, String service, Route.Kind kind) {
@@ -77,7 +79,8 @@
         false,
         false,
         0,
-        GIVE_UP_MILLIS);
+        GIVE_UP_MILLIS,
+        true);
   }
 
   private static long number(byte[] document) {
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -89,6 +89,7 @@
             "job" + step,
             SimulatedDocuments.HOST,
             SimulatedDocuments.JOB_PATH,
+            "",
             SimulatedServers.MODEL,
             SimulatedServers.MODEL,
             step,
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -24,10 +24,12 @@
    *
    * @param id the caller's identity of this attempt
    * @param uri path and query, unaltered
+   * @param tenant tenant that it runs for; empty if it runs for none
    * @param deadlineMillis time that the server may take
    */
   record Call(
       String id,
+      String tenant,
       String method,
       String uri,
       String host,
@@ -36,6 +38,7 @@
       long deadlineMillis) {
     public Call {
       Objects.requireNonNull(id, "id");
+      Objects.requireNonNull(tenant, "tenant");
       Objects.requireNonNull(method, "method");
       Objects.requireNonNull(uri, "uri");
       Objects.requireNonNull(host, "host");
