--- a/core/src/main/java/org/passhaven/core/order/OrderLease.java
+++ b/core/src/main/java/org/passhaven/core/duty/DutyLease.java
@@ -1,16 +1,18 @@
-package org.passhaven.core.order;
+package org.passhaven.core.duty;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import org.passhaven.protocol.order.OrderRecord;
+import org.passhaven.protocol.duty.DutyRecord;
 
 /**
- * Decides whether this node may order servers now. The fold of one stream decides who holds the
- * lease: the first claim to follow a holder wins. A holder orders only for a short time from the
- * moment at which it sent an intent that it then read back. So whoever reads the stream knows when
- * a predecessor can have ordered last, and waits the hand-over time longer.
+ * Decides whether this node may do the duties of one holder now (orders to servers, usage reports,
+ * scaling): one lease for all of them, whose epoch is the fence of every call. The fold of one
+ * stream decides who holds the lease: the first claim to follow a holder wins. A holder orders only
+ * for a short time from the moment at which it sent an intent that it then read back. So whoever
+ * reads the stream knows when a predecessor can have ordered last, and waits the hand-over time
+ * longer.
  *
  * <p>The stream drops records by age. So a holder writes again well within that age, and whoever
  * reads a record of a holder that it did not know takes it for the holder. The epoch of a claim is
@@ -19,7 +21,7 @@
  * Apart from renewals, nothing is written while no order is due. Times in monotonic milliseconds.
  * Not thread-safe.
  */
-public final class OrderLease {
+public final class DutyLease {
   /**
    * Pace of the lease.
    *
@@ -73,23 +75,23 @@
   private long nextNumber = 1;
 
   /** Creates the lease of one start of a node. */
-  public OrderLease(String node, long incarnation, Settings settings) {
+  public DutyLease(String node, long incarnation, Settings settings) {
     this.node = Objects.requireNonNull(node, "node");
     this.incarnation = incarnation;
     this.settings = Objects.requireNonNull(settings, "settings");
   }
 
   /** Folds the next record of the stream, which was read at {@code nowMillis}. */
-  public void onRecord(OrderRecord record, long nowMillis) {
+  public void onRecord(DutyRecord record, long nowMillis) {
     readTo++;
-    if (!(record instanceof OrderRecord.Claimed)) {
+    if (!(record instanceof DutyRecord.Claimed)) {
       noteHolder(record, nowMillis);
     }
-    if (record instanceof OrderRecord.Claimed claim) {
+    if (record instanceof DutyRecord.Claimed claim) {
       onClaim(claim, nowMillis);
-    } else if (record instanceof OrderRecord.Intended intent) {
+    } else if (record instanceof DutyRecord.Intended intent) {
       onIntent(intent, nowMillis);
-    } else if (record instanceof OrderRecord.Released release) {
+    } else if (record instanceof DutyRecord.Released release) {
       onRelease(release, nowMillis);
     }
   }
@@ -130,7 +132,7 @@
   }
 
   /** Only a holder writes such records: whoever did not know it has missed its claim. */
-  private void noteHolder(OrderRecord record, long nowMillis) {
+  private void noteHolder(DutyRecord record, long nowMillis) {
     boolean isNews = record.epoch() > epoch || (record.epoch() == epoch && !isSure);
     if (isNews) {
       if (!isOfHolder(record)) {
@@ -149,7 +151,7 @@
     }
   }
 
-  private void onClaim(OrderRecord.Claimed claim, long nowMillis) {
+  private void onClaim(DutyRecord.Claimed claim, long nowMillis) {
     // The writer has read the holder's newest record, or the log no longer has it.
     boolean isValid = claim.epoch() > epoch && newestOffset < claim.readTo();
     if (isValid) {
@@ -164,7 +166,7 @@
     }
   }
 
-  private void onIntent(OrderRecord.Intended intent, long nowMillis) {
+  private void onIntent(DutyRecord.Intended intent, long nowMillis) {
     if (!isOfHolder(intent)) {
       return;
     }
@@ -176,14 +178,14 @@
     }
   }
 
-  private void onRelease(OrderRecord.Released release, long nowMillis) {
+  private void onRelease(DutyRecord.Released release, long nowMillis) {
     if (isOfHolder(release)) {
       validUntil = NEVER;
       mayFollowFromMillis.put(release.node(), nowMillis + settings.releasedMillis());
     }
   }
 
-  private boolean isOfHolder(OrderRecord record) {
+  private boolean isOfHolder(DutyRecord record) {
     return record.epoch() == epoch
         && record.node().equals(holder)
         && record.incarnation() == holderIncarnation;
@@ -240,9 +242,9 @@
   }
 
   /** The record by which this node, as the holder, gives the lease up; empty if it is not held. */
-  public Optional<OrderRecord> release() {
+  public Optional<DutyRecord> release() {
     return isHolder()
-        ? Optional.of(new OrderRecord.Released(epoch, node, incarnation))
+        ? Optional.of(new DutyRecord.Released(epoch, node, incarnation))
         : Optional.empty();
   }
 
@@ -257,7 +259,7 @@
   }
 
   /** Whether an order may be sent at this very moment. */
-  public boolean mayOrder(long nowMillis) {
+  public boolean mayAct(long nowMillis) {
     return isHolder() && nowMillis >= notBefore && nowMillis < validUntil;
   }
 
@@ -268,7 +270,7 @@
    * @param holderAlive whether the holder is a live node that takes work
    * @param rank place of this node among the candidates, from zero
    */
-  public Optional<OrderRecord> next(boolean needed, boolean holderAlive, int rank, long nowMillis) {
+  public Optional<DutyRecord> next(boolean needed, boolean holderAlive, int rank, long nowMillis) {
     if (!needed) {
       neededSince = NEVER;
       return isRenewalDue(nowMillis) ? nextIntent(nowMillis) : Optional.empty();
@@ -284,7 +286,7 @@
     return isHolder() && nowMillis - lastRecordAt >= settings.renewMillis();
   }
 
-  private Optional<OrderRecord> nextIntent(long nowMillis) {
+  private Optional<DutyRecord> nextIntent(long nowMillis) {
     boolean fresh = validUntil - nowMillis > settings.validMillis() / 2;
     boolean justSent = nowMillis - intentSentAt < settings.validMillis() / 4;
     if (fresh || justSent) {
@@ -294,10 +296,10 @@
     long number = nextNumber++;
     sentAtByNumber.put(number, nowMillis);
     return Optional.of(
-        new OrderRecord.Intended(epoch, node, incarnation, number, othersQuietMillis(nowMillis)));
+        new DutyRecord.Intended(epoch, node, incarnation, number, othersQuietMillis(nowMillis)));
   }
 
-  private Optional<OrderRecord> nextClaim(boolean holderAlive, int rank, long nowMillis) {
+  private Optional<DutyRecord> nextClaim(boolean holderAlive, int rank, long nowMillis) {
     if (nowMillis - claimSentAt < READ_BACK_MILLIS) {
       return Optional.empty();
     }
@@ -311,6 +313,6 @@
     }
     claimSentAt = nowMillis;
     claimedEpoch = readTo + 1;
-    return Optional.of(new OrderRecord.Claimed(claimedEpoch, node, incarnation, readTo));
+    return Optional.of(new DutyRecord.Claimed(claimedEpoch, node, incarnation, readTo));
   }
 }
--- a/core/src/main/java/org/passhaven/core/order/package-info.java
+++ b/core/src/main/java/org/passhaven/core/order/package-info.java
@@ -1,2 +1,2 @@
-/** Who may order weight versions, and which server takes which version next. Pure. */
+/** Which server takes which weight version next. Pure. */
 package org.passhaven.core.order;
--- a/core/src/test/java/org/passhaven/core/order/OrderLeaseTest.java
+++ b/core/src/test/java/org/passhaven/core/duty/DutyLeaseTest.java
@@ -1,4 +1,4 @@
-package org.passhaven.core.order;
+package org.passhaven.core.duty;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
@@ -12,86 +12,86 @@
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.passhaven.protocol.order.OrderRecord;
-import org.passhaven.protocol.order.OrderRecord.Claimed;
-import org.passhaven.protocol.order.OrderRecord.Intended;
+import org.passhaven.protocol.duty.DutyRecord;
+import org.passhaven.protocol.duty.DutyRecord.Claimed;
+import org.passhaven.protocol.duty.DutyRecord.Intended;
 
-class OrderLeaseTest {
+class DutyLeaseTest {
   private static final long VALID = 1_000;
   private static final long HAND_OVER = 3_000;
   private static final long RENEW = 5_000;
-  private static final OrderLease.Settings SETTINGS =
-      new OrderLease.Settings(VALID, HAND_OVER, HAND_OVER, 2_000, 400, RENEW);
+  private static final DutyLease.Settings SETTINGS =
+      new DutyLease.Settings(VALID, HAND_OVER, HAND_OVER, 2_000, 400, RENEW);
 
-  private static OrderLease lease(String node) {
-    return new OrderLease(node, 7, SETTINGS);
+  private static DutyLease lease(String node) {
+    return new DutyLease(node, 7, SETTINGS);
   }
 
-  private static Optional<OrderRecord> next(OrderLease lease, long now) {
+  private static Optional<DutyRecord> next(DutyLease lease, long now) {
     return lease.next(true, true, 0, now);
   }
 
   @Test
   void theFirstHolderOrdersOnceItsIntentWasReadBack() {
-    OrderLease a = lease("a");
-    OrderRecord claim = a.next(true, false, 0, 0).orElseThrow();
+    DutyLease a = lease("a");
+    DutyRecord claim = a.next(true, false, 0, 0).orElseThrow();
     assertThat(claim, instanceOf(Claimed.class));
     a.onRecord(claim, 10);
-    OrderRecord intent = next(a, 20).orElseThrow();
-    assertThat(a.mayOrder(25), is(false));
+    DutyRecord intent = next(a, 20).orElseThrow();
+    assertThat(a.mayAct(25), is(false));
     a.onRecord(intent, 30);
-    assertThat(a.mayOrder(30), is(true));
+    assertThat(a.mayAct(30), is(true));
     // Counted from when it was sent, not from when it was read.
-    assertThat(a.mayOrder(20 + VALID - 1), is(true));
-    assertThat(a.mayOrder(20 + VALID), is(false));
+    assertThat(a.mayAct(20 + VALID - 1), is(true));
+    assertThat(a.mayAct(20 + VALID), is(false));
   }
 
   @Test
   void aGapOfTheClocksEndsWhatAnIntentAllowsUntilANewOneIsReadBack() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 10);
     a.onRecord(next(a, 20).orElseThrow(), 30);
-    OrderRecord underWay = next(a, 20 + VALID / 2 + 1).orElseThrow();
-    assertThat(a.mayOrder(600), is(true));
+    DutyRecord underWay = next(a, 20 + VALID / 2 + 1).orElseThrow();
+    assertThat(a.mayAct(600), is(true));
     a.onClockGap();
-    assertThat(a.mayOrder(600), is(false));
+    assertThat(a.mayAct(600), is(false));
     a.onRecord(underWay, 610);
-    assertThat("sent before the gap", a.mayOrder(610), is(false));
+    assertThat("sent before the gap", a.mayAct(610), is(false));
     a.onRecord(next(a, 620).orElseThrow(), 630);
-    assertThat("sent since the gap", a.mayOrder(630), is(true));
+    assertThat("sent since the gap", a.mayAct(630), is(true));
   }
 
   @Test
   void aSuccessorWaitsUntilItsPredecessorCanHaveOrderedLastAndTheHandOverTimeLonger() {
-    OrderLease b = lease("b");
+    DutyLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1, 0), 100);
     b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
-    OrderRecord claim = b.next(true, false, 0, 300).orElseThrow();
+    DutyRecord claim = b.next(true, false, 0, 300).orElseThrow();
     b.onRecord(claim, 310);
     long from = 200 + VALID + HAND_OVER;
-    OrderRecord intent = next(b, from - 50).orElseThrow();
+    DutyRecord intent = next(b, from - 50).orElseThrow();
     b.onRecord(intent, from - 40);
-    assertThat(b.mayOrder(from - 1), is(false));
-    assertThat(b.mayOrder(from), is(true));
+    assertThat(b.mayAct(from - 1), is(false));
+    assertThat(b.mayAct(from), is(true));
     // It had read two records when it claimed.
     assertThat(b.epoch(), equalTo(3L));
   }
 
   @Test
   void anIntentThatWasOvertakenByAClaimAllowsNothing() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
-    OrderRecord intent = next(a, 2).orElseThrow();
+    DutyRecord intent = next(a, 2).orElseThrow();
     a.onRecord(new Claimed(2, "b", 3, 1), 3);
     a.onRecord(intent, 4);
     assertThat(a.isHolder(), is(false));
-    assertThat(a.mayOrder(5), is(false));
+    assertThat(a.mayAct(5), is(false));
   }
 
   @Test
   void ofTwoClaimsOfOneEpochTheFirstWins() {
-    OrderLease a = lease("a");
-    OrderRecord own = a.next(true, false, 0, 0).orElseThrow();
+    DutyLease a = lease("a");
+    DutyRecord own = a.next(true, false, 0, 0).orElseThrow();
     a.onRecord(new Claimed(1, "b", 3, 0), 1);
     a.onRecord(own, 2);
     assertThat(a.holder(), equalTo("b"));
@@ -99,14 +99,14 @@
 
   @Test
   void aClaimOfAnEarlierStartOfThisNodeIsNotItsOwn() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(new Claimed(1, "a", 6, 0), 1);
     assertThat(a.isHolder(), is(false));
   }
 
   @Test
   void aBusyHolderIsNotChallenged() {
-    OrderLease b = lease("b");
+    DutyLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1, 0), 0);
     for (long now = 0; now < 10_000; now += 500) {
       b.onRecord(new Intended(1, "a", 1, now, 0), now);
@@ -117,69 +117,69 @@
 
   @Test
   void aReleaseLetsTheSuccessorOrderSooner() {
-    OrderLease b = lease("b");
+    DutyLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1, 0), 100);
     b.onRecord(new Intended(1, "a", 1, 1, 0), 200);
-    b.onRecord(new OrderRecord.Released(1, "a", 1), 300);
+    b.onRecord(new DutyRecord.Released(1, "a", 1), 300);
     b.onRecord(b.next(true, false, 0, 310).orElseThrow(), 320);
     long from = 300 + HAND_OVER;
     b.onRecord(next(b, from - 50).orElseThrow(), from - 40);
-    assertThat(b.mayOrder(from - 1), is(false));
-    assertThat(b.mayOrder(from), is(true));
+    assertThat(b.mayAct(from - 1), is(false));
+    assertThat(b.mayAct(from), is(true));
   }
 
   @Test
   void aReleaseByAHolderThatWaitedItselfDoesNotShortenTheWaitForTheOneBefore() {
-    OrderLease c = lease("c");
+    DutyLease c = lease("c");
     c.onRecord(new Claimed(1, "a", 1, 0), 0);
     c.onRecord(new Intended(1, "a", 1, 1, 0), 1_000);
     c.onRecord(new Claimed(2, "b", 1, 2), 1_100);
-    c.onRecord(new OrderRecord.Released(2, "b", 1), 1_200);
+    c.onRecord(new DutyRecord.Released(2, "b", 1), 1_200);
     c.onRecord(c.next(true, false, 0, 1_210).orElseThrow(), 1_220);
     long from = 1_000 + VALID + HAND_OVER;
     c.onRecord(next(c, from - 50).orElseThrow(), from - 40);
-    assertThat(c.mayOrder(from - 1), is(false));
-    assertThat(c.mayOrder(from), is(true));
+    assertThat(c.mayAct(from - 1), is(false));
+    assertThat(c.mayAct(from), is(true));
   }
 
   @Test
   void aHolderThatStartsAnewNeedNotWaitForWhatWasLongBeforeIt() {
-    OrderLease again = new OrderLease("a", 8, SETTINGS);
+    DutyLease again = new DutyLease("a", 8, SETTINGS);
     again.onRecord(new Claimed(1, "b", 1, 0), 50_000);
     again.onRecord(new Intended(1, "b", 1, 1, 0), 50_000);
     again.onRecord(new Claimed(2, "a", 7, 2), 50_000);
     again.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
     again.onRecord(again.next(true, false, 0, 50_010).orElseThrow(), 50_020);
     again.onRecord(next(again, 50_030).orElseThrow(), 50_040);
-    assertThat(again.mayOrder(50_040), is(true));
-    OrderLease other = new OrderLease("c", 8, SETTINGS);
+    assertThat(again.mayAct(50_040), is(true));
+    DutyLease other = new DutyLease("c", 8, SETTINGS);
     other.onRecord(new Claimed(2, "a", 7, 0), 50_000);
     other.onRecord(new Intended(2, "a", 7, 1, VALID + HAND_OVER + 10), 50_000);
-    assertThat(other.mayOrder(50_040), is(false));
+    assertThat(other.mayAct(50_040), is(false));
   }
 
   @Test
   void aHolderThatGaveTheLeaseUpOrdersNoMore() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
     a.onRecord(next(a, 2).orElseThrow(), 3);
-    assertThat(a.mayOrder(4), is(true));
+    assertThat(a.mayAct(4), is(true));
     a.onRecord(a.release().orElseThrow(), 5);
-    assertThat(a.mayOrder(6), is(false));
+    assertThat(a.mayAct(6), is(false));
   }
 
   @Test
   void nothingIsWrittenWhileNoOrderIsDue() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     assertThat(a.next(false, false, 0, 0).isPresent(), is(false));
   }
 
   @Test
   void aHolderWritesAgainBeforeTheLogForgetsIt() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
     assertThat(a.next(false, true, 0, RENEW).isPresent(), is(false));
-    OrderRecord again = a.next(false, true, 0, RENEW + 1).orElseThrow();
+    DutyRecord again = a.next(false, true, 0, RENEW + 1).orElseThrow();
     assertThat(again.epoch(), equalTo(1L));
     a.onRecord(again, RENEW + 10);
     assertThat(a.next(false, true, 0, RENEW + 20).isPresent(), is(false));
@@ -187,7 +187,7 @@
 
   @Test
   void whoFindsNoHolderInWhatIsKeptClaimsAboveAllThatCanHaveBeenUsed() {
-    OrderLease c = lease("c");
+    DutyLease c = lease("c");
     c.onGap(500);
     Claimed claim = (Claimed) c.next(true, false, 0, 0).orElseThrow();
     assertThat(claim.epoch(), equalTo(501L));
@@ -197,7 +197,7 @@
 
   @Test
   void whoMissedTheClaimTakesTheHolderFromItsRecords() {
-    OrderLease c = lease("c");
+    DutyLease c = lease("c");
     c.onGap(500);
     c.onRecord(new Intended(5, "a", 1, 9, 0), 0);
     assertThat(c.holder(), equalTo("a"));
@@ -207,7 +207,7 @@
 
   @Test
   void aClaimByWhoMissedALiveHoldersRecordComesToNothing() {
-    OrderLease b = lease("b");
+    DutyLease b = lease("b");
     b.onRecord(new Claimed(1, "a", 1, 0), 0);
     b.onRecord(new Intended(1, "a", 1, 1, 0), 0);
     // Its writer had read the stream up to the intent, but not the intent.
@@ -220,7 +220,7 @@
 
   @Test
   void anIntentOfAHolderThatWasLongSucceededLeadsToNoEpochTwice() {
-    OrderLease c = lease("c");
+    DutyLease c = lease("c");
     c.onGap(500);
     // Sent by a node that had paused for the age of the log, and not read what came meanwhile.
     c.onRecord(new Intended(1, "a", 1, 9, 0), 0);
@@ -231,16 +231,16 @@
 
   @Test
   void aHolderThatMissedRecordsOrdersNoMoreUnderItsEpoch() {
-    OrderLease a = lease("a");
+    DutyLease a = lease("a");
     a.onRecord(a.next(true, false, 0, 0).orElseThrow(), 1);
-    OrderRecord intent = next(a, 2).orElseThrow();
+    DutyRecord intent = next(a, 2).orElseThrow();
     a.onRecord(intent, 3);
-    assertThat(a.mayOrder(4), is(true));
+    assertThat(a.mayAct(4), is(true));
     a.onGap(300);
-    assertThat(a.mayOrder(5), is(false));
+    assertThat(a.mayAct(5), is(false));
     a.onRecord(new Intended(1, "a", 7, 2, 0), 6);
     assertThat(a.isHolder(), is(false));
-    assertThat(a.mayOrder(7), is(false));
+    assertThat(a.mayAct(7), is(false));
     Claimed claim = (Claimed) a.next(true, false, 0, 5_000).orElseThrow();
     assertThat(claim.epoch(), equalTo(302L));
   }
@@ -269,16 +269,16 @@
   private static final class Race {
     private final Random random;
     private final List<String> names = List.of("a", "b", "c");
-    private final List<OrderLease> leases =
+    private final List<DutyLease> leases =
         new ArrayList<>(List.of(lease("a"), lease("b"), lease("c")));
     private long nextIncarnation = 100;
     private final int[] read = new int[3];
     private final long[] pausedUntil = new long[3];
     private final long ageMillis;
     private final List<Long> landedAt = new ArrayList<>();
-    private final List<OrderRecord> log = new ArrayList<>();
+    private final List<DutyRecord> log = new ArrayList<>();
     private int firstKept;
-    private final List<OrderRecord> late = new ArrayList<>();
+    private final List<DutyRecord> late = new ArrayList<>();
     private int lastNode = -1;
     private long lastAt;
     private long lastFence;
@@ -288,7 +288,7 @@
       this.ageMillis = ageMillis;
     }
 
-    private void land(OrderRecord record, long now) {
+    private void land(DutyRecord record, long now) {
       log.add(record);
       landedAt.add(now);
     }
@@ -300,7 +300,7 @@
     }
 
     private void startAnew(int node) {
-      leases.set(node, new OrderLease(names.get(node), nextIncarnation++, SETTINGS));
+      leases.set(node, new DutyLease(names.get(node), nextIncarnation++, SETTINGS));
       read[node] = 0;
     }
 
@@ -321,7 +321,7 @@
     }
 
     private int step(int node, long now) {
-      OrderLease lease = leases.get(node);
+      DutyLease lease = leases.get(node);
       if (random.nextInt(200) == 0) {
         boolean isLong = ageMillis != Long.MAX_VALUE && random.nextInt(5) == 0;
         pausedUntil[node] = now + random.nextInt(isLong ? 30_000 : 8_000);
@@ -347,7 +347,7 @@
       }
       boolean holderAlive = random.nextInt(4) > 0;
       lease.next(isNeeded(now), holderAlive, node, now).ifPresent(record -> send(record, now));
-      return lease.mayOrder(now) ? order(node, lease.epoch(), now) : 0;
+      return lease.mayAct(now) ? order(node, lease.epoch(), now) : 0;
     }
 
     /** In calm nobody writes but a holder that renews. */
@@ -355,7 +355,7 @@
       return ageMillis == Long.MAX_VALUE || now / 15_000 % 2 == 0;
     }
 
-    private void send(OrderRecord record, long now) {
+    private void send(DutyRecord record, long now) {
       if (random.nextInt(8) == 0) {
         late.add(record);
       } else {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.passhaven.core.route.RouteTable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,7 +43,8 @@
   private final JobLog log;
   private final JobService jobs;
   private final JobRunner runner;
-  private final OrderAgent orders;
+  private final DutyAgent duties;
+  private final Optional<UsageMeter> meter;
   private long askedAtMillis = Long.MIN_VALUE / 2;
   private boolean stopping;
 
@@ -52,13 +54,21 @@
     this.log = new JobLog(context);
     this.directory = new Directory(context, () -> log.isRunner() ? 0 : IDLE_SERVERS_PAUSE_MILLIS);
     this.crashes = new CrashLog(context, directory);
-    this.forwarder = new RequestForwarder(context, directory, crashes);
+    this.meter = context.settings().usage().map(usage -> new UsageMeter(context, usage));
+    this.forwarder =
+        new RequestForwarder(
+            context,
+            directory,
+            crashes,
+            (tenant, sentAt) -> meter.ifPresent(counting -> counting.onBegan(tenant, sentAt)));
     this.members =
         new MemberAgent(
             context, forwarder::requestsPerSecond, this::isDependedOn, this::beatsPauseMillis);
     this.jobs = new JobService(context, log);
     this.runner = new JobRunner(context, directory, members, log, forwarder, crashes);
-    this.orders = new OrderAgent(context, directory, members, log);
+    this.duties = new DutyAgent(context, members, log);
+    new OrderAgent(context, directory, log, duties);
+    meter.ifPresent(counting -> new UsageReporter(context, duties, counting));
   }
 
   /** Begins to work. */
@@ -77,20 +87,21 @@
     log.addOwnerListener(directory::hurry);
     context.metrics().showPartitionsBehind(log);
     runner.start();
-    orders.start();
+    duties.start();
+    meter.ifPresent(UsageMeter::start);
   }
 
   /** After a suspension news comes as soon as the store is reached, not when old reads end. */
   private void renewReads() {
     directory.renew();
     crashes.renew();
-    orders.renew();
+    duties.renew();
   }
 
   /** Whether runs, orders or callers would wait for this node if it were lost unseen. */
   private boolean isDependedOn() {
     return log.isRunner()
-        || orders.isHolder()
+        || duties.isHolder()
         || log.isCalled()
         || forwarder.requestsPerSecond() > 0
         || namedFor(context.settings().zone()).contains(context.settings().address());
@@ -167,7 +178,7 @@
         .addKeyValue("jobs", runner.running())
         .log("node: leaves");
     stopping = true;
-    orders.stop();
+    duties.stop();
     // The texts go first: the beat makes other nodes take over.
     return runner.leave().invoke(members::announceLeaving);
   }
@@ -179,6 +190,7 @@
 
   /** End of a planned stop: runs nothing more; gives a result when the process may end. */
   public Uni<Void> end() {
-    return runner.stop();
+    Uni<Void> counted = meter.map(UsageMeter::tell).orElse(Uni.createFrom().voidItem());
+    return Uni.join().all(runner.stop(), counted).andCollectFailures().replaceWithVoid();
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import java.util.function.IntUnaryOperator;
 import org.passhaven.node.WatchedTimers;
 import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.DutyService;
 import org.passhaven.spi.LogService;
 import org.passhaven.spi.TableService;
 import org.passhaven.spi.Timers;
@@ -22,6 +23,7 @@
     LogService log,
     TableService tables,
     BackEndService backEnds,
+    DutyService duties,
     PlatformDocuments documents,
     GatewayMetrics metrics) {
   public GatewayContext {
@@ -31,6 +33,7 @@
     Objects.requireNonNull(log, "log");
     Objects.requireNonNull(tables, "tables");
     Objects.requireNonNull(backEnds, "backEnds");
+    Objects.requireNonNull(duties, "duties");
     Objects.requireNonNull(documents, "documents");
     Objects.requireNonNull(metrics, "metrics");
   }
@@ -45,6 +48,7 @@
         log,
         tables,
         backEnds,
+        duties,
         documents,
         metrics);
   }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -57,6 +57,15 @@
   /** Requests that were not run because servers had ended under them. */
   public final Counter requestsHeldBack;
 
+  /** Times that this node came to hold the lease of the duties, or lost it. */
+  public final Counter leaseChanges;
+
+  /** Windows of usage that this node reported. */
+  public final Counter windowsReported;
+
+  /** Reports of usage that failed or were not answered. */
+  public final Counter windowReportsFailed;
+
   /** Documents of the platform's store that can't be read: entries of servers and others. */
   public final Counter documentsUnreadable;
 
@@ -90,6 +99,9 @@
     requestsWithoutKey = registry.counter(REJECTED, "reason", "no-key");
     requestsWithUnknownKey = registry.counter(REJECTED, "reason", "unknown-key");
     requestsWithUnsureKey = registry.counter(REJECTED, "reason", "unsure");
+    leaseChanges = registry.counter("passhaven.gateway.lease.changes");
+    windowsReported = registry.counter("passhaven.gateway.usage.reports", "outcome", "done");
+    windowReportsFailed = registry.counter("passhaven.gateway.usage.reports", "outcome", "failed");
     ordersSent = registry.counter("passhaven.gateway.orders.sent");
     requestLatency =
         Timer.builder("passhaven.gateway.request.latency")
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
+import org.passhaven.core.usage.UsageSettings;
 
 /**
  * Settings of one gateway node, checked and immutable.
@@ -20,6 +22,7 @@
  * @param keepJobs time for which ended jobs stay readable
  * @param mostRecordBytes largest record of the log
  * @param mostAppendBytes largest append to the log
+ * @param usage when usage is reported; empty where it is not
  */
 public record GatewaySettings(
     String node,
@@ -29,17 +32,19 @@
     Duration beat,
     Duration silence,
     Duration tick,
-    OrderLease.Settings lease,
+    DutyLease.Settings lease,
     LoadLimit loads,
     Duration keepJobs,
     int mostRecordBytes,
-    int mostAppendBytes) {
+    int mostAppendBytes,
+    Optional<UsageSettings> usage) {
   public GatewaySettings {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(zone, "zone");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(lease, "lease");
     Objects.requireNonNull(loads, "loads");
+    Objects.requireNonNull(usage, "usage");
     if (jobPartitions < 1) {
       throw new IllegalArgumentException("jobPartitions must be at least 1");
     }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -42,10 +42,19 @@
   private final ServerHealth health = new ServerHealth();
   private final ServerPicker picker;
   private final RateMeter rate;
+  private final RunListener runs;
   private int inProgress;
 
+  /** Hears of requests that servers began to run. */
+  interface RunListener {
+    /** A request of a tenant, sent at a moment of the steady clock, has begun to run. */
+    void onBegan(String tenant, long sentAtMillis);
+  }
+
   /** Creates a forwarder to the servers of the directory. */
-  RequestForwarder(GatewayContext context, Directory directory, CrashLog crashes) {
+  RequestForwarder(
+      GatewayContext context, Directory directory, CrashLog crashes, RunListener runs) {
+    this.runs = Objects.requireNonNull(runs, "runs");
     this.context = Objects.requireNonNull(context, "context");
     this.directory = Objects.requireNonNull(directory, "directory");
     this.crashes = Objects.requireNonNull(crashes, "crashes");
@@ -97,6 +106,7 @@
     private Timers.Timer deadline;
     private int nextAttempt;
     private String lastReason = "";
+    private boolean hasBegun;
 
     private boolean done;
 
@@ -171,7 +181,7 @@
               .subscribe()
               .with(
                   answer -> onAnswer(attempt, server, answer, sentAt),
-                  failure -> onFailure(attempt, server, PlatformException.from(failure)));
+                  failure -> onFailure(attempt, server, PlatformException.from(failure), sentAt));
       if (!done) {
         attempts.put(attempt, sending);
       }
@@ -193,6 +203,9 @@
       attempts.remove(attempt);
       long now = context.now();
       Outcome outcome = classify(answer);
+      if (outcome != Outcome.NOT_RUN) {
+        noteBegun(sentAt);
+      }
       if (outcome == Outcome.SUCCESS) {
         health.onSuccess(server.start(), now - sentAt, now);
       } else if (outcome == Outcome.NOT_RUN) {
@@ -207,7 +220,8 @@
       decide(outcome, answer);
     }
 
-    private void onFailure(int attempt, ServerEntry server, PlatformException failure) {
+    private void onFailure(
+        int attempt, ServerEntry server, PlatformException failure, long sentAt) {
       attempts.remove(attempt);
       health.onFailure(server.start(), context.now());
       boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
@@ -217,9 +231,18 @@
         decide(outcome, null);
         return;
       }
+      noteBegun(sentAt);
       gate.onBroken(server).subscribe().with(ignored -> decide(outcome, null));
     }
 
+    /** A request counts once, however many servers ran it. */
+    private void noteBegun(long sentAtMillis) {
+      if (!hasBegun) {
+        hasBegun = true;
+        runs.onBegan(call.tenant(), sentAtMillis);
+      }
+    }
+
     private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
       context.metrics().attemptsFailed.increment();
       lastReason = reason;
--- a/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
@@ -19,6 +19,7 @@
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
 import org.passhaven.protocol.Codec;
+import org.passhaven.spi.DutyService;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService;
 
@@ -67,6 +68,7 @@
             new MemoryLog(timers),
             store.asSeen(),
             new Servers(),
+            DutyService.NONE,
             new Documents(),
             new GatewayMetrics(new SimpleMeterRegistry()));
     Directory directory = new Directory(context, () -> 0);
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -5,9 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.TableService;
@@ -32,11 +33,12 @@
         Duration.ofMillis(500),
         Duration.ofMillis(1_500),
         Duration.ofMillis(100),
-        new OrderLease.Settings(1_000, 3_000, 3_000, 2_000, 400, 75_000),
+        new DutyLease.Settings(1_000, 3_000, 3_000, 2_000, 400, 75_000),
         new LoadLimit(2, 0.3),
         Duration.ofSeconds(150),
         maxRecordBytes,
-        maxAppendBytes);
+        maxAppendBytes,
+        Optional.empty());
   }
 
   /** Tables that give no answer. */
--- a/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
@@ -12,6 +12,7 @@
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.spi.DutyService;
 
 class JobLogTest {
   private static final int PARTITIONS = 16;
@@ -28,6 +29,7 @@
               records,
               new GatewayFixture.NoTables(),
               new GatewayFixture.NoServers(),
+              DutyService.NONE,
               new GatewayFixture.NoDocuments(),
               new GatewayMetrics(new SimpleMeterRegistry())));
 
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -31,6 +31,7 @@
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.protocol.job.TextRecord;
 import org.passhaven.spi.BackEndService;
+import org.passhaven.spi.DutyService;
 
 class JobRunnerTest {
   private static final String MODEL = "m";
@@ -46,6 +47,7 @@
           log,
           new Tables(),
           servers,
+          DutyService.NONE,
           new Documents(),
           new GatewayMetrics(new SimpleMeterRegistry()));
   private final Gateway gateway = new Gateway(context);
@@ -102,6 +104,7 @@
                 log,
                 new Tables(),
                 servers,
+                DutyService.NONE,
                 new Documents(),
                 new GatewayMetrics(new SimpleMeterRegistry())));
     successor.start();
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -23,6 +23,7 @@
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.protocol.job.ResultText;
 import org.passhaven.protocol.job.TextPlace;
+import org.passhaven.spi.DutyService;
 
 class JobServiceTest {
   private final ManualTimers timers = new ManualTimers();
@@ -40,6 +41,7 @@
         log,
         new GatewayFixture.NoTables(),
         new GatewayFixture.NoServers(),
+        DutyService.NONE,
         new GatewayFixture.NoDocuments(),
         new GatewayMetrics(new SimpleMeterRegistry()));
   }
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -14,6 +14,7 @@
 import org.passhaven.node.WatchedTimers;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.spi.DutyService;
 
 class MemberAgentTest {
   private static final String STREAM = "members.0";
@@ -31,6 +32,7 @@
               log,
               new GatewayFixture.NoTables(),
               new GatewayFixture.NoServers(),
+              DutyService.NONE,
               new GatewayFixture.NoDocuments(),
               new GatewayMetrics(new SimpleMeterRegistry())),
           () -> 0,
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -26,6 +26,7 @@
 import org.passhaven.protocol.Codec;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.DutyService;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService.Entry;
 
@@ -39,6 +40,7 @@
   private final List<ForwardOutcome> outcomes = new ArrayList<>();
   private int checks;
   private CrashLog crashes;
+  private final List<String> began = new ArrayList<>();
   private RequestForwarder forwarder;
 
   private record Sent(String server, Call call, UniEmitter<? super Answer> answer) {
@@ -87,6 +89,7 @@
             new MemoryLog(timers),
             tables.asSeen(),
             new Servers(),
+            DutyService.NONE,
             new Documents(),
             new GatewayMetrics(new SimpleMeterRegistry()));
     List.of("a", "b", "c").forEach(this::list);
@@ -94,7 +97,8 @@
     directory.start();
     crashes = new CrashLog(context, directory);
     crashes.start();
-    forwarder = new RequestForwarder(context, directory, crashes);
+    forwarder =
+        new RequestForwarder(context, directory, crashes, (tenant, sentAt) -> began.add(tenant));
   }
 
   private void ask(String path) {
--- a/node/src/test/java/org/passhaven/node/gateway/ResultTextsTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultTextsTest.java
@@ -19,6 +19,7 @@
 import org.passhaven.protocol.job.JobRecord.ItemFinished;
 import org.passhaven.protocol.job.ResultText;
 import org.passhaven.protocol.job.TextPlace;
+import org.passhaven.spi.DutyService;
 import org.passhaven.spi.LogService;
 
 class ResultTextsTest {
@@ -36,6 +37,7 @@
               counting,
               new GatewayFixture.NoTables(),
               new GatewayFixture.NoServers(),
+              DutyService.NONE,
               new GatewayFixture.NoDocuments(),
               new GatewayMetrics(new SimpleMeterRegistry())));
   private final List<String> failures = new ArrayList<>();
--- a/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
@@ -22,6 +22,7 @@
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
+import org.passhaven.spi.DutyService;
 
 class ResultWriterTest {
   private static final int ITEMS = 40;
@@ -36,6 +37,7 @@
           log,
           new GatewayFixture.NoTables(),
           new GatewayFixture.NoServers(),
+          DutyService.NONE,
           new GatewayFixture.NoDocuments(),
           new GatewayMetrics(new SimpleMeterRegistry()));
   private final JobLog jobLog = new JobLog(context);
--- a/protocol/src/main/java/org/passhaven/protocol/order/OrderRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/duty/DutyRecord.java
@@ -1,17 +1,22 @@
-package org.passhaven.protocol.order;
+package org.passhaven.protocol.duty;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Map;
 
-/** Records that decide which node may give orders to servers; see {@code OrderLease}. */
+/**
+ * Records of the duties that one node at a time has, and of who has them; see {@code DutyLease}.
+ */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
 @JsonSubTypes({
-  @JsonSubTypes.Type(value = OrderRecord.Claimed.class, name = "oc"),
-  @JsonSubTypes.Type(value = OrderRecord.Intended.class, name = "oi"),
-  @JsonSubTypes.Type(value = OrderRecord.Released.class, name = "ol"),
-  @JsonSubTypes.Type(value = OrderRecord.Reached.class, name = "or")
+  @JsonSubTypes.Type(value = DutyRecord.Claimed.class, name = "oc"),
+  @JsonSubTypes.Type(value = DutyRecord.Intended.class, name = "oi"),
+  @JsonSubTypes.Type(value = DutyRecord.Released.class, name = "ol"),
+  @JsonSubTypes.Type(value = DutyRecord.Reached.class, name = "or"),
+  @JsonSubTypes.Type(value = DutyRecord.UsageFixed.class, name = "uf"),
+  @JsonSubTypes.Type(value = DutyRecord.UsageReported.class, name = "ur")
 })
-public sealed interface OrderRecord {
+public sealed interface DutyRecord {
   /** Epoch under which the record was written. */
   long epoch();
 
@@ -27,7 +32,7 @@
    *
    * @param readTo offset up to which the writer had read the stream
    */
-  record Claimed(long epoch, String node, long incarnation, long readTo) implements OrderRecord {}
+  record Claimed(long epoch, String node, long incarnation, long readTo) implements DutyRecord {}
 
   /**
    * The holder may order for a short while from the moment at which it sent this record.
@@ -37,10 +42,10 @@
    *     another node may order
    */
   record Intended(long epoch, String node, long incarnation, long number, long othersQuietMillis)
-      implements OrderRecord {}
+      implements DutyRecord {}
 
   /** The holder orders no more, and each of its orders was answered before it sent this record. */
-  record Released(long epoch, String node, long incarnation) implements OrderRecord {}
+  record Released(long epoch, String node, long incarnation) implements DutyRecord {}
 
   /**
    * A server told the holder that it holds a version; its own entry says so only later.
@@ -55,5 +60,24 @@
       long serverBornMillis,
       String model,
       long version)
-      implements OrderRecord {}
+      implements DutyRecord {}
+
+  /**
+   * What is reported of a window, by whichever holder and however often; the first record of a
+   * window counts.
+   *
+   * @param counts requests by tenant
+   * @param readTo offset of the stream of counts up to which they were added up
+   */
+  record UsageFixed(
+      long epoch, String node, long incarnation, long window, Map<String, Long> counts, long readTo)
+      implements DutyRecord {
+    public UsageFixed {
+      counts = Map.copyOf(counts);
+    }
+  }
+
+  /** A window was reported. */
+  record UsageReported(long epoch, String node, long incarnation, long window)
+      implements DutyRecord {}
 }
--- a/protocol/src/main/java/org/passhaven/protocol/order/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Records of the stream that decides which node may order weight versions. */
-package org.passhaven.protocol.order;
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
@@ -18,24 +18,27 @@
   private final SimulatedProcess process;
   private final SimulatedStore store;
   private final SimulatedServers servers;
+  private final SimulatedDuties duties;
   private final UniformRandomProvider random;
   private Gateway gateway;
   private boolean cut;
   private long troubledUntilMillis;
 
   /** Creates a host that is not started. */
-  public GatewayHost(
+  GatewayHost(
       VirtualTime time,
       GatewaySettings settings,
       SimulatedProcess process,
       SimulatedStore store,
       SimulatedServers servers,
+      SimulatedDuties duties,
       UniformRandomProvider random) {
     this.time = time;
     this.settings = settings;
     this.process = process;
     this.store = store;
     this.servers = servers;
+    this.duties = duties;
     this.random = random;
   }
 
@@ -52,6 +55,7 @@
                 store.clientOf(process, () -> cut),
                 store.clientOf(process, () -> cut),
                 servers.clientOf(process),
+                duties.clientOf(process),
                 new SimulatedDocuments(),
                 new GatewayMetrics(new SimpleMeterRegistry())));
     process.execute(generation, gateway::start);
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -6,11 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
+import org.passhaven.core.usage.UsageSettings;
 import org.passhaven.node.gateway.GatewaySettings;
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.simulator.gateway.SimulatedServers.Server;
@@ -42,6 +44,8 @@
   private static final long CRASHED_MILLIS = 2_500;
 
   private static final long CLOCK_MILLIS = 5_000;
+  private static final double USAGE_OFF = 0.05;
+  private static final UsageSettings USAGE = new UsageSettings(5_000, 3_000);
   private static final long REPEATED_MILLIS = 700;
   private static final long REPEATED_FOR_MILLIS = 30_000;
 
@@ -52,6 +56,8 @@
    * @param lookupsSent lookups of {@link #addLookups}
    * @param lookupsServed those of them that were served
    * @param serversCrashed servers that requests have crashed
+   * @param windowsInTime windows of usage that were reported in time
+   * @param windowsOff windows of usage whose report is off by more than a twentieth and one request
    * @param storeCalls calls of all nodes to the store by stream, those of the reading back at the
    *     end excepted
    */
@@ -64,13 +70,17 @@
       int lookupsSent,
       int lookupsServed,
       int serversCrashed,
+      int windowsInTime,
+      int windowsOff,
       Map<String, Long> storeCalls) {}
 
+  private final boolean isUsageReported;
   private final VirtualTime time = new VirtualTime();
   private final UniformRandomProvider random;
   private final GatewayChecker checker = new GatewayChecker(LEASE_MILLIS);
   private final SimulatedStore store;
   private final SimulatedServers servers;
+  private final SimulatedDuties duties;
   private final List<GatewayHost> hosts = new ArrayList<>();
   private final ServerEntries entries;
   private final SimulatedTrainer trainer;
@@ -88,6 +98,12 @@
 
   /** Creates a world of so many nodes. */
   public GatewayWorld(long seed, int nodes) {
+    this(seed, nodes, false);
+  }
+
+  /** Creates a world in which usage is to be reported, or is not. */
+  public GatewayWorld(long seed, int nodes, boolean isUsageReported) {
+    this.isUsageReported = isUsageReported;
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     store = new SimulatedStore(time, random);
     entries = new ServerEntries(time, store);
@@ -97,7 +113,9 @@
             checker,
             server -> entries.crashByRequest(server, CRASHED_MILLIS),
             this::isInTouch);
+    duties = new SimulatedDuties(time, checker, USAGE);
     servers = new SimulatedServers(time, random, checker, ZONES, crashing);
+    servers.setRunListener(duties::onBegun);
     trainer = new SimulatedTrainer(this, time, random);
     callers =
         new SimulatedCallers(this, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 17 + 3));
@@ -116,13 +134,14 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400, 75_000),
+            new DutyLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
-            2_097_152);
+            2_097_152,
+            isUsageReported ? Optional.of(USAGE) : Optional.empty());
     SimulatedProcess process = new SimulatedProcess(time, name, zone);
-    return new GatewayHost(time, settings, process, store, servers, random);
+    return new GatewayHost(time, settings, process, store, servers, duties, random);
   }
 
   /** Bounds what all reads of the store's streams together give. */
@@ -140,6 +159,14 @@
     entries.setRestartsInPlace();
   }
 
+  /** The platform takes no calls of duties for a while. */
+  public void loseDuties(long atMillis, long forMillis) {
+    after(atMillis, () -> duties.setManner(SimulatedDuties.Manner.SILENT));
+    after(atMillis + forMillis / 3, () -> duties.setManner(SimulatedDuties.Manner.LOSES_ANSWERS));
+    after(atMillis + 2 * forMillis / 3, () -> duties.setManner(SimulatedDuties.Manner.REFUSES));
+    after(atMillis + forMillis, () -> duties.setManner(SimulatedDuties.Manner.SOUND));
+  }
+
   /** Callers ask for one of so many things each time. */
   public void addLookups(int paths, long everyMillis) {
     lookupPaths = paths;
@@ -207,6 +234,8 @@
         callers.sent(),
         callers.served(),
         crashing.crashes(),
+        duties.reportedInTime(),
+        duties.reportedFalsely(USAGE_OFF),
         storeCalls);
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/ReadBack.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/ReadBack.java
@@ -36,7 +36,7 @@
             () ->
                 host.gateway()
                     .jobs()
-                    .read(job, from, 0)
+                    .read(SimulatedDocuments.TRAINER, job, from, 0)
                     .subscribe()
                     .with(outcome -> onRead(from, outcome)));
   }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedCallers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedCallers.java
@@ -12,6 +12,7 @@
  * Callers of lookups: each asks any node that runs, and once more elsewhere if it was not served.
  */
 final class SimulatedCallers {
+  private static final int TENANTS = 5;
   private static final long DEADLINE_MILLIS = 1_500;
   private static final long AGAIN_MILLIS = 50;
   private static final int MOST_TRIES = 2;
@@ -81,7 +82,7 @@
               Call call =
                   new Call(
                       id,
-                      "",
+                      "tenant" + Math.floorMod(path.hashCode(), TENANTS),
                       "GET",
                       path,
                       SimulatedDocuments.HOST,
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedDocuments.java
@@ -21,6 +21,7 @@
   static final String HOST = "host";
   static final String JOB_PATH = "/jobs/";
   static final String SCORE_PATH = "/scores/";
+  static final String TRAINER = "trainer";
   static final String LOOKUP_PATH = "/lookups/";
   private static final String VERSION_PREFIX = "version/";
   private static final long GIVE_UP_MILLIS = 200_000;
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.passhaven.core.backend.ServerStart;
 import org.passhaven.simulator.time.SimulatedProcess;
@@ -105,6 +106,7 @@
   private final GatewayChecker checker;
   private final Map<String, Server> servers = new TreeMap<>();
   private final CrashingRequests crashing;
+  private BiConsumer<String, String> runs = (tenant, request) -> {};
   private double lateOrders;
   private double lostScores;
   private final List<Long> begunAtMillis = new ArrayList<>();
@@ -130,6 +132,11 @@
     }
   }
 
+  /** Tells of each run of an ordinary request: its tenant, and its name. */
+  void setRunListener(BiConsumer<String, String> listener) {
+    runs = listener;
+  }
+
   /** All servers. */
   public List<Server> all() {
     return List.copyOf(servers.values());
@@ -249,6 +256,7 @@
         return;
       }
       crashing.onBegun(server, call.uri(), process.name());
+      runs.accept(call.tenant(), call.id());
       boolean lost = random.nextDouble() < lostScores;
       String name = call.uri().substring(call.uri().lastIndexOf('/') + 1);
       Answer answer = new Answer(200, false, "score-of-" + name, List.of(), new byte[0]);
@@ -295,6 +303,10 @@
       } else if (server.loading || server.runs.size() >= MOST_RUNS) {
         run.fail(BackEndException.Kind.REFUSED, "busy");
       } else {
+        if (!asked.call().tenant().equals(SimulatedDocuments.TRAINER)) {
+          checker.broken(
+              "item " + asked.call().id() + " ran for \"" + asked.call().tenant() + "\"");
+        }
         server.runs.add(run);
         begunAtMillis.add(time.nowMillis());
         crashing.onBegun(server, asked.call().uri(), process.name());
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -89,7 +89,7 @@
             "job" + step,
             SimulatedDocuments.HOST,
             SimulatedDocuments.JOB_PATH,
-            "",
+            SimulatedDocuments.TRAINER,
             SimulatedServers.MODEL,
             SimulatedServers.MODEL,
             step,
@@ -163,7 +163,7 @@
             () ->
                 host.gateway()
                     .jobs()
-                    .read(polled.id(), from, 0)
+                    .read(SimulatedDocuments.TRAINER, polled.id(), from, 0)
                     .subscribe()
                     .with(
                         outcome -> {
@@ -203,7 +203,7 @@
                         () ->
                             host.gateway()
                                 .jobs()
-                                .end(ended.id(), CALL_LIMIT_MILLIS)
+                                .end(SimulatedDocuments.TRAINER, ended.id(), CALL_LIMIT_MILLIS)
                                 .subscribe()
                                 .with(outcome -> {})));
     if (tries < 2) {
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
@@ -9,12 +9,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.core.order.LoadLimit;
-import org.passhaven.core.order.OrderLease;
 import org.passhaven.node.gateway.GatewayContext;
 import org.passhaven.node.gateway.GatewayMetrics;
 import org.passhaven.node.gateway.GatewaySettings;
@@ -24,6 +25,7 @@
 import org.passhaven.protocol.member.MemberBeat;
 import org.passhaven.simulator.time.SimulatedProcess;
 import org.passhaven.simulator.time.VirtualTime;
+import org.passhaven.spi.DutyService;
 
 /**
  * All nodes of a large fleet start at the same moment and read the whole history of jobs, over
@@ -102,11 +104,12 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_600),
             Duration.ofMillis(100),
-            new OrderLease.Settings(1_000, 4_200, 3_100, 2_000, 400, 75_000),
+            new DutyLease.Settings(1_000, 4_200, 3_100, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
             Duration.ofSeconds(150),
             262_144,
-            2_097_152);
+            2_097_152,
+            Optional.empty());
     logs.add(
         new JobLog(
             new GatewayContext(
@@ -117,6 +120,7 @@
                 client,
                 client,
                 servers.clientOf(process),
+                DutyService.NONE,
                 new SimulatedDocuments(),
                 new GatewayMetrics(new SimpleMeterRegistry()))));
   }
--- a/spec/src/main/tla/ForgetfulLog.tla
+++ b/spec/src/main/tla/ForgetfulLog.tla
@@ -1,5 +1,5 @@
 --------------------------- MODULE ForgetfulLog ---------------------------
-(* The order lease where the log drops records by age: OrderLease. Nodes     *)
+(* The order lease where the log drops records by age: DutyLease. Nodes     *)
 (* start when claims are gone, and miss records while they pause. A reader   *)
 (* that may have missed a change of hands is not sure: it counts every       *)
 (* record as the holder's. A claim's epoch is the offset to which its writer *)
--- a/spec/src/main/tla/Orders.tla
+++ b/spec/src/main/tla/Orders.tla
@@ -1,5 +1,5 @@
 ------------------------------ MODULE Orders ------------------------------
-(* Who may order servers: OrderLease. The first claim to follow an epoch in  *)
+(* Who may order servers: DutyLease. The first claim to follow an epoch in  *)
 (* the log wins; how epochs are counted is in ForgetfulLog, here each is one *)
 (* more than the one before. A holder orders only for                        *)
 (* Valid from the moment at which it sent an intent that it read back under  *)
