--- a/core/src/main/java/org/passhaven/core/usage/TrueTime.java
+++ b/core/src/main/java/org/passhaven/core/usage/TrueTime.java
@@ -7,7 +7,8 @@
  * True time from a clock of the time of day that may jump by seconds, and back: the steady clock
  * and the middle one of the differences between the two lately seen. A jump counts once it has
  * lasted for half of the samples. A suspension, which the steady clock does not count, looks the
- * same as a jump: until it is believed, true time is behind by its length. Times in milliseconds. Not thread-safe.
+ * same as a jump: until it is believed, true time is behind by its length. Times in milliseconds.
+ * Not thread-safe.
  */
 public final class TrueTime {
   /** At two samples a second a jump of less than 15 s is never believed. */
