--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -34,6 +34,8 @@
   QUIET_AFTER_DRAIN,
   /** A request that has crashed three back ends is kept from them but for a few trials. */
   CRASHES_BOUNDED,
+  /** A request runs for the tenant of its caller's key, and no server is shown a key. */
+  TENANT_TRUE,
   /** No process ends by itself. */
   PROCESS_STAYS
 }
