Orders go to servers of services that some route names

Cause: an entry by another writer may name a service that the configuration does not have; the planner of weights ordered any server that lists models. Change: RouteTable tells whether a service is named; the order duty leaves all other entries out, as requests did already. Measured: RouteTableTest; FleetHistoryTest holds.

--- a/core/src/main/java/org/passhaven/core/route/RouteTable.java
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.passhaven.core.tenant.TenantTable;
 
 /** All routes of one configuration version; immutable. */
@@ -20,6 +22,7 @@
   private final RequestLimits limits;
   private final TenantTable tenants;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Set<String> services = new HashSet<>();
 
   /** Creates the table of configuration {@code version}; zero stands for none. */
   public RouteTable(long version, List<Route> routes, RequestLimits limits, TenantTable tenants) {
@@ -28,6 +31,7 @@
     this.tenants = Objects.requireNonNull(tenants, "tenants");
     for (Route route : routes) {
       routesByHost.computeIfAbsent(hostKey(route.host()), key -> new ArrayList<>()).add(route);
+      route.shares().forEach(share -> services.add(share.service()));
     }
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
@@ -49,6 +53,11 @@
     return tenants;
   }
 
+  /** Whether some route names a service; an entry of any other is no server to use. */
+  public boolean names(String service) {
+    return services.contains(service);
+  }
+
   /** Number of routes. */
   public int size() {
     return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/passhaven/core/route/RouteTableTest.java
@@ -42,6 +42,13 @@
     return table.find(host, uri).map(Route::name);
   }
 
+  @Test
+  void onlyServicesOfRoutesAreNamed() {
+    assertThat(table.names("s"), equalTo(true));
+    assertThat(table.names("t"), equalTo(true));
+    assertThat(table.names("u"), equalTo(false));
+  }
+
   @Test
   void theLongestPrefixWins() {
     assertThat(find("a.example", "/a/b/c"), equalTo(Optional.of("long")));
--- a/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/OrderAgent.java
@@ -1,5 +1,6 @@
 package org.passhaven.node.gateway;
 
+import java.util.List;
 import java.util.Objects;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerStart;
@@ -61,12 +62,19 @@
 
   @Override
   public boolean isNeeded(long nowMillis) {
-    return planner.isNeeded(directory.servers().all(), demand(), nowMillis);
+    return planner.isNeeded(servers(), demand(), nowMillis);
   }
 
   @Override
   public void act(long nowMillis) {
-    planner.begin(directory.servers().all(), demand(), nowMillis).forEach(this::look);
+    planner.begin(servers(), demand(), nowMillis).forEach(this::look);
+  }
+
+  /** An entry of a service that no route names may be by another writer: it gets no orders. */
+  private List<ServerEntry> servers() {
+    return directory.servers().all().stream()
+        .filter(server -> directory.routes().names(server.service()))
+        .toList();
   }
 
   private WeightDemand demand() {
