A node counts as called for 1.2 s after a call for a job

Cause: a node that was asked for a job read its partition each 0.1 s for 5 s more; in a large fleet the caller's next call goes elsewhere. Change: 1.2 s, the time for which a call waits and a margin. Whoever comes later has the log read on demand, as before.

--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -40,8 +40,12 @@
   /** Pause where neither a caller nor a coming owner needs news: reads on demand look for it. */
   private static final long IDLE_PAUSE_MILLIS = 2_000;
 
-  /** A caller that came this lately is likely to come again: trainers read twice a second. */
-  private static final long CALLED_MILLIS = 5_000;
+  /**
+   * A caller that came this lately still waits here, or is likely to come again: a call waits for a
+   * second, and trainers read twice a second, each time at a node by chance. In a large fleet one
+   * that came earlier is at another node by now; whoever comes has the log read on demand.
+   */
+  private static final long CALLED_MILLIS = 1_200;
 
   /**
    * Candidates behind these may claim a run that was taken less than {@link #IDLE_PAUSE_MILLIS}
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
@@ -31,6 +31,9 @@
       perNodeSecond.put(
           calls.getKey(), String.format("%.2f", calls.getValue() / (double) (NODES * SECONDS)));
     }
+    System.out.printf(
+        "fleet: %.2f calls to the store a node and second %s%n",
+        all / (double) (NODES * SECONDS), perNodeSecond);
     assertThat(perNodeSecond.toString(), all / (double) (NODES * SECONDS), lessThan(8.0));
   }
 }
