A server that answers and whose entry then goes has left, not crashed

Cause: where servers tell their start, a run that broke off at a server that answers waited for news of its end, and an entry that went within 5 s (a planned leaving without a word of it) counted as one. Change: after an answer only a later start tells of an end. Measured: CrashLogTest, one more case, which failed before.

--- a/node/src/main/java/org/passhaven/node/gateway/ServerEnds.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerEnds.java
@@ -30,8 +30,14 @@
     void onEnded(String fingerprint, ServerStart server);
   }
 
-  /** A run that broke off at a server of which it is not known yet whether it has ended. */
-  private record Unsure(String fingerprint, ServerEntry server, long brokenMillis) {}
+  /**
+   * A run that broke off at a server of which it is not known yet whether it has ended.
+   *
+   * @param hasAnswered whether a server answered there as the one that ran it: then its entry may
+   *     go as planned, and only a later start tells that it had ended
+   */
+  private record Unsure(
+      String fingerprint, ServerEntry server, long brokenMillis, boolean hasAnswered) {}
 
   ServerEnds(GatewayContext context, Directory directory, Listener listener) {
     this.context = Objects.requireNonNull(context, "context");
@@ -66,11 +72,11 @@
                 listener.onEnded(fingerprint, server.start());
               } else if (server.start().isBornTold()) {
                 // What answered may be the next start under the same id.
-                addUnsure(new Unsure(fingerprint, server, brokenAt));
+                addUnsure(new Unsure(fingerprint, server, brokenAt, true));
               }
             })
         .onFailure()
-        .invoke(failure -> addUnsure(new Unsure(fingerprint, server, brokenAt)))
+        .invoke(failure -> addUnsure(new Unsure(fingerprint, server, brokenAt, false)))
         .onFailure()
         .recoverWithItem(false)
         .replaceWithVoid();
@@ -104,7 +110,8 @@
       ServerEntry entry = directory.servers().get(broken.server().start());
       boolean isOver = now - broken.brokenMillis() >= ENTRY_GOES_MILLIS;
       boolean leaves = entry != null && !entry.ready();
-      boolean hasEnded = entry == null || isSucceeded(broken.server());
+      boolean isGone = entry == null && !broken.hasAnswered();
+      boolean hasEnded = isGone || isSucceeded(broken.server());
       if (hasEnded && !isOver) {
         listener.onEnded(broken.fingerprint(), broken.server().start());
       }
--- a/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/CrashLogTest.java
@@ -161,6 +161,18 @@
     assertThat(node.verdict(FINGERPRINT), instanceOf(Verdict.Held.class));
   }
 
+  @Test
+  void aServerThatAnswersAndWhoseEntryThenGoesLeavesAsPlanned() {
+    list(startOf("a", 100));
+    CrashLog node = node("n");
+    hasEnded.put("a", false);
+    broken(node, startOf("a", 100));
+    timers.advance(10);
+    unlist("a");
+    timers.advance(10);
+    assertThat(node.isQuiet(), is(true));
+  }
+
   @Test
   void twoStartsOfOneServerAreTwoServersThatEnded() {
     list(startOf("a", 300));
