--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -24,7 +24,7 @@
 public final class Directory {
   private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
-  /** Two reads of 2.2 s each would be the longest time without news; some is left for answers. */
+  /** A read that waits for news is answered within 2.2 s; the rest is for a slow answer. */
   private static final long CURRENT_MILLIS = 3_000;
 
   /** Keys of entries that can't be read that are remembered, so that each is logged once. */
