Soak: connections that are open go silent for good while new ones work

Cause: the report tells of connections that go silent for good, and none of our worlds made that: LinkHarm.SILENCE holds new connections too and ends, RESET tells both sides at once.

Drawn apart, so that plans of earlier seeds stay the same. No logic of the product is touched.

--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -48,9 +48,12 @@
             .addOption(Flags.withValue("judge", "DIR", "only judges the run of this folder again"))
             .addOption(Flags.simple("final-fault", "ends every run with the loss of all nodes"))
             .addOption(Flags.simple("calm", "does nothing to the system before the end"))
+            .addOption(
+                Flags.simple("crashes", "adds requests that crash servers, and suspended machines"))
             .addOption(
                 Flags.simple(
-                    "crashes", "adds requests that crash servers, and suspended machines"));
+                    "silent-connections",
+                    "adds open connections that go silent for good, also to a calm run"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -126,6 +129,7 @@
                         line.hasOption("final-fault"),
                         line.hasOption("calm"),
                         line.hasOption("crashes"),
+                        line.hasOption("silent-connections"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -47,7 +47,7 @@
 
   /** A fault ends. */
   void end(Fault fault) {
-    if (fault instanceof Fault.OnLink onLink && onLink.harm() != LinkHarm.RESET) {
+    if (fault instanceof Fault.OnLink onLink && !onLink.harm().isAtOnce()) {
       onLink.targets().forEach(target -> endLink(onLink.link(), target, onLink.harm()));
     } else if (fault instanceof Fault.OnProcess onProcess) {
       onProcess.nodes().forEach(node -> endProcess(onProcess.harm(), node));
@@ -59,10 +59,10 @@
   }
 
   private void beginLink(Fault.OnLink fault, int target) {
-    if (fault.harm() == LinkHarm.RESET) {
-      hands.reset(fault.link(), target);
-    } else {
-      beginLink(fault.link(), target, fault.harm());
+    switch (fault.harm()) {
+      case RESET -> hands.reset(fault.link(), target);
+      case MUTE -> hands.mute(fault.link(), target);
+      case DELAY, CUT_OUT, CUT_BACK, SILENCE -> beginLink(fault.link(), target, fault.harm());
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -34,6 +34,9 @@
   /** Resets the open connections of a link. */
   void reset(LinkKind link, int target);
 
+  /** Makes the open connections of a link silent for good; new ones work. */
+  void mute(LinkKind link, int target);
+
   /** Sets how the store behaves to a node; empty for as it should. */
   void store(int node, Optional<StoreHarm> harm);
 
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -40,6 +40,14 @@
   private static final Set<ProcessHarm> USUAL_HARMS =
       Collections.unmodifiableSet(EnumSet.complementOf(EnumSet.of(ProcessHarm.SUSPEND)));
 
+  /** A silence of connections that are open is drawn only where that is asked for. */
+  private static final LinkHarm[] USUAL_LINK_HARMS =
+      EnumSet.complementOf(EnumSet.of(LinkHarm.MUTE)).toArray(LinkHarm[]::new);
+
+  // Apart enough that what a strike has done is over before the next one, and pools fill again.
+  private static final long SILENT_EVERY_MILLIS = 9_000;
+  private static final long SILENT_AGAIN_MILLIS = 1_500;
+
   private enum Episode {
     LINK,
     PROCESS,
@@ -80,6 +88,9 @@
     if (settings.hasCrashesAndSuspensions()) {
       addCrashesAndSuspensions(seed, lastMillis);
     }
+    if (settings.hasSilentConnections()) {
+      addSilentConnections(seed, lastMillis);
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
@@ -103,6 +114,30 @@
     }
   }
 
+  /** Strikes at all links to the store, to back ends, or both, some of them twice. */
+  private void addSilentConnections(long seed, long lastMillis) {
+    UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 37 + 11);
+    List<Integer> backEnds = IntStream.range(0, settings.backEndCount()).boxed().toList();
+    for (long atMillis = CALM_START_MILLIS;
+        atMillis < lastMillis;
+        atMillis += SILENT_EVERY_MILLIS) {
+      int which = drawing.nextInt(4);
+      boolean isTwice = drawing.nextBoolean();
+      for (long strikeMillis : isTwice ? List.of(0L, SILENT_AGAIN_MILLIS) : List.of(0L)) {
+        if (which != 0) {
+          mute(atMillis + strikeMillis, LinkKind.STORE, allNodes());
+        }
+        if (which != 1) {
+          mute(atMillis + strikeMillis, LinkKind.BACK_END, backEnds);
+        }
+      }
+    }
+  }
+
+  private void mute(long atMillis, LinkKind link, List<Integer> targets) {
+    faults.add(new Fault.OnLink(atMillis, 0, link, LinkHarm.MUTE, targets));
+  }
+
   /** Adds one episode and tells when it ends. */
   private long episode(long atMillis) {
     long forMillis = between(LEAST_HARM_MILLIS, MOST_HARM_MILLIS);
@@ -133,9 +168,8 @@
     LinkKind kind = one(LinkKind.values());
     List<Integer> targets =
         kind == LinkKind.BACK_END ? List.of(random.nextInt(settings.backEndCount())) : someNodes();
-    LinkHarm harm = one(LinkHarm.values());
-    return add(
-        new Fault.OnLink(atMillis, harm == LinkHarm.RESET ? 0 : forMillis, kind, harm, targets));
+    LinkHarm harm = one(USUAL_LINK_HARMS);
+    return add(new Fault.OnLink(atMillis, harm.isAtOnce() ? 0 : forMillis, kind, harm, targets));
   }
 
   private long store(long atMillis, long forMillis) {
--- a/soak/src/main/java/org/passhaven/soak/plan/LinkHarm.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/LinkHarm.java
@@ -11,5 +11,12 @@
   /** What comes back does not arrive; requests do. */
   CUT_BACK,
   /** Nothing arrives in either direction, and no connection ends. */
-  SILENCE
+  SILENCE,
+  /** Connections that are open carry nothing more, for good, and none ends; new ones work. */
+  MUTE;
+
+  /** Whether it happens at once; the others last for a time. */
+  public boolean isAtOnce() {
+    return this == RESET || this == MUTE;
+  }
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -9,13 +9,16 @@
  * @param isFinalFaultCertain whether the run must end with the loss of all nodes at once
  * @param hasCrashesAndSuspensions whether requests that crash servers and suspended machines are
  *     added to what the seed gives without them
+ * @param hasSilentConnections whether open connections to the store and to back ends go silent for
+ *     good, added to what the seed gives without
  */
 public record PlanSettings(
     int nodeCount,
     int backEndCount,
     long trafficMillis,
     boolean isFinalFaultCertain,
-    boolean hasCrashesAndSuspensions) {
+    boolean hasCrashesAndSuspensions,
+    boolean hasSilentConnections) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
+++ b/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
@@ -64,6 +64,11 @@
     context.runOnContext(ignored -> List.copyOf(pairs).forEach(Pair::reset));
   }
 
+  /** Open connections carry nothing more, for good, not even their end; new ones work. */
+  public void mute() {
+    context.runOnContext(ignored -> List.copyOf(pairs).forEach(Pair::mute));
+  }
+
   /** Resets what is open and ends the link. */
   public Future<Void> close() {
     return onContext(
@@ -139,6 +144,10 @@
       pumps.forEach(Pump::carry);
     }
 
+    private void mute() {
+      pumps.forEach(Pump::mute);
+    }
+
     private void reset() {
       ends.forEach(LinkProxy::reset);
       pairs.remove(this);
--- a/soak/src/main/java/org/passhaven/soak/proxy/Pump.java
+++ b/soak/src/main/java/org/passhaven/soak/proxy/Pump.java
@@ -30,6 +30,7 @@
   private final Deque<Piece> queue = new ArrayDeque<>();
   private int queuedBytes;
   private boolean isEnded;
+  private boolean isMute;
   private boolean isWaiting;
   private boolean isPaused;
   private boolean isReserved;
@@ -57,9 +58,20 @@
     carry();
   }
 
+  /** From now on nothing arrives, and the other side is not told of the end. */
+  void mute() {
+    isMute = true;
+    queue.clear();
+    queuedBytes = 0;
+    if (isPaused) {
+      isPaused = false;
+      from.resume();
+    }
+  }
+
   /** Goes on after the link's state has changed. */
   void carry() {
-    while (!isWaiting && !state.get().isHeld(direction)) {
+    while (!isMute && !isWaiting && !state.get().isHeld(direction)) {
       Piece head = queue.peek();
       if (head == null) {
         if (isEnded) {
@@ -108,6 +120,9 @@
   }
 
   private void take(Buffer buffer) {
+    if (isMute) {
+      return;
+    }
     queue.add(new Piece(buffer, System.nanoTime()));
     queuedBytes += buffer.length();
     if (queuedBytes > MOST_QUEUED_BYTES && !isPaused) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -98,7 +98,7 @@
       case CUT_OUT -> new LinkState(0, true, false);
       case CUT_BACK -> new LinkState(0, false, true);
       case SILENCE -> new LinkState(0, true, true);
-      case RESET -> LinkState.SOUND;
+      case RESET, MUTE -> LinkState.SOUND;
     };
   }
 
@@ -109,6 +109,13 @@
     tell(link, target, "");
   }
 
+  @Override
+  public void mute(LinkKind link, int target) {
+    tell(link, target, LinkHarm.MUTE.name());
+    links.each(link, target, LinkProxy::mute);
+    tell(link, target, "");
+  }
+
   /** A link to a back end is one of all nodes. */
   private void tell(LinkKind link, int target, String fault) {
     boolean isShared = link == LinkKind.BACK_END;
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -20,6 +20,7 @@
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.FaultPlan;
 import org.passhaven.soak.plan.FaultPlanner;
+import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.PlanSettings;
 import org.passhaven.soak.plan.ProcessHarm;
 
@@ -82,11 +83,19 @@
                 backEndCount,
                 settings.trafficMillis(),
                 settings.isFinalFaultCertain(),
-                settings.hasCrashesAndSuspensions()));
-    return settings.isCalm()
-        ? new FaultPlan(
-            plan.seed(), plan.trafficMillis(), List.of(), settings.isFinalFaultCertain())
-        : plan;
+                settings.hasCrashesAndSuspensions(),
+                settings.hasSilentConnections()));
+    return settings.isCalm() ? calm(settings, plan) : plan;
+  }
+
+  /** The same plan with nothing but connections that go silent, where they are asked for. */
+  private static FaultPlan calm(SoakSettings settings, FaultPlan plan) {
+    List<Fault> silences =
+        plan.faults().stream()
+            .filter(fault -> fault instanceof Fault.OnLink on && on.harm() == LinkHarm.MUTE)
+            .toList();
+    return new FaultPlan(
+        plan.seed(), plan.trafficMillis(), silences, settings.isFinalFaultCertain());
   }
 
   /** Does a run; lines of progress and the verdict's lines go to the consumer. */
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -11,6 +11,7 @@
  * @param isFinalFaultCertain whether the run must end with the loss of all nodes at once
  * @param isCalm whether nothing at all is done to the system but a final fault
  * @param hasCrashesAndSuspensions whether some requests crash servers and machines are suspended
+ * @param hasSilentConnections whether open connections go silent for good, also in a calm run
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -22,6 +23,7 @@
     boolean isFinalFaultCertain,
     boolean isCalm,
     boolean hasCrashesAndSuspensions,
+    boolean hasSilentConnections,
     SoakLoad load,
     Path repository,
     Path folder) {
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -82,6 +82,16 @@
             "start 3"));
   }
 
+  @Test
+  void whatHappensToALinkAtOnceHasNoEnd() {
+    for (LinkHarm harm : List.of(LinkHarm.RESET, LinkHarm.MUTE)) {
+      Fault fault = new Fault.OnLink(0, 0, LinkKind.BACK_END, harm, List.of(1));
+      active.begin(fault);
+      active.end(fault);
+    }
+    assertThat(done, contains("reset BACK_END 1", "mute BACK_END 1"));
+  }
+
   @Test
   void aBackEndIsHarmedAndHealed() {
     Fault hang = new Fault.OnBackEnd(0, 10, BackEndHarm.HANG, 1);
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -47,6 +47,11 @@
     done.add("reset " + link + " " + target);
   }
 
+  @Override
+  public void mute(LinkKind link, int target) {
+    done.add("mute " + link + " " + target);
+  }
+
   @Override
   public void store(int node, Optional<StoreHarm> harm) {
     done.add("store " + node + " " + harm.map(Enum::name).orElse(""));
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -16,9 +16,10 @@
 
 class FaultPlannerTest {
   private static final long TRAFFIC_MILLIS = 180_000;
-  private static final PlanSettings SETTINGS = new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false);
+  private static final PlanSettings SETTINGS =
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, false);
   private static final PlanSettings WITH_CRASHES =
-      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true);
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true, false);
   private static final int SEEDS = 60;
 
   private static List<FaultPlan> plans() {
@@ -61,7 +62,7 @@
       assertThat(kinds, hasItem("store-" + harm));
     }
     for (LinkHarm harm : LinkHarm.values()) {
-      assertThat(kinds, hasItem("link-STORE-" + harm));
+      assertThat(kinds.contains("link-STORE-" + harm), equalTo(harm != LinkHarm.MUTE));
     }
     assertThat(plans().stream().anyMatch(FaultPlannerTest::overlaps), equalTo(true));
   }
@@ -71,7 +72,7 @@
     long some = plans().stream().filter(FaultPlan::isFinalFault).count();
     assertThat(some, greaterThan(10L));
     assertThat(some, lessThan(50L));
-    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true, false);
+    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true, false, false);
     assertThat(
         LongStream.range(0, SEEDS)
             .allMatch(seed -> FaultPlanner.plan(seed, certain).isFinalFault()),
@@ -106,4 +107,19 @@
       }
     }
   }
+
+  @Test
+  void silentConnectionsAreAddedToWhatTheSeedGives() {
+    PlanSettings silent = new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, true);
+    for (long seed = 0; seed < SEEDS; seed++) {
+      List<Fault> faults = FaultPlanner.plan(seed, silent).faults();
+      List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
+      assertThat(faults.containsAll(usual), equalTo(true));
+      List<Fault> added = faults.stream().filter(fault -> !usual.contains(fault)).toList();
+      assertThat(added.size(), greaterThan(5));
+      for (Fault fault : added) {
+        assertThat(((Fault.OnLink) fault).harm(), equalTo(LinkHarm.MUTE));
+      }
+    }
+  }
 }
--- a/soak/src/test/java/org/passhaven/soak/proxy/LinkProxyTest.java
+++ b/soak/src/test/java/org/passhaven/soak/proxy/LinkProxyTest.java
@@ -120,6 +120,25 @@
     assertThat(isReset(answerer), equalTo(true));
   }
 
+  @Test
+  void openConnectionsGoSilentForGoodAndNewOnesWork() throws Exception {
+    opener.getOutputStream().write(1);
+    assertThat(answerer.getInputStream().read(), equalTo(1));
+    proxy.mute();
+    Thread.sleep(SHORT_MILLIS);
+    opener.getOutputStream().write(2);
+    answerer.getOutputStream().write(3);
+    assertNothing(answerer);
+    assertNothing(opener);
+    answerer.close();
+    assertNothing(opener);
+    try (Socket newOpener = new Socket(InetAddress.getLoopbackAddress(), opener.getPort());
+        Socket newAnswerer = listener.accept()) {
+      newOpener.getOutputStream().write(4);
+      assertThat(newAnswerer.getInputStream().read(), equalTo(4));
+    }
+  }
+
   @Test
   void keepsTheBandwidthAndEveryByte() throws Exception {
     byte[] bytes = new byte[500_000];
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -48,6 +48,7 @@
             true,
             false,
             hasCrashesAndSuspensions,
+            false,
             SoakLoad.small(),
             module.getParent(),
             folder);
