--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -85,13 +85,18 @@
     return deadlineMillis - lostMillis - nowMillis;
   }
 
+  /** Whether so much time is left that a server could still answer. */
+  public boolean hasTimeLeft(long nowMillis) {
+    return leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
+  }
+
   /** The server to send to now; empty if there is none or the attempts are used up. */
   public Optional<ServerEntry> next(
       Collection<ServerEntry> servers, ServerPicker picker, long nowMillis) {
     boolean mayGo =
         mayHaveRun + inProgress < Math.max(1, route.mostAttempts())
             && refusals < MOST_REFUSALS
-            && leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS
+            && hasTimeLeft(nowMillis)
             && (mayRepeat || (mayHaveRun == 0 && inProgress == 0));
     if (!mayGo) {
       return Optional.empty();
@@ -133,8 +138,7 @@
     }
     boolean attemptsLeft = mayHaveRun + inProgress < Math.max(1, route.mostAttempts());
     boolean repeatable = mayRepeat || mayHaveRun == 0;
-    boolean timeLeft = leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
-    if (attemptsLeft && repeatable && timeLeft && refusals < MOST_REFUSALS) {
+    if (attemptsLeft && repeatable && hasTimeLeft(nowMillis) && refusals < MOST_REFUSALS) {
       return Step.TRY_NEXT;
     }
     if (inProgress > 0) {
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -124,7 +124,7 @@
       rate.mark(context.now());
       deadline = context.timers().after(call.deadlineMillis(), this::onDeadline);
       if (!tryNext()) {
-        giveUpUnsent("no server");
+        giveUpUnsent(plan.hasTimeLeft(beganAt) ? "no server" : "too little time is left");
       }
     }
 
