A silence of all servers together is no stall of theirs

Change: a server is left out for a stall unless generations at other servers have been silent as long. With generations at one server only, as before. A failure that says only that the connection was silent leaves no server out.

Ruled out: leaving no server out for a stall at all; the case where one server stalls alone is in StallTest, and JobSchedulerTest's stands unchanged.

Measured: StallTest: four items at two servers begin again 1 ms after the stall is seen, before 600 ms later.

--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -41,7 +41,9 @@
     /** It can never be done. */
     IMPOSSIBLE,
     /** The server was not reached, or the stream broke off. */
-    CUT
+    CUT,
+    /** The connection was silent, as others were; the server may be as good as any. */
+    SILENT
   }
 
   private final RunningJobs jobs = new RunningJobs();
@@ -200,8 +202,9 @@
             .ifPresent(server -> begin(run, server, priority, nowMillis, actions));
       }
     }
+    ServerSilence silence = new ServerSilence(generating.values());
     for (ItemRun run : List.copyOf(generating.values())) {
-      moveIfHeldUp(run, ready, nowMillis, actions);
+      moveIfHeldUp(run, ready, silence, nowMillis, actions);
     }
     return actions;
   }
@@ -250,10 +253,18 @@
 
   /** Moves a generation that has stalled, or whose server is slow or leaves, if there is room. */
   private void moveIfHeldUp(
-      ItemRun run, ReadyServers ready, long nowMillis, List<JobAction> actions) {
+      ItemRun run,
+      ReadyServers ready,
+      ServerSilence silence,
+      long nowMillis,
+      List<JobAction> actions) {
     long patience = run.version == 0 ? FIRST_EVENT_MILLIS : NEXT_EVENT_MILLIS;
     if (nowMillis - run.progressAt >= patience) {
-      health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
+      // Where all servers fall silent together it is not they that have stalled: to avoid all of
+      // them held every item up for 600 ms more.
+      if (!silence.isCommon(run)) {
+        health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
+      }
       stop(run, "stalled", actions);
       run.moves++;
       return;
@@ -376,6 +387,7 @@
       case CUT -> health.onFailure(run.server, nowMillis);
       case SERVER_ERROR -> run.serverErrors++;
       case IMPOSSIBLE -> finish(run, false, "", actions);
+      case SILENT -> run.moves++;
     }
     if (run.serverErrors >= run.job.policy.mostServerErrors()
         && run.phase == ItemRun.Phase.WAITING) {
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/job/StallTest.java
@@ -0,0 +1,95 @@
+package org.passhaven.core.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.job.JobAction.Start;
+import org.passhaven.core.job.JobScheduler.Failure;
+import org.passhaven.protocol.job.JobItem;
+import org.passhaven.protocol.job.JobSubmission;
+
+/** Generations that fall silent at one server, or at all of them together. */
+class StallTest {
+  private static final JobPolicy POLICY = new JobPolicy("llm", 3, false, 1, 40_000);
+  private static final List<ServerEntry> SERVERS = List.of(server("a"), server("b"));
+  private final JobScheduler scheduler = new JobScheduler("z");
+
+  private static ServerEntry server(String name) {
+    return new ServerEntry(ServerStart.of(name), "llm", name + ":1", "z", 2, true, Map.of("m", 1L));
+  }
+
+  private List<Start> decide(long nowMillis) {
+    return scheduler.decide(SERVERS, Map.of(), nowMillis).stream()
+        .filter(Start.class::isInstance)
+        .map(Start.class::cast)
+        .toList();
+  }
+
+  private static Set<String> serversOf(List<Start> starts) {
+    return starts.stream().map(start -> start.server().start().id()).collect(Collectors.toSet());
+  }
+
+  /** Four items that have made their first event at 100 ms, two at each server. */
+  private List<Start> begin() {
+    List<JobItem> items = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      items.add(new JobItem("x" + i, "/p/" + i, List.of(), new byte[0], "g" + i, 20, null));
+    }
+    scheduler.take(
+        new Job(new JobSubmission("j", "h", "/p/", "", "m", "m", 0, 1, 1, items), 0),
+        POLICY,
+        new TextTable("m"));
+    List<Start> starts = decide(0);
+    assertThat(starts.size(), equalTo(4));
+    assertThat(serversOf(starts), equalTo(Set.of("a", "b")));
+    for (Start start : starts) {
+      scheduler.onBegan(start.attempt(), 1, 5);
+      scheduler.onEvent(start.attempt(), 1, 0, "one", 100);
+    }
+    return starts;
+  }
+
+  @Test
+  void whereAllServersFallSilentTogetherTheTextsGoOnAtOnceWhereverThereIsRoom() {
+    begin();
+    assertThat(decide(800).isEmpty(), is(true));
+    List<Start> again = decide(801);
+    assertThat(again.size(), equalTo(4));
+    assertThat(serversOf(again), equalTo(Set.of("a", "b")));
+    assertThat(again.stream().allMatch(start -> start.lastEvent() == 1), is(true));
+  }
+
+  @Test
+  void aServerThatFallsSilentAloneIsLeftOutForAWhile() {
+    List<Long> atOther =
+        begin().stream()
+            .filter(start -> start.server().start().id().equals("b"))
+            .map(Start::attempt)
+            .toList();
+    atOther.forEach(attempt -> scheduler.onEvent(attempt, 2, 0, "two", 700));
+    assertThat(decide(800).isEmpty(), is(true));
+    assertThat(decide(801).isEmpty(), is(true));
+    atOther.forEach(attempt -> scheduler.onWhole(attempt, 810));
+    List<Start> again = decide(820);
+    assertThat(again.size(), equalTo(2));
+    assertThat(serversOf(again), equalTo(Set.of("b")));
+  }
+
+  @Test
+  void theSilenceOfAConnectionLeavesNoServerOut() {
+    List<Start> starts = begin();
+    starts.forEach(start -> scheduler.onFailed(start.attempt(), Failure.SILENT, 500));
+    List<Start> again = decide(540);
+    assertThat(again.size(), equalTo(4));
+    assertThat(serversOf(again), equalTo(Set.of("a", "b")));
+  }
+}
