--- a/node/src/main/java/org/passhaven/node/gateway/ItemCrashes.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ItemCrashes.java
@@ -68,7 +68,7 @@
           crashes.giveTrialBack(fingerprintOf(start.job(), start.item()));
         }
       }
-      case SERVER_ERROR, IMPOSSIBLE -> {}
+      case SERVER_ERROR, IMPOSSIBLE, SILENT -> {}
     }
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -384,6 +384,7 @@
       case SERVER_ERROR -> JobScheduler.Failure.SERVER_ERROR;
       case IMPOSSIBLE -> JobScheduler.Failure.IMPOSSIBLE;
       case UNREACHABLE, CUT -> JobScheduler.Failure.CUT;
+      case SILENT -> JobScheduler.Failure.SILENT;
     };
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -17,8 +17,10 @@
 import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.ShareRotation;
+import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.BackEndService.Target;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.Timers;
 import org.slf4j.Logger;
@@ -142,7 +144,7 @@
       if (server.isEmpty()) {
         return plan.inProgress() > 0;
       }
-      send(server.get());
+      send(server.get(), plan.inProgress() > 1);
       return true;
     }
 
@@ -158,7 +160,11 @@
       }
     }
 
-    private void send(ServerEntry server) {
+    /**
+     * Sends the request. An attempt beside another one that is silent goes over a new connection:
+     * where kept ones have gone silent, both would else share their fate.
+     */
+    private void send(ServerEntry server, boolean isBeside) {
       int attempt = nextAttempt++;
       long sentAt = context.now();
       health.onSent(server.start());
@@ -172,10 +178,10 @@
               call.headers(),
               call.body(),
               Math.max(1, plan.leftMillis(sentAt)));
+      Target target = ServerTargets.of(server);
+      BackEndService backEnds = context.backEnds();
       Cancellable sending =
-          context
-              .backEnds()
-              .call(ServerTargets.of(server), left)
+          (isBeside ? backEnds.callAnew(target, left) : backEnds.call(target, left))
               .onTermination()
               .invoke(() -> health.onEnded(server.start()))
               .subscribe()
--- a/spi/src/main/java/org/passhaven/spi/BackEndException.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndException.java
@@ -19,7 +19,9 @@
     /** No connection came up; not run. */
     UNREACHABLE,
     /** The stream broke off, or what came is no answer to this request. */
-    CUT
+    CUT,
+    /** Its connection is silent, as others are; that says nothing of the server. */
+    SILENT
   }
 
   private final Kind kind;
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -86,6 +86,14 @@
   /** Runs a request; fails with {@link PlatformException}. */
   Uni<Answer> call(Target target, Call call);
 
+  /**
+   * The same over a connection that no earlier call has used: whatever keeps an attempt without an
+   * answer does not keep this one.
+   */
+  default Uni<Answer> callAnew(Target target, Call call) {
+    return call(target, call);
+  }
+
   /**
    * Runs a generation. The stream ends when the text is whole, and fails with {@link
    * BackEndException}.
