--- a/core/src/main/java/org/passhaven/core/connection/ConnectionTrust.java
+++ b/core/src/main/java/org/passhaven/core/connection/ConnectionTrust.java
@@ -98,6 +98,10 @@
     }
     doubtedBefore.merge(connection.address, sinceMillis, Math::max);
     connection.heardAtMillis = Math.min(connection.heardAtMillis, sinceMillis - 1);
+    if (sinceMillis < allDoubtedBefore) {
+      // The same event, of which a call that waits longer hears later.
+      return false;
+    }
     silences.values().removeIf(silence -> nowMillis - silence.seenAtMillis > TOGETHER_MILLIS);
     silences.put(connection.address, new Silence(sinceMillis, nowMillis));
     if (silences.size() < ADDRESSES_ENOUGH || isAnyOldOneHeard()) {
--- a/core/src/test/java/org/passhaven/core/connection/ConnectionTrustTest.java
+++ b/core/src/test/java/org/passhaven/core/connection/ConnectionTrustTest.java
@@ -10,6 +10,7 @@
   private static final String A = "10.0.0.1:1";
   private static final String B = "10.0.0.2:1";
   private static final String C = "10.0.0.3:1";
+  private static final String D = "10.0.0.4:1";
   private final ConnectionTrust trust = new ConnectionTrust();
 
   /** A connection that was opened at 0 and answered at a time. */
@@ -67,6 +68,18 @@
     assertThat(trust.isTrusted(trust.onOpened(C, 1_400)), is(true));
   }
 
+  @Test
+  void callsThatWaitLongerMakeNoSecondEventOfIt() {
+    Connection third = kept(C, 900);
+    Connection fourth = kept(D, 900);
+    trust.onSilent(kept(A, 100), 1_000, 1_200);
+    trust.onSilent(kept(B, 100), 1_100, 1_400);
+    Connection renewed = trust.onOpened(A, 1_450);
+    assertThat(trust.onSilent(third, 1_000, 3_000), is(false));
+    assertThat(trust.onSilent(fourth, 1_050, 3_000), is(false));
+    assertThat(trust.isTrusted(renewed), is(true));
+  }
+
   @Test
   void slowServersPutNothingElseInDoubtWhileAnOlderConnectionIsHeard() {
     Connection sound = kept(C, 900);
