What was heard in the moment of the silent call's sending is in doubt too

Cause: SilentConnectionsTest failed once, beside other work, with two failed appends in place of one. Connections that were heard in the very millisecond in which the silent call was sent counted as heard since. Read on the way: a connection that the pool had opened and nobody had used counted as new when it was first used, however long it had been silent.

Change: doubt reaches to that moment, included; a connection is known from its opening, and one that was open before a call was made is a kept one.

Ruled out: load (the limits of the test's times held); a probe that overtakes (appends took 100 ms, the second cut one 400 ms).

--- a/core/src/main/java/org/passhaven/core/connection/ConnectionTrust.java
+++ b/core/src/main/java/org/passhaven/core/connection/ConnectionTrust.java
@@ -23,9 +23,9 @@
   private static final int ADDRESSES_ENOUGH = 2;
   private static final long NEVER = Long.MIN_VALUE;
   private final Set<Connection> open = new HashSet<>();
-  private final Map<String, Long> doubtedBefore = new HashMap<>();
+  private final Map<String, Long> doubtedUntil = new HashMap<>();
   private final Map<String, Silence> silences = new HashMap<>();
-  private long allDoubtedBefore = NEVER;
+  private long allDoubtedUntil = NEVER;
 
   private record Silence(long sinceMillis, long seenAtMillis) {}
 
@@ -52,9 +52,9 @@
       return heardAtMillis;
     }
 
-    /** Whether anything ever came over it. */
-    public boolean hasAnswered() {
-      return hasAnswered;
+    /** Whether it was open before a call was made, or has answered one. */
+    public boolean isKept(long beganMillis) {
+      return hasAnswered || openedAtMillis < beganMillis;
     }
   }
 
@@ -75,30 +75,31 @@
   public void onClosed(Connection closed) {
     open.remove(closed);
     if (open.stream().noneMatch(other -> other.address.equals(closed.address))) {
-      doubtedBefore.remove(closed.address);
+      doubtedUntil.remove(closed.address);
     }
   }
 
   /** Whether another call may go over a connection. */
   public boolean isTrusted(Connection connection) {
-    long doubted = doubtedBefore.getOrDefault(connection.address, NEVER);
-    return connection.heardAtMillis >= Math.max(doubted, allDoubtedBefore);
+    long doubted = doubtedUntil.getOrDefault(connection.address, NEVER);
+    return connection.heardAtMillis > Math.max(doubted, allDoubtedUntil);
   }
 
   /**
    * A call got no answer over a connection, at least not for a time in which one usually comes.
    *
+   * @param beganMillis when the call was made: a connection that was opened for it and never
+   *     answered tells nothing of others, nobody may be there at all
    * @param sinceMillis when the call was sent, or something last came
    * @return whether all connections of this node are in doubt from now on
    */
-  public boolean onSilent(Connection connection, long sinceMillis, long nowMillis) {
-    if (!connection.hasAnswered) {
-      // Nobody may be there at all: that says nothing of connections that have worked.
+  public boolean onSilent(
+      Connection connection, long beganMillis, long sinceMillis, long nowMillis) {
+    if (!connection.isKept(beganMillis)) {
       return false;
     }
-    doubtedBefore.merge(connection.address, sinceMillis, Math::max);
-    connection.heardAtMillis = Math.min(connection.heardAtMillis, sinceMillis - 1);
-    if (sinceMillis < allDoubtedBefore) {
+    doubtedUntil.merge(connection.address, sinceMillis, Math::max);
+    if (sinceMillis <= allDoubtedUntil) {
       // The same event, of which a call that waits longer hears later.
       return false;
     }
@@ -108,7 +109,7 @@
       return false;
     }
     silences.clear();
-    allDoubtedBefore = nowMillis;
+    allDoubtedUntil = nowMillis - 1;
     return true;
   }
 
