A silence of all servers is told by the connections alone: the scheduler's guess goes

A server that stalls while the runs at other servers have just ended, or only wait for their first event, looked like a silence of all; the server was not left out and got its items back at once.

Streams that stall before the connections are known to be silent leave their servers out for 600 ms again, as before.

--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -202,9 +202,8 @@
             .ifPresent(server -> begin(run, server, priority, nowMillis, actions));
       }
     }
-    ServerSilence silence = new ServerSilence(generating.values());
     for (ItemRun run : List.copyOf(generating.values())) {
-      moveIfHeldUp(run, ready, silence, nowMillis, actions);
+      moveIfHeldUp(run, ready, nowMillis, actions);
     }
     return actions;
   }
@@ -253,18 +252,10 @@
 
   /** Moves a generation that has stalled, or whose server is slow or leaves, if there is room. */
   private void moveIfHeldUp(
-      ItemRun run,
-      ReadyServers ready,
-      ServerSilence silence,
-      long nowMillis,
-      List<JobAction> actions) {
+      ItemRun run, ReadyServers ready, long nowMillis, List<JobAction> actions) {
     long patience = run.version == 0 ? FIRST_EVENT_MILLIS : NEXT_EVENT_MILLIS;
     if (nowMillis - run.progressAt >= patience) {
-      // Where all servers fall silent together it is not they that have stalled: to avoid all of
-      // them held every item up for 600 ms more.
-      if (!silence.isCommon(run)) {
-        health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
-      }
+      health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
       stop(run, "stalled", actions);
       run.moves++;
       return;
