Failures that come together add up again

There a server is tried by several requests at once, and counting them as one failure makes five rounds of tries (0.2, 0.4, 0.8, 1.6, 3 s) of one.

--- a/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
@@ -19,7 +19,6 @@
     int inProgress;
     int failuresInRow;
     long avoidUntil = Long.MIN_VALUE;
-    long failedUntil = Long.MIN_VALUE;
     double latencyMillis;
     long latencyAt = Long.MIN_VALUE;
   }
@@ -49,7 +48,6 @@
     Seen server = of(start);
     server.failuresInRow = 0;
     server.avoidUntil = Long.MIN_VALUE;
-    server.failedUntil = Long.MIN_VALUE;
     boolean stale = nowMillis - server.latencyAt > LATENCY_TRUSTED_MILLIS;
     server.latencyMillis =
         server.latencyAt == Long.MIN_VALUE || stale
@@ -58,21 +56,12 @@
     server.latencyAt = nowMillis;
   }
 
-  /**
-   * A request failed on the way to a server or in it. Those that fail while the server is left out
-   * were sent before: a dozen streams that break together are one failure, for which it is left out
-   * 200 ms, not 3,000.
-   */
+  /** A request failed on the way to a server or in it. */
   public void onFailure(ServerStart start, long nowMillis) {
     Seen server = of(start);
-    if (nowMillis < server.failedUntil) {
-      return;
-    }
     int doublings = Math.min(server.failuresInRow, 4);
     server.failuresInRow++;
-    long forMillis = Math.min(MOST_AVOIDED_MILLIS, FIRST_AVOIDED_MILLIS << doublings);
-    server.failedUntil = nowMillis + forMillis;
-    avoid(start, forMillis, nowMillis);
+    avoid(start, Math.min(MOST_AVOIDED_MILLIS, FIRST_AVOIDED_MILLIS << doublings), nowMillis);
   }
 
   /** Leaves a server out for a time, unless there is no other. */
