Decide whether a request is sent now, waits, or is rejected

Cause: a request that found any server was sent, however many of this node's stood at the servers already; a runner handed over up to 48 scorings at once, and callers of all nodes queued behind them at three servers of 6 places. A refused caller was told 100 ms, all the same.

Now a node has at most all places of a service and one more at each server under way; the latter is given up while answers take over twice the shortest, and refusals by full servers bring it down to half of the places. What is over that waits: first rank first, callers before scorings, each fourth turn for whoever was passed over longest, tenants by start-time fair queueing, earliest deadline within one. What can't be served in its time, or would wait for over a third of it, is rejected at once. Retry-After follows from the queue, or from how long no server has been there; it is spread, later for later ranks.

AdmissionRequest names its route, since a lookup of 25 ms and a scoring of 202 ms at the same servers have no shortest time in common; a rejection's reason is an enum, since metrics count by it.

--- a/core/src/main/java/org/passhaven/core/admission/AdmissionVerdict.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionVerdict.java
@@ -15,9 +15,34 @@
    *
    * @param retryAfterMillis time after which its caller is likely to find a place
    */
-  record Reject(String reason, long retryAfterMillis) implements AdmissionVerdict {
+  record Reject(Reason reason, long retryAfterMillis) implements AdmissionVerdict {
     public Reject {
       Objects.requireNonNull(reason, "reason");
     }
   }
+
+  /** Why a request is rejected. */
+  enum Reason {
+    /** No server of the service takes work. */
+    NO_SERVER("no server"),
+    /** The answer would come after the deadline. */
+    TOO_LATE("too little time is left to wait"),
+    /** The wait would take the time that the caller needs to come back. */
+    TOO_LONG("the queue is too long"),
+    /** Others are entitled to the room that there is for waiting requests. */
+    QUEUE_FULL("the queue is full"),
+    /** This node ends. */
+    STOPPING("the node is stopping");
+
+    private final String text;
+
+    Reason(String text) {
+      this.text = text;
+    }
+
+    /** The reason in words, for callers and logs. */
+    public String text() {
+      return text;
+    }
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -0,0 +1,276 @@
+package org.passhaven.core.admission;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.IntUnaryOperator;
+import org.passhaven.core.admission.AdmissionRequest.Source;
+import org.passhaven.core.admission.AdmissionVerdict.Reason;
+import org.passhaven.core.admission.AdmissionVerdict.Reject;
+
+/**
+ * Whether requests of one service are sent, wait or are rejected at one node. It counts requests
+ * that were sent and haven't ended, and knows servers by how long their answers take. Times in
+ * monotonic milliseconds. Not thread-safe.
+ */
+public final class ServiceAdmission {
+  /** Bounds what a node holds for those that wait; far more than are served within a deadline. */
+  private static final int MAX_WAITING = 256;
+
+  /**
+   * A third of the time to wait, a third until the caller comes back if it was in vain, a third for
+   * the second try.
+   */
+  private static final int WAIT_PART_OF_TIME_LEFT = 3;
+
+  /** A node that stops ends after some seconds; what waits for longer is better off elsewhere. */
+  private static final long MAX_WAIT_STOPPING_MILLIS = 1_000;
+
+  /** The longest outage that is told as it is: servers are restarted within seconds. */
+  private static final long MAX_OUTAGE_TOLD_MILLIS = 2_000;
+
+  /** How often those that wait are looked at: far less than an answer takes. */
+  public static final long SWEEP_MILLIS = 10;
+
+  /** The users' least is a quarter of what all get. */
+  private static final int SCORING_FLOOR_PART = 4;
+
+  private static final double FIRST_GUESS_MILLIS = 30;
+  private static final double WEIGHT = 0.1;
+
+  /** A request that waits was let go, or can't be served in time any more. */
+  public record Change(AdmissionRequest request, AdmissionVerdict verdict) {}
+
+  /**
+   * Figures for logs and metrics.
+   *
+   * @param limit requests that may be at the servers
+   */
+  public record Load(int inProgress, int waiting, int limit) {}
+
+  private final ConcurrencyLimit limit = new ConcurrencyLimit();
+  private final AdmissionQueue queue = new AdmissionQueue();
+  private final RetryAfter retryAfter;
+  private final Map<String, RouteLatency> latencies = new HashMap<>();
+  private final Map<Long, AdmissionRequest> started = new HashMap<>();
+  private final Map<Source, Integer> startedBySource = new EnumMap<>(Source.class);
+  private final Map<Long, Long> waitUntilMillis = new HashMap<>();
+  private double answerMillis = FIRST_GUESS_MILLIS;
+  private long lastServerAtMillis;
+  private long stopWaitUntilMillis = Long.MAX_VALUE;
+  private long sweepAtMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates the admission to a service of which no server is known.
+   *
+   * @param randomBelow random number from zero to below the argument
+   */
+  public ServiceAdmission(IntUnaryOperator randomBelow, long nowMillis) {
+    this.retryAfter = new RetryAfter(randomBelow);
+    this.lastServerAtMillis = nowMillis;
+  }
+
+  /**
+   * Servers that take new work now. Call {@link #next} afterwards.
+   *
+   * @param places requests that all of them work on at once
+   */
+  public void onServers(int servers, int places, long nowMillis) {
+    if (limit.places() > 0) {
+      lastServerAtMillis = nowMillis;
+    }
+    limit.onServers(servers, places);
+    sweepAtMillis = nowMillis;
+  }
+
+  /** A request asks for a place. It holds one once it was told to be sent. */
+  public AdmissionVerdict offer(AdmissionRequest request, long nowMillis) {
+    if (limit.places() == 0) {
+      return reject(request, Reason.NO_SERVER, nowMillis);
+    }
+    if (hasPlace(request.source(), nowMillis) && !isAwaited(request.source())) {
+      start(request);
+      return new AdmissionVerdict.Send();
+    }
+    long waitUntil = waitUntilMillis(request, nowMillis);
+    Optional<Reason> hopeless = hopeless(request, waitUntil, nowMillis);
+    if (hopeless.isPresent()) {
+      return reject(request, hopeless.get(), nowMillis);
+    }
+    queue.add(request);
+    if (queue.size() > MAX_WAITING && queue.leastEntitled().equals(request)) {
+      queue.remove(request);
+      return reject(request, Reason.QUEUE_FULL, nowMillis);
+    }
+    waitUntilMillis.put(request.id(), waitUntil);
+    return new AdmissionVerdict.Wait();
+  }
+
+  private static long waitUntilMillis(AdmissionRequest request, long nowMillis) {
+    // Nobody who waits for a scoring would come back for it sooner than this node itself.
+    return request.source() == Source.SCORING
+        ? request.deadlineMillis()
+        : nowMillis + (request.deadlineMillis() - nowMillis) / WAIT_PART_OF_TIME_LEFT;
+  }
+
+  private boolean isAwaited(Source source) {
+    return queue.size() > 0 && queue.all().stream().anyMatch(each -> each.source() == source);
+  }
+
+  private boolean hasPlace(Source source, long nowMillis) {
+    return started.size() < limit.current(nowMillis)
+        || startedBySource.getOrDefault(source, 0) < floorOf(source);
+  }
+
+  /** Places that the other source can't take away, however long it holds its own. */
+  private int floorOf(Source source) {
+    return source == Source.CALLER
+        ? limit.floor()
+        : Math.min(limit.floor(), (limit.places() + SCORING_FLOOR_PART - 1) / SCORING_FLOOR_PART);
+  }
+
+  private void start(AdmissionRequest request) {
+    started.put(request.id(), request);
+    startedBySource.merge(request.source(), 1, Integer::sum);
+  }
+
+  /** Why a request can't wait any longer; empty if it can. */
+  private Optional<Reason> hopeless(
+      AdmissionRequest request, long waitUntilMillis, long nowMillis) {
+    if (limit.places() == 0) {
+      return Optional.of(Reason.NO_SERVER);
+    }
+    double startAt = nowMillis + expectedWaitMillis(request, nowMillis);
+    if (startAt + expectedWorkMillis(request) > request.deadlineMillis()) {
+      return Optional.of(Reason.TOO_LATE);
+    }
+    return startAt > Math.min(waitUntilMillis, stopWaitUntilMillis)
+        ? Optional.of(Reason.TOO_LONG)
+        : Optional.empty();
+  }
+
+  /** How long a request that waits, or would wait, has to until it is sent. */
+  public double expectedWaitMillis(AdmissionRequest request, long nowMillis) {
+    return (queue.ahead(request) + 1) * turnMillis(nowMillis);
+  }
+
+  /** Time in which one place becomes free while all that the limit allows are in use. */
+  private double turnMillis(long nowMillis) {
+    return answerMillis / Math.max(1, limit.current(nowMillis));
+  }
+
+  private double expectedWorkMillis(AdmissionRequest request) {
+    RouteLatency known = latencies.get(request.route());
+    return known == null ? 0 : known.smoothedMillis();
+  }
+
+  private Reject reject(AdmissionRequest request, Reason reason, long nowMillis) {
+    return new Reject(reason, retryAfterMillis(request, nowMillis));
+  }
+
+  /** When the caller of a request that was not run may come back. */
+  public long retryAfterMillis(AdmissionRequest request, long nowMillis) {
+    long left = request.deadlineMillis() - nowMillis;
+    if (request.source() == Source.SCORING) {
+      // This node itself comes back, and a step waits for its last scoring.
+      return retryAfter.millis(0, 0, left);
+    }
+    // An outage is likely to last about as long again as it has lasted.
+    double drainMillis =
+        limit.places() == 0
+            ? Math.min(MAX_OUTAGE_TOLD_MILLIS, nowMillis - lastServerAtMillis)
+            : queue.size() * turnMillis(nowMillis);
+    return retryAfter.millis(drainMillis, request.priority(), left);
+  }
+
+  /** A server has answered a request with success. */
+  public void onAnswer(AdmissionRequest request, long tookMillis, long nowMillis) {
+    latencies.values().removeIf(each -> each.isIdle(nowMillis));
+    double ratio =
+        latencies
+            .computeIfAbsent(request.route(), route -> new RouteLatency())
+            .onAnswer(tookMillis, nowMillis);
+    answerMillis += WEIGHT * (tookMillis - answerMillis);
+    boolean isInUse = started.size() >= limit.current(nowMillis);
+    limit.onAnswer(ratio, isInUse, nowMillis);
+  }
+
+  /** A server refused a request since it is full. */
+  public void onFull(long nowMillis) {
+    limit.onFull(nowMillis);
+  }
+
+  /** A request has ended, or its caller has left, whether it was sent or waits. */
+  public void onEnded(AdmissionRequest request) {
+    if (started.remove(request.id()) != null) {
+      startedBySource.merge(request.source(), -1, Integer::sum);
+    } else if (waitUntilMillis.remove(request.id()) != null) {
+      queue.remove(request);
+    }
+  }
+
+  /**
+   * Who of those that wait is sent now, and who is rejected. Call it when a request has ended, when
+   * servers have changed, and some times a second while any wait.
+   */
+  public List<Change> next(long nowMillis) {
+    List<Change> changes = new ArrayList<>();
+    sendWhileThereIsRoom(changes, nowMillis);
+    rejectHopeless(changes, nowMillis);
+    return changes;
+  }
+
+  private void sendWhileThereIsRoom(List<Change> changes, long nowMillis) {
+    while (limit.places() > 0 && queue.size() > 0) {
+      Optional<AdmissionRequest> turn = queue.poll(source -> hasPlace(source, nowMillis));
+      if (turn.isEmpty()) {
+        return;
+      }
+      waitUntilMillis.remove(turn.get().id());
+      start(turn.get());
+      changes.add(new Change(turn.get(), new AdmissionVerdict.Send()));
+    }
+  }
+
+  private void rejectHopeless(List<Change> changes, long nowMillis) {
+    while (queue.size() > MAX_WAITING) {
+      takeOut(queue.leastEntitled(), Reason.QUEUE_FULL, changes, nowMillis);
+    }
+    if (nowMillis < sweepAtMillis) {
+      return;
+    }
+    sweepAtMillis = nowMillis + SWEEP_MILLIS;
+    for (AdmissionRequest request : queue.all()) {
+      hopeless(request, waitUntilMillis.get(request.id()), nowMillis)
+          .ifPresent(reason -> takeOut(request, reason, changes, nowMillis));
+    }
+  }
+
+  private void takeOut(
+      AdmissionRequest request, Reason reason, List<Change> changes, long nowMillis) {
+    Reject verdict = reject(request, reason, nowMillis);
+    queue.remove(request);
+    waitUntilMillis.remove(request.id());
+    changes.add(new Change(request, verdict));
+  }
+
+  /** The node stops: nobody waits for long from now on. */
+  public void stop(long nowMillis) {
+    stopWaitUntilMillis = nowMillis + MAX_WAIT_STOPPING_MILLIS;
+  }
+
+  /** The node ends: nobody waits any more. */
+  public List<Change> end(long nowMillis) {
+    List<Change> changes = new ArrayList<>();
+    queue.all().forEach(request -> takeOut(request, Reason.STOPPING, changes, nowMillis));
+    return changes;
+  }
+
+  /** What is under way and waits. */
+  public Load load(long nowMillis) {
+    return new Load(started.size(), queue.size(), limit.current(nowMillis));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
@@ -0,0 +1,351 @@
+package org.passhaven.core.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.admission.AdmissionRequest.Source;
+import org.passhaven.core.admission.AdmissionVerdict.Reason;
+import org.passhaven.core.admission.AdmissionVerdict.Reject;
+import org.passhaven.core.admission.AdmissionVerdict.Send;
+import org.passhaven.core.admission.AdmissionVerdict.Wait;
+import org.passhaven.core.admission.ServiceAdmission.Change;
+
+/** Two servers of 4 places whose answers take 40 ms; 10 may be there, 4 whatever others do. */
+class ServiceAdmissionTest {
+  private static final int SERVERS = 2;
+  private static final int PLACES = 8;
+  private static final int LIMIT = PLACES + SERVERS;
+  private static final int FLOOR = PLACES / 2;
+  private static final long WORK_MILLIS = 40;
+  private static final long DEADLINE_MILLIS = 2_000;
+  private final Random random = new Random(5);
+  private final ServiceAdmission admission = new ServiceAdmission(random::nextInt, 0);
+  private final Deque<AdmissionRequest> running = new ArrayDeque<>();
+  private final Map<String, Integer> served = new HashMap<>();
+  private final Map<String, Integer> rejected = new HashMap<>();
+  private long now;
+  private long ids;
+
+  @BeforeEach
+  void start() {
+    admission.onServers(SERVERS, PLACES, 0);
+  }
+
+  private AdmissionRequest request(String tenant, Source source, int priority, long left) {
+    return new AdmissionRequest(ids++, "s", source.name(), tenant, source, priority, now + left);
+  }
+
+  private AdmissionVerdict offer(AdmissionRequest request) {
+    AdmissionVerdict verdict = admission.offer(request, now);
+    note(request, verdict);
+    return verdict;
+  }
+
+  private AdmissionVerdict offer(String tenant, Source source, int priority) {
+    return offer(request(tenant, source, priority, DEADLINE_MILLIS));
+  }
+
+  private void note(AdmissionRequest request, AdmissionVerdict verdict) {
+    if (verdict instanceof Send) {
+      running.add(request);
+    } else if (verdict instanceof Reject) {
+      rejected.merge(kindOf(request), 1, Integer::sum);
+    }
+  }
+
+  private static String kindOf(AdmissionRequest request) {
+    return request.tenant() + request.source() + request.priority();
+  }
+
+  private List<Change> next() {
+    List<Change> changes = admission.next(now);
+    changes.forEach(change -> note(change.request(), change.verdict()));
+    return changes;
+  }
+
+  /** The request that was sent first ends. */
+  private List<Change> endOne() {
+    AdmissionRequest first = running.poll();
+    admission.onAnswer(first, WORK_MILLIS, now);
+    admission.onEnded(first);
+    served.merge(kindOf(first), 1, Integer::sum);
+    return next();
+  }
+
+  private void fill(Source source) {
+    while (offer("x", source, 2) instanceof Send) {}
+  }
+
+  private int served(String kind) {
+    return served.getOrDefault(kind, 0);
+  }
+
+  /** Places end in turn for so long, while {@code arrive} sends what comes in each millisecond. */
+  private void play(long lengthMillis, Runnable arrive) {
+    double due = 0;
+    for (long end = now + lengthMillis; now < end; now++) {
+      arrive.run();
+      due += PLACES / (double) WORK_MILLIS;
+      for (; due >= 1 && !running.isEmpty(); due--) {
+        endOne();
+      }
+      next();
+    }
+  }
+
+  @Test
+  void whileThereArePlacesNothingWaits() {
+    for (int i = 0; i < LIMIT; i++) {
+      assertThat(offer("a", Source.SCORING, 2), instanceOf(Send.class));
+    }
+    assertThat(offer("a", Source.SCORING, 2), instanceOf(Wait.class));
+  }
+
+  @Test
+  void scoringsThatHaveAllPlacesKeepNoCallerWaiting() {
+    fill(Source.SCORING);
+    for (int i = 0; i < FLOOR; i++) {
+      assertThat(offer("a", Source.CALLER, 2), instanceOf(Send.class));
+    }
+    assertThat(offer("a", Source.CALLER, 2), instanceOf(Wait.class));
+  }
+
+  @Test
+  void callersGoBeforeScoringsAndEveryFourthTurnIsTheirs() {
+    fill(Source.SCORING);
+    for (int i = 0; i < FLOOR; i++) {
+      offer("a", Source.CALLER, 2);
+    }
+    List<Source> order = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      offer("a", Source.CALLER, 2);
+      offer("b", Source.SCORING, 2);
+    }
+    for (int i = 0; i < LIMIT + FLOOR; i++) {
+      endOne().forEach(change -> order.add(change.request().source()));
+    }
+    assertThat(order.subList(0, 3).stream().distinct().toList(), is(List.of(Source.CALLER)));
+    long scorings = order.subList(0, 8).stream().filter(Source.SCORING::equals).count();
+    assertThat(scorings, both(greaterThanOrEqualTo(2L)).and(lessThanOrEqualTo(3L)));
+  }
+
+  /** One tenant sends 400 a second where 200 can be served, another one a second. */
+  @Test
+  void aTenantThatFloodsStarvesNoOther() {
+    play(
+        20_000,
+        () -> {
+          if (now % 5 < 2) {
+            offer("flood", Source.CALLER, 2);
+          }
+          if (now % 1_000 == 0) {
+            offer("quiet", Source.CALLER, 2);
+          }
+        });
+    assertThat(served("quietCALLER2"), greaterThanOrEqualTo(19));
+    assertThat(served("floodCALLER2"), greaterThan(3_700));
+  }
+
+  /**
+   * The more urgent half alone is more than can be served: the rest keeps a fourth of the turns.
+   */
+  @Test
+  void anUrgentFloodIsServedFirstAndLeavesTheOthersAFourth() {
+    play(
+        10_000,
+        () -> {
+          if (now % 4 == 0) {
+            offer("urgent", Source.CALLER, 0);
+          }
+          if (now % 20 == 1) {
+            offer("later", Source.CALLER, 3);
+          }
+        });
+    double urgent = served("urgentCALLER0") / 2_500.0;
+    double later = served("laterCALLER3") / 500.0;
+    assertThat(urgent + " " + later, later, greaterThan(0.25 * urgent));
+    assertThat(urgent, greaterThan(0.55));
+  }
+
+  @Test
+  void aLaterRankFloodTakesNothingFromUrgentOnes() {
+    play(
+        10_000,
+        () -> {
+          offer("later", Source.CALLER, 3);
+          if (now % 20 == 1) {
+            offer("urgent", Source.CALLER, 0);
+          }
+        });
+    assertThat(served("urgentCALLER0"), greaterThan(490));
+    assertThat(rejected.getOrDefault("urgentCALLER0", 0), equalTo(0));
+  }
+
+  /** Callers fill all places and the queue; a runner scores 20 texts a second. */
+  @Test
+  void scoringsKeepTheirFloorUnderAFloodOfCallers() {
+    play(
+        10_000,
+        () -> {
+          offer("a", Source.CALLER, 0);
+          if (now % 50 == 1) {
+            offer("", Source.SCORING, 2);
+          }
+        });
+    assertThat(served("SCORING2"), greaterThan(190));
+  }
+
+  @Test
+  void whatCantBeServedInTimeIsRejectedAtOnce() {
+    fill(Source.CALLER);
+    play(200, () -> fill(Source.CALLER));
+    AdmissionVerdict verdict = offer(request("a", Source.CALLER, 2, 30));
+    assertThat(((Reject) verdict).reason(), is(Reason.TOO_LATE));
+  }
+
+  @Test
+  void aQueueOfMoreThanAThirdOfTheTimeIsNotJoined() {
+    AdmissionVerdict verdict = new Wait();
+    for (int i = 0; !(verdict instanceof Reject) && i < 1_000; i++) {
+      verdict = offer(request("a", Source.CALLER, 2, 500));
+    }
+    Reject reject = (Reject) verdict;
+    assertThat(reject.reason(), is(Reason.TOO_LONG));
+    assertThat(
+        reject.retryAfterMillis(),
+        both(greaterThanOrEqualTo(80L)).and(lessThanOrEqualTo(500L / 3)));
+  }
+
+  @Test
+  void noOneWaitsUntilTheDeadlineIfPlacesStopComingFree() {
+    fill(Source.CALLER);
+    int waiting = admission.load(now).waiting();
+    now += DEADLINE_MILLIS / 3;
+    List<Change> changes = next();
+    assertThat(changes, hasSize(waiting));
+    assertThat(((Reject) changes.get(0).verdict()).reason(), is(Reason.TOO_LONG));
+  }
+
+  @Test
+  void withoutServersEverythingIsRejectedAtOnceThoseThatWaitToo() {
+    fill(Source.CALLER);
+    offer("a", Source.SCORING, 2);
+    int waiting = admission.load(now).waiting();
+    List<AdmissionRequest> sent = List.copyOf(running);
+    admission.onServers(0, 0, now);
+    List<Change> changes = next();
+    assertThat(changes, hasSize(waiting));
+    changes.forEach(
+        change -> assertThat(((Reject) change.verdict()).reason(), is(Reason.NO_SERVER)));
+    assertThat(offer("a", Source.CALLER, 2), instanceOf(Reject.class));
+    assertThat(List.copyOf(running), equalTo(sent));
+    changes.forEach(change -> assertThat(sent.contains(change.request()), is(false)));
+  }
+
+  @Test
+  void withFewerServersThoseThatNoLongerCanBeInTimeAreRejected() {
+    fill(Source.CALLER);
+    for (int i = 0; i < 60; i++) {
+      offer(request("a", Source.CALLER, 2, 900));
+    }
+    int before = admission.load(now).waiting();
+    admission.onServers(1, 1, now);
+    List<Change> changes = next();
+    assertThat(changes, not(empty()));
+    assertThat(changes.size(), lessThan(before));
+    changes.forEach(change -> assertThat(change.verdict(), instanceOf(Reject.class)));
+  }
+
+  @Test
+  void theLongerAnOutageTheLaterCallersComeBack() {
+    admission.onServers(0, 0, now);
+    long soon = ((Reject) offer("a", Source.CALLER, 0)).retryAfterMillis();
+    now += 400;
+    long later = ((Reject) offer("a", Source.CALLER, 0)).retryAfterMillis();
+    assertThat(soon, both(greaterThanOrEqualTo(100L)).and(lessThan(150L)));
+    assertThat(later, greaterThanOrEqualTo(400L));
+  }
+
+  @Test
+  void thoseRejectedTogetherComeBackApartAndLaterRanksLater() {
+    TreeSet<Long> first = new TreeSet<>();
+    TreeSet<Long> second = new TreeSet<>();
+    for (int i = 0; i < 200; i++) {
+      first.add(admission.retryAfterMillis(request("a", Source.CALLER, 0, 2_000), now));
+      second.add(admission.retryAfterMillis(request("a", Source.CALLER, 1, 2_000), now));
+    }
+    assertThat(first.size(), greaterThan(30));
+    assertThat(first.last(), lessThan(second.first()));
+  }
+
+  @Test
+  void whoseCallerLeftLeavesTheQueueAndTakesNoPlace() {
+    fill(Source.CALLER);
+    AdmissionRequest left = request("a", Source.CALLER, 2, DEADLINE_MILLIS);
+    offer(left);
+    int waiting = admission.load(now).waiting();
+    admission.onEnded(left);
+    assertThat(admission.load(now).waiting(), equalTo(waiting - 1));
+    for (int i = 0; i < 2 * LIMIT && !running.isEmpty(); i++) {
+      endOne();
+    }
+    assertThat(running.contains(left), is(false));
+    assertThat(admission.load(now).inProgress(), equalTo(running.size()));
+  }
+
+  @Test
+  void whileTheNodeStopsNothingWaitsForLongAndAtItsEndNothing() {
+    fill(Source.SCORING);
+    admission.stop(now);
+    assertThat(next(), empty());
+    now += 1_000;
+    List<Change> changes = next();
+    assertThat(changes, hasSize(1));
+    assertThat(offer("a", Source.SCORING, 2), instanceOf(Reject.class));
+  }
+
+  @Test
+  void theEndRejectsWhatWaitsAndNothingThatWasSent() {
+    fill(Source.SCORING);
+    List<Change> changes = admission.end(now);
+    assertThat(changes, hasSize(1));
+    assertThat(((Reject) changes.get(0).verdict()).reason(), is(Reason.STOPPING));
+    assertThat(running.contains(changes.get(0).request()), is(false));
+    assertThat(admission.load(now).inProgress(), equalTo(LIMIT));
+  }
+
+  /** A flood of one tenant meets the bound of the queue; another tenant still gets in. */
+  @Test
+  void aFullQueueMakesRoomForWhoHasLess() {
+    for (int i = 0; i < 1_000; i++) {
+      offer(request("flood", Source.SCORING, 2, 60_000));
+    }
+    int most = admission.load(now).waiting();
+    AdmissionRequest other = request("quiet", Source.SCORING, 2, 60_000);
+    assertThat(offer(other), instanceOf(Wait.class));
+    List<Change> changes = next();
+    assertThat(changes, hasSize(1));
+    assertThat(changes.get(0).request().tenant(), equalTo("flood"));
+    assertThat(admission.load(now).waiting(), equalTo(most));
+  }
+}
