Ask for a place before a request's first attempt

Cause: nothing stood between callers, scorings and the servers. RequestForwarder now asks RequestAdmission before the first attempt; hedges and further attempts don't ask again. Places are those of the servers that the node may send to, through one function, so that a subset of the servers can take its place.

ScoreCalls names its requests as scorings. It keeps its bound of 48, which now only limits the bodies held; their time runs from then on, as before.

Gateway.leave bounds what waits to a second; Gateway.end rejects the rest. A caller who leaves takes its request out of the queue. What was sent is never among those told as not run: a rejection needs a request without an attempt.

Log lines for waits (DEBUG) and rejections (INFO, 20 a second), metrics by service and reason.

--- /dev/null
+++ b/node/src/main/java/org/passhaven/node/gateway/AdmissionLog.java
@@ -0,0 +1,54 @@
+package org.passhaven.node.gateway;
+
+import org.passhaven.core.admission.AdmissionRequest;
+import org.passhaven.core.admission.AdmissionVerdict.Reject;
+import org.passhaven.core.admission.ServiceAdmission.Load;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/** Tells in the log of requests that wait for a place or get none. Not thread-safe. */
+final class AdmissionLog {
+  private static final Logger LOG = LoggerFactory.getLogger(RequestAdmission.class);
+  private static final long SECOND_MILLIS = 1_000;
+
+  /** So that a flood of rejections does not fill the log; the metrics count them all. */
+  private static final int MAX_LINES_PER_SECOND = 20;
+
+  private long secondBeganAtMillis = Long.MIN_VALUE / 2;
+  private int linesInSecond;
+
+  void onWaits(String id, AdmissionRequest request, Load load, double expectedWaitMillis) {
+    line(Level.DEBUG, id, request, load)
+        .addKeyValue("expectedWaitMillis", (long) expectedWaitMillis)
+        .log("admission: waits");
+  }
+
+  void onRejected(String id, AdmissionRequest request, Load load, Reject verdict, long nowMillis) {
+    if (nowMillis - secondBeganAtMillis >= SECOND_MILLIS) {
+      secondBeganAtMillis = nowMillis;
+      linesInSecond = 0;
+    }
+    if (linesInSecond++ < MAX_LINES_PER_SECOND) {
+      line(Level.INFO, id, request, load)
+          .addKeyValue("leftMillis", request.deadlineMillis() - nowMillis)
+          .addKeyValue("retryAfterMillis", verdict.retryAfterMillis())
+          .addKeyValue("reason", verdict.reason().text())
+          .log("admission: rejected");
+    }
+  }
+
+  private static LoggingEventBuilder line(
+      Level level, String id, AdmissionRequest request, Load load) {
+    return LOG.atLevel(level)
+        .addKeyValue("request", id)
+        .addKeyValue("service", request.service())
+        .addKeyValue("tenant", request.tenant())
+        .addKeyValue("source", request.source())
+        .addKeyValue("priority", request.priority())
+        .addKeyValue("inProgress", load.inProgress())
+        .addKeyValue("waiting", load.waiting())
+        .addKeyValue("limit", load.limit());
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -184,6 +184,7 @@
         .log("node: leaves");
     stopping = true;
     duties.stop();
+    forwarder.admission().stop();
     // The texts go first: the beat makes other nodes take over.
     return runner.leave().invoke(members::announceLeaving);
   }
@@ -195,6 +196,7 @@
 
   /** End of a planned stop: runs nothing more; gives a result when the process may end. */
   public Uni<Void> end() {
+    forwarder.admission().end();
     Uni<Void> counted = meter.map(UsageMeter::tell).orElse(Uni.createFrom().voidItem());
     return Uni.join().all(runner.stop(), counted).andCollectFailures().replaceWithVoid();
   }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -2,10 +2,15 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.passhaven.core.admission.AdmissionVerdict.Reason;
+import org.passhaven.core.admission.ServiceAdmission;
 
 /** Counters and latency histograms of a gateway node, named as docs/OPERATIONS.md lists them. */
 public final class GatewayMetrics {
@@ -78,6 +83,9 @@
   /** Requests with an unknown key sent elsewhere, since the configuration here may be old. */
   public final Counter requestsWithUnsureKey;
 
+  /** Requests that waited at this node for a place at a service. */
+  public final Counter requestsWaited;
+
   private final MeterRegistry registry;
   private final Timer requestLatency;
 
@@ -103,6 +111,7 @@
     windowsReported = registry.counter("passhaven.gateway.usage.reports", "outcome", "done");
     windowReportsFailed = registry.counter("passhaven.gateway.usage.reports", "outcome", "failed");
     ordersSent = registry.counter("passhaven.gateway.orders.sent");
+    requestsWaited = registry.counter("passhaven.gateway.admission.waited");
     requestLatency =
         Timer.builder("passhaven.gateway.request.latency")
             .serviceLevelObjectives(LATENCY_BOUNDS)
@@ -114,6 +123,25 @@
     registry.gauge("passhaven.gateway.partitions.behind", log, read -> read.behind().size());
   }
 
+  /**
+   * Shows how many requests wait for a service here, and how many may be at its servers.
+   *
+   * @param state what {@code load} reads; shown for as long as it is kept
+   */
+  <T> void showAdmission(String service, T state, Function<T, ServiceAdmission.Load> load) {
+    Tags tags = Tags.of("service", service);
+    registry.gauge(
+        "passhaven.gateway.admission.waiting", tags, state, read -> load.apply(read).waiting());
+    registry.gauge(
+        "passhaven.gateway.admission.limit", tags, state, read -> load.apply(read).limit());
+  }
+
+  /** A request was rejected before it was sent. */
+  void onRejected(Reason reason) {
+    String tag = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    registry.counter("passhaven.gateway.admission.rejected", "reason", tag).increment();
+  }
+
   /** A request has ended, whatever its outcome. */
   public void onRequest(ForwardOutcome outcome, long tookMillis) {
     requestLatency.record(tookMillis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -9,6 +9,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.passhaven.core.admission.AdmissionRequest.Source;
+import org.passhaven.core.admission.AdmissionVerdict.Reject;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerPicker;
@@ -30,7 +32,6 @@
 /** Brings requests to servers as their {@link ForwardPlan} decides. */
 public final class RequestForwarder {
   private static final Logger LOG = LoggerFactory.getLogger(RequestForwarder.class);
-  private static final long RETRY_AFTER_MILLIS = 100;
   private static final long RETRY_PAUSE_MILLIS = 10;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
@@ -43,6 +44,7 @@
   private final ShareRotation rotation;
   private final ServerHealth health = new ServerHealth();
   private final ServerPicker picker;
+  private final RequestAdmission admission;
   private final RateMeter rate;
   private final RunListener runs;
   private int inProgress;
@@ -62,6 +64,7 @@
     this.crashes = Objects.requireNonNull(crashes, "crashes");
     this.rotation = new ShareRotation(context.randomBelow());
     this.picker = new ServerPicker(health, context.settings().zone());
+    this.admission = new RequestAdmission(context, directory, directory.servers()::readyOf);
     this.rate = new RateMeter(context.now());
     directory.addListener(
         () ->
@@ -82,26 +85,37 @@
   }
 
   /**
-   * Forwards a request; its deadline is the time that is left for it. Cancelling closes the
-   * connections to servers.
+   * Forwards a caller's request; its deadline is the time that is left for it. Cancelling closes
+   * the connections to servers.
    */
   public Uni<ForwardOutcome> forward(Route route, Call call) {
+    return forward(route, call, Source.CALLER);
+  }
+
+  /** Forwards a request of a source. */
+  Uni<ForwardOutcome> forward(Route route, Call call, Source source) {
     return Uni.createFrom()
         .emitter(
             emitter -> {
-              Forward forward = new Forward(route, call, emitter);
+              Forward forward = new Forward(route, call, source, emitter);
               emitter.onTermination(forward::cancel);
               forward.begin();
             });
   }
 
-  private final class Forward {
+  /** Whether requests are sent, wait or are rejected. */
+  RequestAdmission admission() {
+    return admission;
+  }
+
+  private final class Forward implements RequestAdmission.Asker {
     private final Route route;
     private final Call call;
     private final UniEmitter<? super ForwardOutcome> emitter;
     private final ForwardPlan plan;
     private final ForwardGate gate;
     private final String service;
+    private final RequestAdmission.Place place;
     private final long beganAt = context.now();
     private final long lostAtBegin = lostMillis();
     private final Map<Integer, Cancellable> attempts = new HashMap<>();
@@ -109,27 +123,37 @@
     private int nextAttempt;
     private String lastReason = "";
     private boolean hasBegun;
-
     private boolean done;
 
-    Forward(Route route, Call call, UniEmitter<? super ForwardOutcome> emitter) {
+    Forward(Route route, Call call, Source source, UniEmitter<? super ForwardOutcome> emitter) {
       this.route = route;
       this.call = call;
       this.emitter = emitter;
       this.plan = new ForwardPlan(route, beganAt + call.deadlineMillis());
       this.gate = new ForwardGate(crashes, call);
       this.service = rotation.next(route);
+      this.place = admission.place(route, call, service, source, plan.deadlineMillis());
     }
 
     void begin() {
       inProgress++;
       rate.mark(context.now());
       deadline = context.timers().after(call.deadlineMillis(), this::onDeadline);
+      place.ask(this);
+    }
+
+    @Override
+    public void onSend() {
       if (!tryNext()) {
-        giveUpUnsent(plan.hasTimeLeft(beganAt) ? "no server" : "too little time is left");
+        giveUpUnsent(plan.hasTimeLeft(context.now()) ? "no server" : "too little time is left");
       }
     }
 
+    @Override
+    public void onReject(Reject verdict) {
+      giveUp(verdict.reason().text());
+    }
+
     /** Sends the request to the next server; false if nothing is under way. */
     private boolean tryNext() {
       if (done || gate.isClaiming()) {
@@ -214,10 +238,9 @@
       }
       if (outcome == Outcome.SUCCESS) {
         health.onSuccess(server.start(), now - sentAt, now);
+        place.onAnswer(now - sentAt);
       } else if (outcome == Outcome.NOT_RUN) {
-        long avoided =
-            answer.status() == MISDIRECTED ? MISDIRECTED_AVOIDED_MILLIS : FULL_AVOIDED_MILLIS;
-        health.avoid(server.start(), avoided, now);
+        onNotRun(server, answer.status() != MISDIRECTED);
       }
       if (outcome != Outcome.SUCCESS) {
         logAttempt(server, outcome, "status " + answer.status());
@@ -226,6 +249,14 @@
       decide(outcome, answer);
     }
 
+    private void onNotRun(ServerEntry server, boolean isFull) {
+      long avoided = isFull ? FULL_AVOIDED_MILLIS : MISDIRECTED_AVOIDED_MILLIS;
+      health.avoid(server.start(), avoided, context.now());
+      if (isFull) {
+        place.onFull();
+      }
+    }
+
     private void onFailure(
         int attempt, ServerEntry server, PlatformException failure, long sentAt) {
       attempts.remove(attempt);
@@ -308,7 +339,7 @@
 
     private long retryAfterMillis() {
       long untilTrial = gate.isHeld() ? gate.heldUntilMillis() - context.now() : 0;
-      return Math.max(RETRY_AFTER_MILLIS, untilTrial);
+      return Math.max(place.retryAfterMillis(), untilTrial);
     }
 
     private void giveUp(String reason) {
@@ -349,6 +380,7 @@
       List<Cancellable> running = List.copyOf(attempts.values());
       attempts.clear();
       running.forEach(Cancellable::cancel);
+      place.release();
     }
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.function.Consumer;
+import org.passhaven.core.admission.AdmissionRequest.Source;
 import org.passhaven.core.job.JobAction;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.route.Route;
@@ -20,7 +21,10 @@
 final class ScoreCalls {
   private static final Logger LOG = LoggerFactory.getLogger(ScoreCalls.class);
   private static final long SCORE_MILLIS = 2_500;
+
+  /** Bounds the bodies held; how many are at servers is for the admission to say. */
   private static final int SCORES_AT_ONCE = 48;
+
   private static final String POST = "POST";
   private final GatewayContext context;
   private final Directory directory;
@@ -84,7 +88,7 @@
             score.body(),
             SCORE_MILLIS);
     forwarder
-        .forward(route.get(), call)
+        .forward(route.get(), call, Source.SCORING)
         .subscribe()
         .with(
             outcome -> {
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
@@ -0,0 +1,269 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.Cancellable;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.admission.AdmissionRequest.Source;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.ServiceShare;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.protocol.Codec;
+import org.passhaven.spi.BackEndService.Answer;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.DutyService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService.Entry;
+
+/**
+ * A runner's burst of 48 scorings at three servers of 6 places that the test answers for: 21 may be
+ * there at a time.
+ */
+class RequestAdmissionTest {
+  private static final long DEADLINE_MILLIS = 1_500;
+  private static final int BURST = 48;
+  private static final int LIMIT = 21;
+  private static final int CALLER_FLOOR = 9;
+  private final ManualTimers timers = new ManualTimers();
+  private final MemoryTables tables = new MemoryTables(timers);
+  private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+  private final Map<String, UniEmitter<? super Answer>> atServers = new HashMap<>();
+  private final List<String> sent = new ArrayList<>();
+  private final Map<String, ForwardOutcome> outcomes = new HashMap<>();
+  private final Map<String, Cancellable> callers = new HashMap<>();
+  private boolean isRefusing;
+  private RequestForwarder forwarder;
+
+  private final class Servers extends GatewayFixture.NoServers {
+    @Override
+    public Uni<Answer> call(Target target, Call call) {
+      sent.add(call.id());
+      if (isRefusing) {
+        return Uni.createFrom()
+            .failure(new PlatformException(PlatformException.Kind.NOT_RUN, "refused"));
+      }
+      return Uni.createFrom().emitter(emitter -> atServers.put(call.id(), emitter));
+    }
+
+    @Override
+    public Uni<Boolean> hasEnded(Target target, long limitMillis) {
+      return Uni.createFrom().item(true);
+    }
+  }
+
+  private static final class Documents extends GatewayFixture.NoDocuments {
+    @Override
+    public ServerEntry server(String key, byte[] document) {
+      return Codec.decode(document, ServerEntry.class);
+    }
+  }
+
+  @BeforeEach
+  void start() {
+    GatewayContext context =
+        new GatewayContext(
+            GatewayFixture.settings(1, 262_144, 2_097_152),
+            1,
+            timers,
+            bound -> 0,
+            new MemoryLog(timers),
+            tables.asSeen(),
+            new Servers(),
+            DutyService.NONE,
+            new Documents(),
+            new GatewayMetrics(meters));
+    List.of("a", "b", "c").forEach(this::list);
+    Directory directory = new Directory(context, () -> 0);
+    directory.start();
+    CrashLog crashes = new CrashLog(context, directory);
+    crashes.start();
+    forwarder = new RequestForwarder(context, directory, crashes, (tenant, sentAt) -> {});
+  }
+
+  private void list(String instance) {
+    ServerEntry entry =
+        new ServerEntry(ServerStart.of(instance), "s", instance + ":1", "z", 6, true, Map.of());
+    tables.add("servers", List.of(new Entry(instance, Codec.encode(entry))));
+  }
+
+  private void remove(String... instances) {
+    tables.add("servers", Stream.of(instances).map(id -> new Entry(id, null)).toList());
+    timers.advance(5);
+  }
+
+  private void ask(String id, Source source) {
+    Route route =
+        new Route(
+            source.name(),
+            "h",
+            "/",
+            List.of(new ServiceShare("s", 1)),
+            Route.Kind.AT_MOST_ONCE,
+            DEADLINE_MILLIS,
+            250,
+            4,
+            false,
+            false,
+            2,
+            0,
+            true);
+    Call call = new Call(id, "", "GET", "/" + id, "h", List.of(), new byte[0], DEADLINE_MILLIS);
+    callers.put(
+        id,
+        forwarder
+            .forward(route, call, source)
+            .subscribe()
+            .with(outcome -> outcomes.put(id, outcome)));
+  }
+
+  private void burst() {
+    for (int i = 0; i < BURST; i++) {
+      ask("score" + i, Source.SCORING);
+    }
+    timers.advance(5);
+  }
+
+  private void answer(String id) {
+    atServers.remove(id).complete(new Answer(200, false, "signed", List.of(), new byte[0]));
+  }
+
+  private double gauge(String name) {
+    return meters.get("passhaven.gateway.admission." + name).tag("service", "s").gauge().value();
+  }
+
+  @Test
+  void aBurstIsPacedAndEachEndLetsTheNextGo() {
+    burst();
+    assertThat(sent, hasSize(LIMIT));
+    assertThat(gauge("waiting"), equalTo((double) BURST - LIMIT));
+    assertThat(gauge("limit"), equalTo((double) LIMIT));
+    for (int i = 0; i < BURST; i++) {
+      answer("score" + i);
+    }
+    assertThat(sent, hasSize(BURST));
+    assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.Answered.class)));
+    assertThat(outcomes.size(), equalTo(BURST));
+    assertThat(gauge("waiting"), equalTo(0.0));
+  }
+
+  @Test
+  void aCallerGoesPastABurstAtOnce() {
+    burst();
+    ask("caller", Source.CALLER);
+    assertThat(sent.contains("caller"), is(true));
+  }
+
+  @Test
+  void whenAllServersAreGoneWhatWaitsIsRefusedAtOnceAndWhatWasSentIsNot() {
+    burst();
+    remove("a", "b", "c");
+    assertThat(outcomes.size(), equalTo(BURST - LIMIT));
+    assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.NotRun.class)));
+    sent.forEach(id -> assertThat(outcomes.containsKey(id), is(false)));
+    sent.forEach(this::answer);
+    assertThat(outcomes.size(), equalTo(BURST));
+    sent.forEach(id -> assertThat(outcomes.get(id), instanceOf(ForwardOutcome.Answered.class)));
+  }
+
+  @Test
+  void whenSomeServersAreGoneTheOthersServeWhatWaits() {
+    burst();
+    remove("a", "b");
+    assertThat(outcomes.size(), equalTo(0));
+    while (!atServers.isEmpty()) {
+      answer(sent.stream().filter(atServers::containsKey).findFirst().orElseThrow());
+    }
+    assertThat(outcomes.size(), equalTo(BURST));
+    assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.Answered.class)));
+  }
+
+  @Test
+  void aCallerThatLeavesIsNeverSent() {
+    burst();
+    for (int i = LIMIT; i < BURST; i++) {
+      callers.get("score" + i).cancel();
+    }
+    for (int i = 0; i < LIMIT; i++) {
+      answer("score" + i);
+    }
+    assertThat(sent, hasSize(LIMIT));
+    assertThat(forwarder.inProgress(), equalTo(0));
+  }
+
+  @Test
+  void aCallerThatLeavesWhileItsRequestRunsMakesRoom() {
+    burst();
+    callers.get("score0").cancel();
+    assertThat(sent, hasSize(LIMIT + 1));
+  }
+
+  /** Servers are full and silent: who waits is told so while there is time to come back. */
+  @Test
+  void behindSilentServersCallersAreRefusedAfterAThirdOfTheirTime() {
+    burst();
+    for (int i = 0; i <= CALLER_FLOOR; i++) {
+      ask("caller" + i, Source.CALLER);
+    }
+    assertThat(sent, hasSize(LIMIT + CALLER_FLOOR));
+    timers.advance(DEADLINE_MILLIS / 3 + 20);
+    ForwardOutcome.NotRun refused = (ForwardOutcome.NotRun) outcomes.get("caller" + CALLER_FLOOR);
+    assertThat(refused.retryAfterMillis(), both(greaterThanOrEqualTo(100L)).and(lessThan(500L)));
+    assertThat(outcomes.size(), equalTo(1));
+  }
+
+  @Test
+  void aNodeThatStopsHoldsNothingAndAtItsEndRefusesWhatWaits() {
+    burst();
+    forwarder.admission().stop();
+    assertThat(outcomes.values(), empty());
+    answer("score0");
+    assertThat("what waits is still served", sent, hasSize(LIMIT + 1));
+    forwarder.admission().end();
+    assertThat(outcomes.size(), equalTo(BURST - LIMIT));
+    sent.stream()
+        .skip(1)
+        .forEach(id -> assertThat("it was sent", outcomes.containsKey(id), is(false)));
+  }
+
+  @Test
+  void aNodeThatStopsRefusesWithinASecondWhatWaits() {
+    burst();
+    forwarder.admission().stop();
+    timers.advance(1_020);
+    assertThat(outcomes.size(), equalTo(BURST - LIMIT));
+    assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.NotRun.class)));
+  }
+
+  /** Refused connections end attempts within the call that sends them. */
+  @Test
+  void whileConnectionsAreRefusedEveryRequestEndsAsNotRun() {
+    isRefusing = true;
+    burst();
+    timers.advance(DEADLINE_MILLIS);
+    assertThat(outcomes.size(), equalTo(BURST));
+    assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.NotRun.class)));
+    assertThat(gauge("waiting"), equalTo(0.0));
+    assertThat(forwarder.inProgress(), equalTo(0));
+  }
+}
