Give each waiting route its turns, and a later rank no more than its floor

And a fixed fourth of the turns for those passed over lets a less urgent kind that asks for little be served whole while a more urgent one that floods is not.

Flows are now one route's requests of one tenant. A rank or source goes out of order only while the share of its requests that was sent lately is below half of the share of all; the users' least is a quarter, and their most for a less urgent kind is the more urgent one's share. Scorings lose the places that they had of their own for the same reason; callers keep theirs, so that scorings at silent servers hold no caller up.

Weighed: nested queues (tenant, then route): one more layer for a tenant that uses several routes of one service under overload; not worth it.

--- a/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
@@ -10,12 +10,14 @@
 
 /**
  * Requests that wait for a place at a service. The first rank goes first, and in it callers before
- * scorings, which have seconds; but every {@link #FLOOR_TURN}th turn goes to whoever has been
- * passed over longest, so that no rank and no source starves. Not thread-safe.
+ * scorings, which have seconds. A rank or source of which a far smaller share than of all was sent
+ * lately goes before that, so that none starves, and no further than that, so that a less urgent
+ * one is not served more often than a more urgent one. Times in monotonic milliseconds. Not
+ * thread-safe.
  */
 final class AdmissionQueue {
-  /** The users' least is a quarter of what all get. */
-  private static final int FLOOR_TURN = 4;
+  /** Part of the share that all get; the users' least is a quarter, and half keeps away from it. */
+  private static final double FLOOR_PART = 0.5;
 
   private record Order(int priority, Source source) implements Comparable<Order> {
     private static final Comparator<Order> BY_RANK =
@@ -32,83 +34,96 @@
   }
 
   private static final class Line {
-    final TenantQueues tenants = new TenantQueues();
-    long lastTurn;
+    final FairQueue flows = new FairQueue();
+    final ServedShare share;
+
+    Line(long nowMillis) {
+      this.share = new ServedShare(nowMillis);
+    }
   }
 
+  /** As many as there are ranks; kept when empty, since their shares count on. */
   private final TreeMap<Order, Line> lines = new TreeMap<>();
-  private long turns;
+
+  private final ServedShare shareOfAll;
   private int size;
 
-  void add(AdmissionRequest request) {
-    line(request).tenants.add(request);
-    size++;
+  AdmissionQueue(long nowMillis) {
+    this.shareOfAll = new ServedShare(nowMillis);
+  }
+
+  /** A request has come, whether it is to wait or not. */
+  void onCame(AdmissionRequest request, long nowMillis) {
+    lines.computeIfAbsent(Order.of(request), order -> new Line(nowMillis)).share.onCame(nowMillis);
+    shareOfAll.onCame(nowMillis);
   }
 
-  private Line line(AdmissionRequest request) {
-    return lines.computeIfAbsent(
-        Order.of(request),
-        order -> {
-          Line line = new Line();
-          line.lastTurn = turns;
-          return line;
-        });
+  /** A request was sent, whether it waited or not. */
+  void onSent(AdmissionRequest request, long nowMillis) {
+    lines.get(Order.of(request)).share.onSent(nowMillis);
+    shareOfAll.onSent(nowMillis);
+  }
+
+  /** A request that has come is to wait. */
+  void add(AdmissionRequest request) {
+    lines.get(Order.of(request)).flows.add(request);
+    size++;
   }
 
   /** Takes a request out without having served it. */
   void remove(AdmissionRequest request) {
-    Line line = lines.get(Order.of(request));
-    if (line != null) {
-      int before = line.tenants.size();
-      line.tenants.remove(request);
-      size -= before - line.tenants.size();
-      forgetEmpty();
-    }
+    FairQueue flows = lines.get(Order.of(request)).flows;
+    int before = flows.size();
+    flows.remove(request);
+    size -= before - flows.size();
   }
 
   /** Takes out whose turn it is among those of sources that have a place. */
-  Optional<AdmissionRequest> poll(Predicate<Source> hasPlace) {
+  Optional<AdmissionRequest> poll(Predicate<Source> hasPlace, long nowMillis) {
     List<Line> open =
         lines.entrySet().stream()
             .filter(each -> hasPlace.test(each.getKey().source()))
             .map(Map.Entry::getValue)
+            .filter(line -> line.flows.size() > 0)
             .toList();
-    if (open.isEmpty()) {
-      return Optional.empty();
-    }
-    turns++;
-    Line line =
-        turns % FLOOR_TURN == 0
-            ? open.stream().min(Comparator.comparingLong(each -> each.lastTurn)).orElseThrow()
-            : open.get(0);
-    line.lastTurn = turns;
-    AdmissionRequest request = line.tenants.poll();
-    size--;
-    forgetEmpty();
-    return Optional.of(request);
+    Optional<Line> turn =
+        open.stream()
+            .filter(line -> isPassedOver(line, nowMillis))
+            .min(Comparator.comparingDouble(line -> line.share.now(nowMillis)))
+            .or(() -> open.stream().findFirst());
+    turn.ifPresent(line -> size--);
+    return turn.map(line -> line.flows.poll());
   }
 
-  private void forgetEmpty() {
-    lines.values().removeIf(line -> line.tenants.size() == 0);
+  private boolean isPassedOver(Line line, long nowMillis) {
+    return line.share.now(nowMillis) < FLOOR_PART * shareOfAll.now(nowMillis);
   }
 
-  /** How many waiting requests have their turn before this one, which may wait already or not. */
-  int ahead(AdmissionRequest request) {
+  /** How many have their turn before this request, which may wait already or not. */
+  int ahead(AdmissionRequest request, long nowMillis) {
     Order order = Order.of(request);
-    int inLine = lines.containsKey(order) ? lines.get(order).tenants.ahead(request) : 0;
-    int before = lines.headMap(order).values().stream().mapToInt(e -> e.tenants.size()).sum();
-    int byFloor = FLOOR_TURN * (inLine + 1) - 1;
-    return Math.min(inLine + before, byFloor);
+    Line own = lines.get(order);
+    int inLine = own.flows.ahead(request);
+    if (isPassedOver(own, nowMillis)) {
+      return inLine;
+    }
+    int before = lines.headMap(order).values().stream().mapToInt(e -> e.flows.size()).sum();
+    return inLine + before;
   }
 
-  /** Who has to go first: of the last rank and source, the latest of the tenant that has most. */
+  /** Who has to go first: of the last rank and source, the latest of the flow that has most. */
   AdmissionRequest leastEntitled() {
-    return lines.lastEntry().getValue().tenants.lastOfLongest();
+    return lines.descendingMap().values().stream()
+        .filter(line -> line.flows.size() > 0)
+        .findFirst()
+        .orElseThrow()
+        .flows
+        .lastOfLongest();
   }
 
   /** All that wait, those that go first before the others. */
   List<AdmissionRequest> all() {
-    return lines.values().stream().flatMap(line -> line.tenants.all()).toList();
+    return lines.values().stream().flatMap(line -> line.flows.all()).toList();
   }
 
   int size() {
--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -1,7 +1,6 @@
 package org.passhaven.core.admission;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,9 +34,6 @@
   /** How often those that wait are looked at: far less than an answer takes. */
   public static final long SWEEP_MILLIS = 10;
 
-  /** The users' least is a quarter of what all get. */
-  private static final int SCORING_FLOOR_PART = 4;
-
   private static final double FIRST_GUESS_MILLIS = 30;
   private static final double WEIGHT = 0.1;
 
@@ -52,12 +48,12 @@
   public record Load(int inProgress, int waiting, int limit) {}
 
   private final ConcurrencyLimit limit = new ConcurrencyLimit();
-  private final AdmissionQueue queue = new AdmissionQueue();
+  private final AdmissionQueue queue;
   private final RetryAfter retryAfter;
   private final Map<String, RouteLatency> latencies = new HashMap<>();
   private final Map<Long, AdmissionRequest> started = new HashMap<>();
-  private final Map<Source, Integer> startedBySource = new EnumMap<>(Source.class);
   private final Map<Long, Long> waitUntilMillis = new HashMap<>();
+  private int callersStarted;
   private double answerMillis = FIRST_GUESS_MILLIS;
   private long lastServerAtMillis;
   private long stopWaitUntilMillis = Long.MAX_VALUE;
@@ -70,6 +66,7 @@
    */
   public ServiceAdmission(IntUnaryOperator randomBelow, long nowMillis) {
     this.retryAfter = new RetryAfter(randomBelow);
+    this.queue = new AdmissionQueue(nowMillis);
     this.lastServerAtMillis = nowMillis;
   }
 
@@ -91,8 +88,9 @@
     if (limit.places() == 0) {
       return reject(request, Reason.NO_SERVER, nowMillis);
     }
+    queue.onCame(request, nowMillis);
     if (hasPlace(request.source(), nowMillis) && !isAwaited(request.source())) {
-      start(request);
+      start(request, nowMillis);
       return new AdmissionVerdict.Send();
     }
     long waitUntil = waitUntilMillis(request, nowMillis);
@@ -120,21 +118,16 @@
     return queue.size() > 0 && queue.all().stream().anyMatch(each -> each.source() == source);
   }
 
+  /** Scorings that hold all places, for however long, leave callers half of them beside. */
   private boolean hasPlace(Source source, long nowMillis) {
     return started.size() < limit.current(nowMillis)
-        || startedBySource.getOrDefault(source, 0) < floorOf(source);
-  }
-
-  /** Places that the other source can't take away, however long it holds its own. */
-  private int floorOf(Source source) {
-    return source == Source.CALLER
-        ? limit.floor()
-        : Math.min(limit.floor(), (limit.places() + SCORING_FLOOR_PART - 1) / SCORING_FLOOR_PART);
+        || (source == Source.CALLER && callersStarted < limit.floor());
   }
 
-  private void start(AdmissionRequest request) {
+  private void start(AdmissionRequest request, long nowMillis) {
+    queue.onSent(request, nowMillis);
     started.put(request.id(), request);
-    startedBySource.merge(request.source(), 1, Integer::sum);
+    callersStarted += request.source() == Source.CALLER ? 1 : 0;
   }
 
   /** Why a request can't wait any longer; empty if it can. */
@@ -154,7 +147,7 @@
 
   /** How long a request that waits, or would wait, has to until it is sent. */
   public double expectedWaitMillis(AdmissionRequest request, long nowMillis) {
-    return (queue.ahead(request) + 1) * turnMillis(nowMillis);
+    return (queue.ahead(request, nowMillis) + 1) * turnMillis(nowMillis);
   }
 
   /** Time in which one place becomes free while all that the limit allows are in use. */
@@ -206,7 +199,7 @@
   /** A request has ended, or its caller has left, whether it was sent or waits. */
   public void onEnded(AdmissionRequest request) {
     if (started.remove(request.id()) != null) {
-      startedBySource.merge(request.source(), -1, Integer::sum);
+      callersStarted -= request.source() == Source.CALLER ? 1 : 0;
     } else if (waitUntilMillis.remove(request.id()) != null) {
       queue.remove(request);
     }
@@ -225,12 +218,13 @@
 
   private void sendWhileThereIsRoom(List<Change> changes, long nowMillis) {
     while (limit.places() > 0 && queue.size() > 0) {
-      Optional<AdmissionRequest> turn = queue.poll(source -> hasPlace(source, nowMillis));
+      Optional<AdmissionRequest> turn =
+          queue.poll(source -> hasPlace(source, nowMillis), nowMillis);
       if (turn.isEmpty()) {
         return;
       }
       waitUntilMillis.remove(turn.get().id());
-      start(turn.get());
+      start(turn.get(), nowMillis);
       changes.add(new Change(turn.get(), new AdmissionVerdict.Send()));
     }
   }
