Forget how long a route once took; try truth and ranks at the node

Cause: a route's smoothed time stayed for as long as no other answer came, so a request could be rejected as too late by what servers took minutes ago.

Tests: a tenant's rank before its route's; and 3,000 requests a seed with callers that leave, servers that refuse, crash, go and come back: nothing that a server may have run is told as not run, and nothing stays waiting (8 seeds).

--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -137,7 +137,7 @@
       return Optional.of(Reason.NO_SERVER);
     }
     double startAt = nowMillis + expectedWaitMillis(request, nowMillis);
-    if (startAt + expectedWorkMillis(request) > request.deadlineMillis()) {
+    if (startAt + expectedWorkMillis(request, nowMillis) > request.deadlineMillis()) {
       return Optional.of(Reason.TOO_LATE);
     }
     return startAt > Math.min(waitUntilMillis, stopWaitUntilMillis)
@@ -155,9 +155,9 @@
     return answerMillis / Math.max(1, limit.current(nowMillis));
   }
 
-  private double expectedWorkMillis(AdmissionRequest request) {
+  private double expectedWorkMillis(AdmissionRequest request, long nowMillis) {
     RouteLatency known = latencies.get(request.route());
-    return known == null ? 0 : known.smoothedMillis();
+    return known == null || known.isIdle(nowMillis) ? 0 : known.smoothedMillis();
   }
 
   private Reject reject(AdmissionRequest request, Reason reason, long nowMillis) {
--- a/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
+++ b/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
@@ -243,6 +243,18 @@
     assertThat(((Reject) verdict).reason(), is(Reason.TOO_LATE));
   }
 
+  /** Servers were slow minutes ago; what was learnt then rejects nobody now. */
+  @Test
+  void howLongARouteOnceTookIsForgotten() {
+    AdmissionRequest slow = request("a", Source.CALLER, 2, DEADLINE_MILLIS);
+    admission.onAnswer(slow, 3 * DEADLINE_MILLIS, now);
+    now += 60_000;
+    fill(Source.SCORING);
+    fill(Source.CALLER);
+    assertThat(rejected.getOrDefault("xCALLER2", 0), equalTo(0));
+    assertThat(offer("a", Source.CALLER, 2), instanceOf(Wait.class));
+  }
+
   @Test
   void aQueueOfMoreThanAThirdOfTheTimeIsNotJoined() {
     AdmissionVerdict verdict = new Wait();
--- a/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
@@ -17,16 +18,26 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.passhaven.core.admission.AdmissionRequest.Source;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.route.RequestLimits;
 import org.passhaven.core.route.Route;
+import org.passhaven.core.route.RouteTable;
 import org.passhaven.core.route.ServiceShare;
+import org.passhaven.core.tenant.Tenant;
+import org.passhaven.core.tenant.TenantTable;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
 import org.passhaven.protocol.Codec;
@@ -72,7 +83,23 @@
     }
   }
 
+  /** One tenant has a rank of its own. */
   private static final class Documents extends GatewayFixture.NoDocuments {
+    @Override
+    public boolean isConfiguration(String key) {
+      return true;
+    }
+
+    @Override
+    public RouteTable configuration(byte[] document) {
+      TenantTable tenants =
+          new TenantTable(
+              Map.of(
+                  "key-1", new Tenant("first", OptionalInt.of(0)),
+                  "key-2", new Tenant("other", OptionalInt.empty())));
+      return new RouteTable(1, List.of(), RequestLimits.DEFAULT, tenants);
+    }
+
     @Override
     public ServerEntry server(String key, byte[] document) {
       return Codec.decode(document, ServerEntry.class);
@@ -93,6 +120,7 @@
             DutyService.NONE,
             new Documents(),
             new GatewayMetrics(meters));
+    tables.add("operator", List.of(new Entry("configuration", new byte[0])));
     List.of("a", "b", "c").forEach(this::list);
     Directory directory = new Directory(context, () -> 0);
     directory.start();
@@ -113,6 +141,10 @@
   }
 
   private void ask(String id, Source source) {
+    ask(id, source, "");
+  }
+
+  private void ask(String id, Source source, String tenant) {
     Route route =
         new Route(
             source.name(),
@@ -128,7 +160,7 @@
             2,
             0,
             true);
-    Call call = new Call(id, "", "GET", "/" + id, "h", List.of(), new byte[0], DEADLINE_MILLIS);
+    Call call = new Call(id, tenant, "GET", "/" + id, "h", List.of(), new byte[0], DEADLINE_MILLIS);
     callers.put(
         id,
         forwarder
@@ -255,6 +287,69 @@
     assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.NotRun.class)));
   }
 
+  @Test
+  void aTenantsRankGoesBeforeItsRoutes() {
+    burst();
+    for (int i = 0; i < CALLER_FLOOR; i++) {
+      ask("before" + i, Source.CALLER, "other");
+    }
+    ask("other", Source.CALLER, "other");
+    ask("first", Source.CALLER, "first");
+    answer("before0");
+    assertThat(sent.get(sent.size() - 1), equalTo("first"));
+    answer("first");
+    assertThat(sent.get(sent.size() - 1), equalTo("other"));
+  }
+
+  /** Callers come and leave, servers refuse, crash, go and come back, by seed. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void nothingThatAServerMayHaveRunIsToldAsNotRun(long seed) {
+    Random random = new Random(seed);
+    Set<String> mayHaveRun = new HashSet<>();
+    for (int i = 0; i < 3_000; i++) {
+      ask("r" + i, random.nextInt(3) == 0 ? Source.CALLER : Source.SCORING);
+      if (random.nextInt(4) == 0) {
+        callers.get("r" + random.nextInt(i + 1)).cancel();
+      }
+      if (random.nextInt(200) == 0) {
+        remove("a", "b", "c");
+        List.of("a", "b").forEach(this::list);
+      }
+      timers.advance(random.nextInt(4));
+      for (String id : List.copyOf(atServers.keySet())) {
+        if (random.nextInt(20) == 0) {
+          end(id, random.nextInt(5), mayHaveRun);
+        }
+      }
+    }
+    timers.advance(2 * DEADLINE_MILLIS);
+    mayHaveRun.addAll(atServers.keySet());
+    assertThat(forwarder.inProgress(), equalTo(0));
+    assertThat(gauge("waiting"), equalTo(0.0));
+    List<String> toldAsNotRun =
+        outcomes.entrySet().stream()
+            .filter(each -> each.getValue() instanceof ForwardOutcome.NotRun)
+            .map(Map.Entry::getKey)
+            .toList();
+    assertThat(toldAsNotRun.size(), greaterThan(100));
+    assertThat(toldAsNotRun.stream().filter(mayHaveRun::contains).toList(), empty());
+  }
+
+  private void end(String id, int how, Set<String> mayHaveRun) {
+    UniEmitter<? super Answer> attempt = atServers.remove(id);
+    if (how == 0) {
+      attempt.complete(new Answer(503, true, "", List.of(), new byte[0]));
+      return;
+    }
+    mayHaveRun.add(id);
+    if (how == 1) {
+      attempt.fail(new PlatformException(PlatformException.Kind.OUTCOME_UNKNOWN, "reset"));
+    } else {
+      attempt.complete(new Answer(200, false, "signed", List.of(), new byte[0]));
+    }
+  }
+
   /** Refused connections end attempts within the call that sends them. */
   @Test
   void whileConnectionsAreRefusedEveryRequestEndsAsNotRun() {
