Strong machines first for what one node does for many

Cause: in fleets of unlike machines runs, the duties' lease and callers were given to nodes by hash or by youth, whatever their processor. The youngest first (rankByYouth) even prefers slow machines, since they start last. Change: a beat tells its machine's processor; candidates for runs and duties, and the nodes named to callers, are the strong ones first. Strong is who has no less than the sixth strongest, so fleets of equal machines, and those that tell nothing, are as before, and a few large machines don't draw all work. Weighed: rendezvous hashing weighted by cores (a smooth share: 56 in 100 keys would go to strong nodes there), a fixed part of the strongest (one giant machine would draw everything).

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
 import org.passhaven.protocol.member.MemberBeat;
@@ -183,13 +184,17 @@
   }
 
   /**
-   * Place of a node among the live ones by start, the youngest first; the last one if it is
-   * unknown. Where nodes are restarted in turn, the youngest one stays longest.
+   * Place of a node among the live ones: strong ones first, then by start, the youngest first; the
+   * last one if it is unknown. Where nodes are restarted in turn, the youngest one stays longest.
    */
   public int rankByYouth(String node) {
+    StrongNodes strong = StrongNodes.among(taking());
     List<MemberBeat> byYouth =
         taking().stream()
-            .sorted(Comparator.comparingLong(MemberBeat::incarnation).reversed())
+            .sorted(
+                strong
+                    .first()
+                    .thenComparing(Comparator.comparingLong(MemberBeat::incarnation).reversed()))
             .toList();
     for (int place = 0; place < byYouth.size(); place++) {
       if (byYouth.get(place).node().equals(node)) {
@@ -225,15 +230,24 @@
   }
 
   private static List<Member> rank(String key, List<MemberBeat> beats) {
+    StrongNodes strong = StrongNodes.among(beats);
+    List<Member> ranked = new ArrayList<>(rendezvous(key, beats, strong::contains));
+    ranked.addAll(rendezvous(key, beats, beat -> !strong.contains(beat)));
+    return ranked;
+  }
+
+  private static List<Member> rendezvous(
+      String key, List<MemberBeat> beats, Predicate<MemberBeat> chosen) {
     List<Member> candidates =
-        beats.stream().map(beat -> new Member(beat.node(), beat.zone())).toList();
+        beats.stream().filter(chosen).map(beat -> new Member(beat.node(), beat.zone())).toList();
     return Rendezvous.rank(key, candidates, candidates.size());
   }
 
   /**
    * Addresses at which callers reach live nodes: those of a zone if it has enough, else all. Of
-   * many nodes only as many are named as the callers' load needs, the same ones each time:
-   * connections to back ends then stay in use instead of being opened anew at every node.
+   * many nodes only as many are named as the callers' load needs, the same ones each time, strong
+   * ones first: connections to back ends then stay in use instead of being opened anew at every
+   * node.
    *
    * @param enough nodes of the caller's zone that suffice
    */
@@ -245,8 +259,10 @@
     long needed = Math.max(FEWEST_FOR_CALLERS, (long) Math.ceil(load / REQUESTS_PER_NODE));
     return chosen.stream()
         .sorted(
-            Comparator.comparingLong(
-                (MemberBeat beat) -> Rendezvous.weight(CALLERS_KEY_PREFIX + zone, beat.node())))
+            StrongNodes.among(chosen)
+                .first()
+                .thenComparingLong(
+                    beat -> Rendezvous.weight(CALLERS_KEY_PREFIX + zone, beat.node())))
         .limit(Math.min(needed, most))
         .map(MemberBeat::address)
         .toList();
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -15,7 +15,7 @@
   private final BeatTable table = new BeatTable(1_500);
 
   private static MemberBeat beat(String node, String zone, long incarnation, boolean taking) {
-    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0, 0);
+    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0, 0, 0);
   }
 
   @Test
@@ -29,7 +29,7 @@
 
   @Test
   void aNodeWhoseBeatsAreFarApartIsDeadOnlyWhenSeveralAreMissing() {
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000, 0), 0);
     table.onBeat(beat("b", "z", 1, true), 3_100);
     assertThat(table.isTaking("a"), is(true));
     table.onBeat(beat("b", "z", 1, true), 3_200);
@@ -38,14 +38,14 @@
 
   @Test
   void aNodeThatBeatsMoreOftenThanBeforeIsDeadSooner() {
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 400), 100);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000, 0), 0);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 400, 0), 100);
     table.onBeat(beat("b", "z", 1, true), 1_600);
     assertThat(table.isTaking("a"), is(false));
   }
 
   private static MemberBeat busyBeat(String node, long incarnation) {
-    return new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500);
+    return new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500, 0);
   }
 
   private void hearBeforeStart(int nodes) {
@@ -71,7 +71,7 @@
   @Test
   void nodesWhoseNextBeatIsNotDueSayNothing() {
     for (int i = 0; i < 20; i++) {
-      table.onBeatBeforeStart(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 4_000), 1_000);
+      table.onBeatBeforeStart(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 4_000, 0), 1_000);
     }
     table.onBeat(beat("self", "z", 9, true), 2_000);
     assertThat(table.isFleetLost(), is(false));
@@ -132,7 +132,7 @@
   private List<String> addressesUnderLoad(double perSecondEach) {
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
-      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach, 0), 0);
+      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach, 0, 0), 0);
     }
     return table.addressesFor("z", 2, 64);
   }
@@ -154,7 +154,7 @@
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
       if (!node.equals(before.get(0))) {
-        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5, 0), 2_000);
+        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5, 0, 0), 2_000);
       }
     }
     List<String> after = table.addressesFor("z", 2, 64);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param mostRecordBytes largest record of the log
  * @param mostAppendBytes largest append to the log
  * @param usage when usage is reported; empty where it is not
+ * @param cores processor of the machine, in cores; zero if it is not known
  */
 public record GatewaySettings(
     String node,
@@ -37,7 +38,8 @@
     Duration keepJobs,
     int mostRecordBytes,
     int mostAppendBytes,
-    Optional<UsageSettings> usage) {
+    Optional<UsageSettings> usage,
+    double cores) {
   public GatewaySettings {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(zone, "zone");
@@ -48,5 +50,8 @@
     if (jobPartitions < 1) {
       throw new IllegalArgumentException("jobPartitions must be at least 1");
     }
+    if (!(cores >= 0)) {
+      throw new IllegalArgumentException("cores must not be negative, but is " + cores);
+    }
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -173,7 +173,8 @@
             context.incarnation(),
             taking,
             requestsPerSecond.getAsDouble(),
-            beatPeriodMillis);
+            beatPeriodMillis,
+            settings.cores());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -38,7 +38,8 @@
         Duration.ofSeconds(150),
         maxRecordBytes,
         maxAppendBytes,
-        Optional.empty());
+        Optional.empty(),
+        0);
   }
 
   /** Tables that give no answer. */
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -10,6 +10,7 @@
  * @param taking whether it takes new work
  * @param requestsPerSecond requests that it lately forwarded
  * @param periodMillis time in which its next beat is to come; zero if it does not say
+ * @param cores processor of its machine, in cores; zero if it does not say
  */
 public record MemberBeat(
     String node,
@@ -18,7 +19,8 @@
     long incarnation,
     boolean taking,
     double requestsPerSecond,
-    long periodMillis) {
+    long periodMillis,
+    double cores) {
   /** One start of a node. */
   public record Start(String node, long incarnation) {}
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -139,7 +139,8 @@
             Duration.ofSeconds(150),
             262_144,
             2_097_152,
-            isUsageReported ? Optional.of(USAGE) : Optional.empty());
+            isUsageReported ? Optional.of(USAGE) : Optional.empty(),
+            0);
     SimulatedProcess process = new SimulatedProcess(time, name, zone);
     return new GatewayHost(time, settings, process, store, servers, duties, random);
   }
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
@@ -89,7 +89,8 @@
 
   private void start(int node) {
     String name = "n" + node;
-    beats.onBeat(new MemberBeat(name, name + ":1", zoneOf(node), 1, true, 0, 0), time.nowMillis());
+    beats.onBeat(
+        new MemberBeat(name, name + ":1", zoneOf(node), 1, true, 0, 0, 0), time.nowMillis());
     SimulatedProcess process = new SimulatedProcess(time, name, zoneOf(node));
     long incarnation = process.start();
     boolean isFast = node % FAST_ONE_IN == 0;
@@ -109,7 +110,8 @@
             Duration.ofSeconds(150),
             262_144,
             2_097_152,
-            Optional.empty());
+            Optional.empty(),
+            0);
     logs.add(
         new JobLog(
             new GatewayContext(
