Servers of a service are shared out among nodes, and ties are broken per node

Cause: all nodes chose alike. Each node has a fraction of a request a second, so its own requests in progress are nearly always none, and equal servers were told apart by their names; 80 nodes before 12 servers opened a connection to nearly each of them, and the busiest server got 2.4 times the mean.

Two random choices spread a fraction of a request a second over all servers, whose connections then go idle and are closed; a first choice of its own spreads as well and keeps one in use.

--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -0,0 +1,131 @@
+package org.passhaven.core.backend;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Predicate;
+import org.passhaven.core.placement.Member;
+import org.passhaven.core.placement.Rendezvous;
+
+/**
+ * Which servers of a service a node sends to. Each node has a few, so that its connections stay in
+ * use and a server holds few of them; each server has about as many nodes as its peers. Whoever
+ * sees the same nodes and servers finds the same subsets.
+ *
+ * @param byPreference all servers: those of the subset, the preferred one first, then those outside
+ *     it, near ones first
+ * @param size how many of them are in the subset
+ */
+public record ServerSubset(List<ServerEntry> byPreference, int size) {
+  /** With three to choose from, one slow and one lost leave one. */
+  static final int MIN_SERVERS = 3;
+
+  /**
+   * Nodes that a server is to be shared by. Callers use some nodes more than others; where fewer
+   * share a server, those few decide how busy it is.
+   */
+  static final int MIN_NODES_A_SERVER = 8;
+
+  /** Of the places in its subset a node fills at most one in so many: others send there too. */
+  static final int PLACES_A_REQUEST = 4;
+
+  public ServerSubset {
+    byPreference = List.copyOf(byPreference);
+    if (size < 0 || size > byPreference.size()) {
+      throw new IllegalArgumentException(
+          "a subset of " + size + " among " + byPreference.size() + " servers");
+    }
+  }
+
+  /**
+   * The subset of one node.
+   *
+   * @param nodes live nodes; the node itself counts as one whether or not it is among them
+   * @param servers servers of one service that take new work
+   */
+  public static ServerSubset of(
+      Member self, Collection<Member> nodes, Collection<ServerEntry> servers) {
+    Objects.requireNonNull(self, "self");
+    List<Member> all = new ArrayList<>(nodes);
+    if (all.stream().noneMatch(node -> node.name().equals(self.name()))) {
+      all.add(self);
+    }
+    int size = sizeFor(all.size(), servers.size());
+    List<ServerEntry> ordered =
+        new ArrayList<>(new SubsetRounds(all, servers).choose(self.name(), size));
+    servers.stream()
+        .filter(server -> !ordered.contains(server))
+        .sorted(preferenceOf(self))
+        .forEachOrdered(ordered::add);
+    return new ServerSubset(ordered, size);
+  }
+
+  /** Servers that each of some nodes sends to. */
+  static int sizeFor(int nodes, int servers) {
+    int shared = (servers * MIN_NODES_A_SERVER + nodes - 1) / Math.max(1, nodes);
+    return Math.min(servers, Math.max(MIN_SERVERS, shared));
+  }
+
+  private static Comparator<ServerEntry> preferenceOf(Member node) {
+    return Comparator.comparing((ServerEntry server) -> !server.zone().equals(node.zone()))
+        .thenComparing(
+            server -> Rendezvous.weight(node.name(), server.start().toString()),
+            Comparator.reverseOrder())
+        .thenComparing(ServerEntry::start);
+  }
+
+  /**
+   * The same for a node that lately had so many requests in progress at once: with as many servers
+   * as it needs, since it would fill its few if it sends requests by the dozen, and in turn, since
+   * the first ones would then get most. A node with few requests keeps to its first choice, whose
+   * connection then stays in use.
+   *
+   * @param turn requests that the node has sent so far
+   */
+  public ServerSubset forUse(int inProgress, int turn) {
+    long needed = (long) inProgress * PLACES_A_REQUEST;
+    int enough = serversWith(needed);
+    if (enough <= MIN_SERVERS) {
+      return this;
+    }
+    int used = Math.max(size, enough);
+    List<ServerEntry> inTurn = new ArrayList<>(byPreference);
+    Collections.rotate(inTurn.subList(0, used), -Math.floorMod(turn, used));
+    return new ServerSubset(inTurn, used);
+  }
+
+  /** How many of the servers together have so many places; all of them if they have fewer. */
+  private int serversWith(long needed) {
+    long places = 0;
+    int servers = 0;
+    while (places < needed && servers < byPreference.size()) {
+      places += Math.max(1, byPreference.get(servers).slots());
+      servers++;
+    }
+    return servers;
+  }
+
+  /**
+   * Servers to choose from: those of the subset while any of them is good, else all. A request is
+   * never refused or sent to a worse place because of the subset.
+   *
+   * @param isGood whether a server is known of nothing that speaks against it now
+   */
+  public List<ServerEntry> candidates(Predicate<ServerEntry> isGood) {
+    List<ServerEntry> servers = byPreference.subList(0, size);
+    return servers.stream().anyMatch(isGood) ? servers : byPreference;
+  }
+
+  /** Whether it leaves servers out. */
+  public boolean isNarrowed() {
+    return size < byPreference.size();
+  }
+
+  /** Whether a server is in the subset. */
+  public boolean contains(ServerStart start) {
+    return byPreference.subList(0, size).stream().anyMatch(server -> server.start().equals(start));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/backend/SubsetRounds.java
@@ -0,0 +1,112 @@
+package org.passhaven.core.backend;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.passhaven.core.placement.Member;
+import org.passhaven.core.placement.Rendezvous;
+
+/**
+ * Subsets of all nodes by rendezvous hashing with bounded loads, in rounds: in each round every
+ * node chooses one more server, near ones first, then the heaviest, among those that have not had
+ * their share of nodes yet. So the first choices are spread as evenly as whole subsets are, a node
+ * that leaves frees places for few others, and a server that leaves moves those that had it.
+ */
+final class SubsetRounds {
+  /** Order in which nodes choose: that of their names would put neighbours in a rack in a row. */
+  private static final String ORDER_KEY = "subset";
+
+  private final List<Member> nodes;
+  private final List<ServerEntry> servers;
+  private final long[][] weights;
+  private final boolean[][] chosen;
+  private final int[] nodesOfServer;
+  private final int[] mostOfServer;
+  private final long allPlaces;
+
+  SubsetRounds(Collection<Member> nodes, Collection<ServerEntry> servers) {
+    this.nodes =
+        nodes.stream()
+            .sorted(
+                Comparator.comparingLong((Member node) -> Rendezvous.weight(ORDER_KEY, node.name()))
+                    .thenComparing(Member::name))
+            .toList();
+    this.servers = servers.stream().sorted(Comparator.comparing(ServerEntry::start)).toList();
+    this.weights = new long[this.nodes.size()][servers.size()];
+    this.chosen = new boolean[this.nodes.size()][servers.size()];
+    this.nodesOfServer = new int[servers.size()];
+    this.mostOfServer = new int[servers.size()];
+    this.allPlaces = servers.stream().mapToLong(SubsetRounds::places).sum();
+    weigh();
+  }
+
+  private void weigh() {
+    List<String> names = servers.stream().map(server -> server.start().toString()).toList();
+    for (int node = 0; node < nodes.size(); node++) {
+      for (int server = 0; server < names.size(); server++) {
+        weights[node][server] = Rendezvous.weight(nodes.get(node).name(), names.get(server));
+      }
+    }
+  }
+
+  private static int places(ServerEntry server) {
+    return Math.max(1, server.slots());
+  }
+
+  /** Servers of one node, the first choice first. */
+  List<ServerEntry> choose(String self, int size) {
+    ServerEntry[] own = new ServerEntry[size];
+    for (int round = 0; round < size; round++) {
+      setShares(round + 1);
+      for (int turn = 0; turn < nodes.size(); turn++) {
+        // Who chose late in one round chooses early in the next.
+        int node = round % 2 == 0 ? turn : nodes.size() - 1 - turn;
+        int server = chooseFor(node);
+        if (nodes.get(node).name().equals(self)) {
+          own[round] = servers.get(server);
+        }
+      }
+    }
+    return List.of(own);
+  }
+
+  /** Servers with more places have more nodes. */
+  private void setShares(int rounds) {
+    long choices = (long) rounds * nodes.size();
+    for (int server = 0; server < mostOfServer.length; server++) {
+      long share = choices * places(servers.get(server));
+      mostOfServer[server] = (int) ((share + allPlaces - 1) / allPlaces);
+    }
+  }
+
+  private int chooseFor(int node) {
+    int best = -1;
+    for (int server = 0; server < servers.size(); server++) {
+      if (!chosen[node][server] && (best < 0 || isBetter(node, server, best))) {
+        best = server;
+      }
+    }
+    chosen[node][best] = true;
+    nodesOfServer[best]++;
+    return best;
+  }
+
+  private boolean isBetter(int node, int server, int other) {
+    if (excess(server) != excess(other)) {
+      return excess(server) < excess(other);
+    }
+    if (isNear(node, server) != isNear(node, other)) {
+      return isNear(node, server);
+    }
+    return weights[node][server] > weights[node][other];
+  }
+
+  /** By how much one more node would exceed a server's share. */
+  private int excess(int server) {
+    return Math.max(0, nodesOfServer[server] + 1 - mostOfServer[server]);
+  }
+
+  private boolean isNear(int node, int server) {
+    return nodes.get(node).zone().equals(servers.get(server).zone());
+  }
+}
--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -90,6 +90,11 @@
     return leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
   }
 
+  /** Whether the request was sent to a server. */
+  public boolean hasTried(ServerStart server) {
+    return tried.contains(server);
+  }
+
   /** The server to send to now; empty if there is none or the attempts are used up. */
   public Optional<ServerEntry> next(
       Collection<ServerEntry> servers, ServerPicker picker, long nowMillis) {
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/backend/ServerSubsetTest.java
@@ -0,0 +1,169 @@
+package org.passhaven.core.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.placement.Member;
+
+class ServerSubsetTest {
+  private static final int SEEDS = 30;
+
+  private static List<ServerEntry> chosen(ServerSubset subset) {
+    return subset.byPreference().subList(0, subset.size());
+  }
+
+  @Test
+  void whoeverSeesTheSameFindsTheSameInWhateverOrder() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      List<Member> nodes = SubsetFixture.nodes(40, true, random);
+      List<ServerEntry> servers = SubsetFixture.servers(10, true, random);
+      ServerSubset one = ServerSubset.of(nodes.get(7), nodes, servers);
+      List<Member> otherNodes = new ArrayList<>(nodes);
+      List<ServerEntry> otherServers = new ArrayList<>(servers);
+      Collections.shuffle(otherNodes, random);
+      Collections.shuffle(otherServers, random);
+      assertThat(ServerSubset.of(nodes.get(7), otherNodes, otherServers), equalTo(one));
+    }
+  }
+
+  @Test
+  void aSubsetHasEachServerOnceAndAtLeastThree() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      List<Member> nodes = SubsetFixture.nodes(1 + random.nextInt(120), true, random);
+      List<ServerEntry> servers = SubsetFixture.servers(1 + random.nextInt(30), true, random);
+      ServerSubset subset = ServerSubset.of(nodes.get(0), nodes, servers);
+      assertThat(subset.size(), greaterThanOrEqualTo(Math.min(3, servers.size())));
+      assertThat(subset.byPreference(), containsInAnyOrder(servers.toArray()));
+    }
+  }
+
+  @Test
+  void aSmallFleetOrAServiceOfThreeHasAllServers() {
+    for (int[] site : new int[][] {{1, 3}, {10, 3}, {13, 3}, {80, 3}, {370, 3}, {5, 12}, {8, 40}}) {
+      assertThat(
+          site[0] + " nodes, " + site[1] + " servers",
+          ServerSubset.sizeFor(site[0], site[1]),
+          is(site[1]));
+    }
+    assertThat(ServerSubset.sizeFor(80, 12), is(3));
+    assertThat(ServerSubset.sizeFor(370, 60), is(3));
+    assertThat("eight nodes a server", ServerSubset.sizeFor(30, 12), is(4));
+  }
+
+  @Test
+  void aServiceWithoutServersHasAnEmptySubset() {
+    ServerSubset none = ServerSubset.of(new Member("n", "z"), List.of(), List.of());
+    assertThat(none.forUse(20, 3).candidates(server -> false), hasSize(0));
+  }
+
+  @Test
+  void serversWithMorePlacesHaveMoreNodes() {
+    Random random = new Random(1);
+    List<Member> nodes = SubsetFixture.nodes(80, false, random);
+    List<ServerEntry> servers = new ArrayList<>(SubsetFixture.servers(11, false, random));
+    ServerEntry large =
+        new ServerEntry(ServerStart.of("large"), "s", "l:1", "z0", 12, true, Map.of());
+    servers.add(large);
+    long nodesOfLarge =
+        nodes.stream()
+            .filter(node -> chosen(ServerSubset.of(node, nodes, servers)).contains(large))
+            .count();
+    long share = 2 * 80 * 3 / 13 + 1;
+    assertThat(nodesOfLarge, greaterThanOrEqualTo(share * 3 / 4));
+    assertThat(nodesOfLarge, lessThanOrEqualTo(share));
+  }
+
+  @Test
+  void aServerThatGoesIsReplacedAndOthersMostlyStay() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      List<Member> nodes = SubsetFixture.nodes(80, true, random);
+      List<ServerEntry> servers = SubsetFixture.servers(12, true, random);
+      ServerEntry gone = servers.get(random.nextInt(12));
+      List<ServerEntry> left = new ArrayList<>(servers);
+      left.remove(gone);
+      Map<String, List<ServerEntry>> before = SubsetWays.BOUNDED.subsets(nodes, servers);
+      Map<String, List<ServerEntry>> after = SubsetWays.BOUNDED.subsets(nodes, left);
+      after.values().forEach(subset -> assertThat(subset, not(hasItem(gone))));
+      after.values().forEach(subset -> assertThat(subset, hasSize(3)));
+      assertThat(SubsetFixture.changed(before, after), lessThan(0.25));
+    }
+  }
+
+  @Test
+  void nodesThatSeeSlightlyDifferentFleetsStillSpreadWell() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      List<Member> nodes = SubsetFixture.nodes(80, true, random);
+      List<ServerEntry> servers = SubsetFixture.servers(12, false, random);
+      Map<String, List<ServerEntry>> subsets = new HashMap<>();
+      for (Member node : nodes) {
+        List<Member> seen = new ArrayList<>(nodes);
+        seen.removeIf(other -> random.nextInt(25) == 0);
+        subsets.put(node.name(), chosen(ServerSubset.of(node, seen, servers)));
+      }
+      assertThat(SubsetFixture.maxOverMean(subsets, servers, 3), lessThanOrEqualTo(1.3));
+    }
+  }
+
+  @Test
+  void aSubsetIsLeftOnlyWhileNoneOfItsServersIsGoodAndThenForAll() {
+    Random random = new Random(3);
+    List<Member> nodes = SubsetFixture.nodes(80, false, random);
+    List<ServerEntry> servers = SubsetFixture.servers(12, false, random);
+    ServerSubset subset = ServerSubset.of(nodes.get(0), nodes, servers);
+    ServerEntry last = chosen(subset).get(2);
+    assertThat(subset.candidates(server -> true), hasSize(3));
+    assertThat(subset.candidates(server -> server.equals(last)), hasSize(3));
+    assertThat(
+        subset.candidates(server -> !chosen(subset).contains(server)),
+        equalTo(subset.byPreference()));
+  }
+
+  @Test
+  void aNodeWithManyRequestsUsesMoreServersInTurnAndOneWithFewKeepsToItsFirst() {
+    Random random = new Random(4);
+    List<Member> nodes = SubsetFixture.nodes(80, false, random);
+    List<ServerEntry> servers = SubsetFixture.servers(12, false, random);
+    ServerSubset subset = ServerSubset.of(nodes.get(0), nodes, servers);
+    for (int turn = 0; turn < 20; turn++) {
+      assertThat("18 places for 4", subset.forUse(4, turn), equalTo(subset));
+    }
+    assertThat(subset.forUse(8, 0).size(), is(6));
+    assertThat(subset.forUse(16, 0).size(), is(11));
+    assertThat(subset.forUse(100, 0).size(), is(12));
+    HashSet<ServerEntry> first = new HashSet<>();
+    for (int turn = 0; turn < 11; turn++) {
+      first.add(subset.forUse(16, turn).byPreference().get(0));
+    }
+    assertThat(first, hasSize(11));
+  }
+
+  @Test
+  void aPeakIsHeldBetweenTwoBurstsAndThenForgotten() {
+    PeakUse use = new PeakUse();
+    assertThat(use.mark(12, 0), is(12));
+    assertThat(use.mark(1, 5_000), is(12));
+    assertThat(use.mark(12, 6_000), is(12));
+    assertThat(use.mark(1, 15_000), is(12));
+    assertThat(use.mark(1, 16_001), is(1));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/backend/SubsetWaysTest.java
@@ -0,0 +1,93 @@
+package org.passhaven.core.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.placement.Member;
+
+/** The ways to form subsets against each other: fleets of 5 to 370 nodes before 12 servers. */
+class SubsetWaysTest {
+  private static final int[] FLEETS = {5, 12, 30, 80, 370};
+  private static final int SERVERS = 12;
+  private static final int SEEDS = 20;
+
+  private record Figures(
+      double spread, double firstSpread, double near, double afterNode, double afterServer) {
+    Figures plus(Figures other) {
+      return new Figures(
+          Math.max(spread, other.spread),
+          Math.max(firstSpread, other.firstSpread),
+          near + other.near / SEEDS,
+          afterNode + other.afterNode / SEEDS,
+          afterServer + other.afterServer / SEEDS);
+    }
+  }
+
+  private static Figures figures(SubsetWays way, int fleet, boolean isUneven, long seed) {
+    Random random = new Random(seed);
+    List<Member> nodes = SubsetFixture.nodes(fleet, isUneven, random);
+    List<ServerEntry> servers = SubsetFixture.servers(SERVERS, isUneven, random);
+    Map<String, List<ServerEntry>> subsets = way.subsets(nodes, servers);
+    List<Member> fewer = new ArrayList<>(nodes);
+    fewer.remove(random.nextInt(fewer.size()));
+    List<ServerEntry> fewerServers = new ArrayList<>(servers);
+    fewerServers.remove(random.nextInt(SERVERS));
+    return new Figures(
+        SubsetFixture.maxOverMean(subsets, servers, SERVERS),
+        SubsetFixture.maxOverMean(subsets, servers, 1),
+        SubsetFixture.near(nodes, subsets),
+        SubsetFixture.changed(subsets, way.subsets(fewer, servers)),
+        SubsetFixture.changed(subsets, way.subsets(nodes, fewerServers)));
+  }
+
+  private static Figures figures(SubsetWays way, int fleet, boolean isUneven) {
+    Figures all = new Figures(0, 0, 0, 0, 0);
+    for (int seed = 0; seed < SEEDS; seed++) {
+      all = all.plus(figures(way, fleet, isUneven, seed));
+    }
+    System.out.printf(
+        Locale.ROOT,
+        "%-15s %3d nodes%s: size %2d, max/mean %.2f, of first choices %.2f, near %.2f,"
+            + " changed by a node %.3f, by a server %.3f%n",
+        way,
+        fleet,
+        isUneven ? " uneven" : "       ",
+        ServerSubset.sizeFor(fleet, SERVERS),
+        all.spread,
+        all.firstSpread,
+        all.near,
+        all.afterNode,
+        all.afterServer);
+    return all;
+  }
+
+  @Test
+  void theWayInUseSpreadsBestAndIsAboutAsStableAsRendezvousAlone() {
+    Map<Integer, Map<SubsetWays, Figures>> uneven = new HashMap<>();
+    for (int fleet : FLEETS) {
+      uneven.put(fleet, new EnumMap<>(SubsetWays.class));
+      for (SubsetWays way : SubsetWays.values()) {
+        figures(way, fleet, false);
+        uneven.get(fleet).put(way, figures(way, fleet, true));
+      }
+    }
+    for (int fleet : new int[] {30, 80, 370}) {
+      Figures bounded = uneven.get(fleet).get(SubsetWays.BOUNDED);
+      Figures rendezvous = uneven.get(fleet).get(SubsetWays.RENDEZVOUS);
+      Figures rounds = uneven.get(fleet).get(SubsetWays.SHUFFLED_ROUNDS);
+      assertThat("spread of " + fleet, bounded.spread, lessThan(1.2));
+      assertThat("first choices of " + fleet, bounded.firstSpread, lessThan(1.21));
+      assertThat("spread of " + fleet, bounded.spread, lessThan(rendezvous.spread));
+      assertThat("a node of " + fleet, bounded.afterNode, lessThan(rounds.afterNode));
+      assertThat("a server of " + fleet, bounded.afterServer, lessThan(rounds.afterServer));
+    }
+  }
+}
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.passhaven.core.route.RouteTable;
+import org.passhaven.protocol.member.MemberBeat;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -60,6 +61,7 @@
         new RequestForwarder(
             context,
             directory,
+            this::takingNodes,
             crashes,
             (tenant, sentAt) -> meter.ifPresent(counting -> counting.onBegan(tenant, sentAt)));
     this.members =
@@ -162,7 +164,11 @@
   }
 
   private int liveNodes() {
-    return members.beats().taking().size();
+    return takingNodes().size();
+  }
+
+  private List<MemberBeat> takingNodes() {
+    return members.beats().taking();
   }
 
   private List<String> namedFor(String zone) {
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -33,6 +33,9 @@
   /** Attempts at servers that came to nothing. */
   public final Counter attemptsFailed;
 
+  /** Attempts for which no server of this node's subset was good, so that all were asked. */
+  public final Counter subsetsWidened;
+
   /** Generations begun or continued. */
   public final Counter generationsBegun;
 
@@ -88,6 +91,7 @@
     requestsRefused = registry.counter("passhaven.gateway.requests", "outcome", "refused-not-run");
     requestsUnknown = registry.counter("passhaven.gateway.requests", "outcome", "outcome-unknown");
     attemptsFailed = registry.counter("passhaven.gateway.attempts.failed");
+    subsetsWidened = registry.counter("passhaven.gateway.subsets.widened");
     generationsBegun = registry.counter("passhaven.gateway.generations.begun");
     generationsFailed = registry.counter("passhaven.gateway.generations.failed");
     generationsStopped = registry.counter("passhaven.gateway.generations.stopped");
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -8,15 +8,16 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
-import org.passhaven.core.backend.ServerPicker;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.forward.ForwardPlan.Outcome;
 import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.ShareRotation;
+import org.passhaven.protocol.member.MemberBeat;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
@@ -42,7 +43,7 @@
   private final CrashLog crashes;
   private final ShareRotation rotation;
   private final ServerHealth health = new ServerHealth();
-  private final ServerPicker picker;
+  private final ServerCandidates candidates;
   private final RateMeter rate;
   private final RunListener runs;
   private int inProgress;
@@ -53,15 +54,23 @@
     void onBegan(String tenant, long sentAtMillis);
   }
 
-  /** Creates a forwarder to the servers of the directory. */
+  /**
+   * Creates a forwarder to the servers of the directory.
+   *
+   * @param liveNodes nodes among which servers are shared out
+   */
   RequestForwarder(
-      GatewayContext context, Directory directory, CrashLog crashes, RunListener runs) {
+      GatewayContext context,
+      Directory directory,
+      Supplier<List<MemberBeat>> liveNodes,
+      CrashLog crashes,
+      RunListener runs) {
     this.runs = Objects.requireNonNull(runs, "runs");
     this.context = Objects.requireNonNull(context, "context");
     this.directory = Objects.requireNonNull(directory, "directory");
     this.crashes = Objects.requireNonNull(crashes, "crashes");
     this.rotation = new ShareRotation(context.randomBelow());
-    this.picker = new ServerPicker(health, context.settings().zone());
+    this.candidates = new ServerCandidates(context, directory, health, liveNodes);
     this.rate = new RateMeter(context.now());
     directory.addListener(
         () ->
@@ -139,8 +148,8 @@
       if (!gate.mayRun(plan.inProgress() > 0, this::onTrialClaimed)) {
         return gate.isClaiming() || plan.inProgress() > 0;
       }
-      List<ServerEntry> servers = directory.servers().readyOf(service);
-      Optional<ServerEntry> server = plan.next(servers, picker, context.now());
+      List<ServerEntry> servers = candidates.of(service, plan);
+      Optional<ServerEntry> server = plan.next(servers, candidates.picker(), context.now());
       if (server.isEmpty()) {
         return plan.inProgress() > 0;
       }
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
@@ -0,0 +1,311 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.in;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.backend.ServerSubset;
+import org.passhaven.core.placement.Member;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.ServiceShare;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.node.WatchedTimers;
+import org.passhaven.protocol.Codec;
+import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.spi.BackEndService.Answer;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.DutyService;
+import org.passhaven.spi.PlatformException;
+import org.passhaven.spi.TableService.Entry;
+
+/** One of 80 nodes before a service of 12 servers; the test answers for them. */
+class SubsetForwardTest {
+  private static final int NODES = 80;
+  private static final int SERVERS = 12;
+  private static final int PLACES = 6;
+  private static final long DEADLINE_MILLIS = 1_500;
+  private static final long HEDGE_MILLIS = 150;
+  private final ManualTimers timers = new ManualTimers();
+  private final MemoryTables tables = new MemoryTables(timers);
+  private final List<Sent> sent = new ArrayList<>();
+  private final List<ForwardOutcome> outcomes = new ArrayList<>();
+  private final GatewayMetrics metrics = new GatewayMetrics(new SimpleMeterRegistry());
+  private List<MemberBeat> nodes =
+      IntStream.range(0, NODES).mapToObj(i -> beat(i == 0 ? "n" : "n" + i)).toList();
+  private RequestForwarder forwarder;
+  private ServerSubset subset;
+
+  private record Sent(String server, boolean isAnew, UniEmitter<? super Answer> answer) {
+    void succeed() {
+      answer.complete(new Answer(200, false, "signed", List.of(), new byte[0]));
+    }
+
+    void refuse() {
+      answer.complete(new Answer(503, true, "", List.of(), new byte[0]));
+    }
+
+    void isUnreachable() {
+      answer.fail(new PlatformException(PlatformException.Kind.NOT_RUN, "refused"));
+    }
+  }
+
+  private final class Servers extends GatewayFixture.NoServers {
+    @Override
+    public Uni<Answer> call(Target target, Call call) {
+      return Uni.createFrom()
+          .emitter(emitter -> sent.add(new Sent(target.instance(), false, emitter)));
+    }
+
+    @Override
+    public Uni<Answer> callAnew(Target target, Call call) {
+      return Uni.createFrom()
+          .emitter(emitter -> sent.add(new Sent(target.instance(), true, emitter)));
+    }
+  }
+
+  private static final class Documents extends GatewayFixture.NoDocuments {
+    @Override
+    public ServerEntry server(String key, byte[] document) {
+      return Codec.decode(document, ServerEntry.class);
+    }
+  }
+
+  private static MemberBeat beat(String node) {
+    return new MemberBeat(node, node + ":1", "z", 1, true, 0, 500);
+  }
+
+  private static ServerEntry entry(int i, boolean isReady) {
+    String id = "s" + i;
+    return new ServerEntry(
+        ServerStart.of(id), "s", id + ":1", "z" + i % 3, PLACES, isReady, Map.of());
+  }
+
+  @BeforeEach
+  void start() {
+    GatewayContext context =
+        new GatewayContext(
+            GatewayFixture.settings(1, 262_144, 2_097_152),
+            1,
+            new WatchedTimers(timers),
+            bound -> 0,
+            new MemoryLog(timers),
+            tables.asSeen(),
+            new Servers(),
+            DutyService.NONE,
+            new Documents(),
+            metrics);
+    IntStream.range(0, SERVERS).forEach(i -> list(entry(i, true)));
+    Directory directory = new Directory(context, () -> 0);
+    directory.start();
+    CrashLog crashes = new CrashLog(context, directory);
+    crashes.start();
+    forwarder =
+        new RequestForwarder(context, directory, () -> nodes, crashes, (tenant, sentAt) -> {});
+    timers.advance(10);
+    subset = subset();
+  }
+
+  private void list(ServerEntry entry) {
+    tables.add("servers", List.of(new Entry(entry.start().id(), Codec.encode(entry))));
+  }
+
+  private ServerSubset subset() {
+    return ServerSubset.of(
+        new Member("n", "z"),
+        nodes.stream().map(beat -> new Member(beat.node(), beat.zone())).toList(),
+        IntStream.range(0, SERVERS).mapToObj(i -> entry(i, true)).toList());
+  }
+
+  private String preferred(int place) {
+    return subset.byPreference().get(place).start().id();
+  }
+
+  private Set<String> inSubset() {
+    return subset.byPreference().subList(0, subset.size()).stream()
+        .map(server -> server.start().id())
+        .collect(Collectors.toSet());
+  }
+
+  private void ask() {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/",
+            List.of(new ServiceShare("s", 1)),
+            Route.Kind.REPEATABLE,
+            DEADLINE_MILLIS,
+            250,
+            4,
+            false,
+            false,
+            0,
+            0,
+            true);
+    Call call = new Call("id", "", "GET", "/p", "h", List.of(), new byte[0], DEADLINE_MILLIS);
+    forwarder.forward(route, call).subscribe().with(outcomes::add);
+    timers.advance(5);
+  }
+
+  private Sent last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  private Set<String> used() {
+    return sent.stream().map(Sent::server).collect(Collectors.toSet());
+  }
+
+  @Test
+  void aNodeWithFewRequestsKeepsToItsFirstChoice() {
+    for (int i = 0; i < 50; i++) {
+      ask();
+      last().succeed();
+    }
+    assertThat(used(), contains(preferred(0)));
+    assertThat(metrics.subsetsWidened.count(), is(0.0));
+  }
+
+  @Test
+  void fewRequestsAtOnceStayInTheSubset() {
+    IntStream.range(0, 4).forEach(i -> ask());
+    assertThat(used(), everyItem(is(in(inSubset()))));
+  }
+
+  @Test
+  void aRunnerWithManyRequestsAtOnceUsesEveryServerItNeeds() {
+    for (int burst = 0; burst < 6; burst++) {
+      int from = sent.size();
+      IntStream.range(0, 12).forEach(i -> ask());
+      List.copyOf(sent.subList(from, sent.size())).forEach(Sent::succeed);
+      timers.advance(1_000);
+    }
+    Map<String, Long> perServer =
+        sent.stream().collect(Collectors.groupingBy(Sent::server, Collectors.counting()));
+    assertThat(perServer.size(), greaterThan(7));
+    assertThat(perServer.values(), everyItem(is(lessThanOrEqualTo(12L))));
+  }
+
+  @Test
+  void afterABurstTheSubsetIsSmallAgain() {
+    IntStream.range(0, 12).forEach(i -> ask());
+    List.copyOf(sent).forEach(Sent::succeed);
+    timers.advance(11_000);
+    sent.clear();
+    for (int i = 0; i < 20; i++) {
+      ask();
+      last().succeed();
+    }
+    assertThat(used(), contains(preferred(0)));
+  }
+
+  @Test
+  void aServerThatDrainsOrIsGoneLeavesTheSubsetAtOnceAndAnotherJoins() {
+    int first = Integer.parseInt(preferred(0).substring(1));
+    list(entry(first, false));
+    timers.advance(10);
+    ask();
+    last().succeed();
+    assertThat(used(), not(hasItem(preferred(0))));
+    String second = last().server();
+    tables.add("servers", List.of(new Entry(second, null)));
+    timers.advance(10);
+    ask();
+    last().succeed();
+    assertThat(outcomes, hasSize(2));
+    assertThat(new HashSet<>(List.of(preferred(0), second, last().server())), hasSize(3));
+  }
+
+  @Test
+  void whereTheWholeSubsetRefusesARequestGoesToAnotherServerWithinItsAttempts() {
+    ask();
+    for (int refused = 0; refused < 3; refused++) {
+      last().refuse();
+      timers.advance(15);
+    }
+    assertThat(sent, hasSize(4));
+    assertThat(sent.subList(0, 3).stream().map(Sent::server).toList(), everyItem(in(inSubset())));
+    assertThat(last().server(), not(in(inSubset())));
+    last().succeed();
+    assertThat(outcomes.get(0), instanceOf(ForwardOutcome.Answered.class));
+    assertThat(metrics.subsetsWidened.count(), is(1.0));
+  }
+
+  @Test
+  void aNodeCutOffFromItsSubsetServesFromOtherServersAndComesBack() {
+    ask();
+    for (int i = 0; i < 3; i++) {
+      last().isUnreachable();
+      timers.advance(15);
+    }
+    last().succeed();
+    ask();
+    assertThat("nothing is tried where it just failed", sent, hasSize(5));
+    assertThat(last().server(), not(in(inSubset())));
+    last().succeed();
+    timers.advance(5_000);
+    ask();
+    assertThat(last().server(), equalTo(preferred(0)));
+  }
+
+  @Test
+  void aHedgeGoesOutsideWhereTheRestOfTheSubsetIsNotGood() {
+    ask();
+    last().refuse();
+    timers.advance(15);
+    last().isUnreachable();
+    timers.advance(15);
+    assertThat(last().server(), is(in(inSubset())));
+    timers.advance(HEDGE_MILLIS);
+    assertThat(last().isAnew(), is(true));
+    assertThat(last().server(), not(in(inSubset())));
+    last().succeed();
+    assertThat(outcomes, hasSize(1));
+  }
+
+  @Test
+  void aNodeThatSeesNobodyElseStillHasAllServers() {
+    nodes = List.of();
+    IntStream.range(0, SERVERS * PLACES).forEach(i -> ask());
+    assertThat(used(), hasSize(SERVERS));
+  }
+
+  @Test
+  void whereAllServersAreBadARequestIsStillTriedAtOthers() {
+    for (int i = 0; i < 3; i++) {
+      ask();
+      IntStream.range(0, 6)
+          .forEach(
+              refused -> {
+                last().isUnreachable();
+                timers.advance(15);
+              });
+    }
+    int before = sent.size();
+    ask();
+    assertThat(sent, hasSize(before + 1));
+  }
+}
