--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -77,6 +77,23 @@
         .thenComparing(ServerEntry::start);
   }
 
+  /**
+   * The same with the first choice of an earlier one while it is still in the subset: where only
+   * nodes have come or gone, a node's connection stays in use.
+   */
+  public ServerSubset keepingFirstOf(ServerSubset earlier) {
+    if (earlier.byPreference.isEmpty()) {
+      return this;
+    }
+    int place = byPreference.indexOf(earlier.byPreference.get(0));
+    if (place < 0 || place >= size) {
+      return this;
+    }
+    List<ServerEntry> kept = new ArrayList<>(byPreference);
+    kept.add(0, kept.remove(place));
+    return new ServerSubset(kept, size);
+  }
+
   /**
    * The same for a node that lately had so many requests in progress at once: with as many servers
    * as it needs, since it would fill its few if it sends requests by the dozen, and in turn, since
--- a/core/src/test/java/org/passhaven/core/backend/ServerSubsetTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/ServerSubsetTest.java
@@ -108,6 +108,55 @@
     }
   }
 
+  /** 80 nodes, half of them restarted one after another. */
+  @Test
+  void firstChoicesMostlyStayWhileNodesComeAndGoAndRemainSpread() {
+    for (int seed = 0; seed < 5; seed++) {
+      Random random = new Random(seed);
+      List<Member> all = SubsetFixture.nodes(80, true, random);
+      List<ServerEntry> servers = SubsetFixture.servers(12, false, random);
+      Map<Member, ServerSubset> subsets = new HashMap<>();
+      int changes = 0;
+      for (int restart = 0; restart < 40; restart++) {
+        List<Member> fewer = new ArrayList<>(all);
+        subsets.remove(fewer.remove(random.nextInt(fewer.size())));
+        changes += reform(subsets, fewer, servers) + reform(subsets, all, servers);
+      }
+      Map<String, List<ServerEntry>> first = new HashMap<>();
+      subsets.forEach((node, subset) -> first.put(node.name(), chosen(subset)));
+      assertThat("of 6,400", changes, lessThan(160));
+      assertThat(SubsetFixture.maxOverMean(first, servers, 1), lessThanOrEqualTo(1.35));
+    }
+  }
+
+  /** Each node forms its subset anew; tells how many first choices changed. */
+  private static int reform(
+      Map<Member, ServerSubset> subsets, List<Member> nodes, List<ServerEntry> servers) {
+    int changes = 0;
+    for (Member node : nodes) {
+      ServerSubset formed = ServerSubset.of(node, nodes, servers);
+      ServerSubset before = subsets.getOrDefault(node, formed);
+      ServerSubset after = formed.keepingFirstOf(before);
+      subsets.put(node, after);
+      changes += after.byPreference().get(0).equals(before.byPreference().get(0)) ? 0 : 1;
+    }
+    return changes;
+  }
+
+  @Test
+  void aFirstChoiceThatIsNotInTheSubsetAnyMoreIsNotKept() {
+    Random random = new Random(6);
+    List<Member> nodes = SubsetFixture.nodes(80, false, random);
+    List<ServerEntry> servers = SubsetFixture.servers(12, false, random);
+    ServerSubset subset = ServerSubset.of(nodes.get(0), nodes, servers);
+    ServerEntry outside = subset.byPreference().get(5);
+    assertThat(subset.keepingFirstOf(new ServerSubset(List.of(outside), 1)), equalTo(subset));
+    ServerEntry third = subset.byPreference().get(2);
+    ServerSubset kept = subset.keepingFirstOf(new ServerSubset(List.of(third), 1));
+    assertThat(kept.byPreference().get(0), equalTo(third));
+    assertThat(new HashSet<>(chosen(kept)), equalTo(new HashSet<>(chosen(subset))));
+  }
+
   @Test
   void nodesThatSeeSlightlyDifferentFleetsStillSpreadWell() {
     for (int seed = 0; seed < SEEDS; seed++) {
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -82,9 +82,12 @@
     if (ready.equals(service.ready) && live.equals(service.nodes)) {
       return;
     }
+    // A server that comes is to become some nodes' first choice; a node that comes brings its own.
+    boolean isSameServers = ready.equals(service.ready);
+    ServerSubset formed = ServerSubset.of(self, live, ready);
+    service.formed = isSameServers ? formed.keepingFirstOf(service.formed) : formed;
     service.ready = ready;
     service.nodes = live;
-    service.formed = ServerSubset.of(self, live, ready);
     LOG.atDebug()
         .addKeyValue("service", name)
         .addKeyValue("nodes", live.size())
--- a/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
@@ -44,6 +45,9 @@
 
 /** One of 80 nodes before a service of 12 servers; the test answers for them. */
 class SubsetForwardTest {
+  /** One that chooses late, so that others change its choices. */
+  private static final String SELF = "n3";
+
   private static final int NODES = 80;
   private static final int SERVERS = 12;
   private static final int PLACES = 6;
@@ -55,7 +59,10 @@
   private final List<ForwardOutcome> outcomes = new ArrayList<>();
   private final GatewayMetrics metrics = new GatewayMetrics(new SimpleMeterRegistry());
   private List<MemberBeat> nodes =
-      IntStream.range(0, NODES).mapToObj(i -> beat(i == 0 ? "n" : "n" + i)).toList();
+      Stream.concat(Stream.of(SELF), IntStream.range(0, NODES).mapToObj(i -> "n" + i))
+          .distinct()
+          .map(SubsetForwardTest::beat)
+          .toList();
   private RequestForwarder forwarder;
   private ServerSubset subset;
 
@@ -108,7 +115,7 @@
   void start() {
     GatewayContext context =
         new GatewayContext(
-            GatewayFixture.settings(1, 262_144, 2_097_152),
+            GatewayFixture.settings(SELF, 1, 262_144, 2_097_152),
             1,
             new WatchedTimers(timers),
             bound -> 0,
@@ -135,7 +142,7 @@
 
   private ServerSubset subset() {
     return ServerSubset.of(
-        new Member("n", "z"),
+        new Member(SELF, "z"),
         nodes.stream().map(beat -> new Member(beat.node(), beat.zone())).toList(),
         IntStream.range(0, SERVERS).mapToObj(i -> entry(i, true)).toList());
   }
@@ -189,6 +196,26 @@
     assertThat(metrics.subsetsWidened.count(), is(0.0));
   }
 
+  @Test
+  void theFirstChoiceStaysWhileItIsInTheSubsetAndOnlyNodesGo() {
+    ask();
+    last().succeed();
+    String first = preferred(0);
+    List<MemberBeat> all = nodes;
+    int others = 0;
+    for (int left = NODES; left > NODES / 2; left--) {
+      nodes = all.subList(0, left);
+      subset = subset();
+      if (inSubset().contains(first)) {
+        others += preferred(0).equals(first) ? 0 : 1;
+        ask();
+        last().succeed();
+      }
+    }
+    assertThat("fleets that give another first choice", others, greaterThan(0));
+    assertThat(used(), contains(first));
+  }
+
   @Test
   void fewRequestsAtOnceStayInTheSubset() {
     IntStream.range(0, 4).forEach(i -> ask());
