--- a/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
@@ -126,7 +126,7 @@
     directory.start();
     CrashLog crashes = new CrashLog(context, directory);
     crashes.start();
-    forwarder = new RequestForwarder(context, directory, crashes, (tenant, sentAt) -> {});
+    forwarder = new RequestForwarder(context, directory, List::of, crashes, (tenant, sentAt) -> {});
   }
 
   private void list(String instance) {
