--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/memory/ByteBudget.java
@@ -0,0 +1,179 @@
+package org.passhaven.core.memory;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Bytes of others' bodies that a node may hold at once, and what it holds. A large body is refused
+ * while the rest would have to come from another use's share or from the reserve of small bodies,
+ * so that a few large ones keep nobody else out. Not thread-safe.
+ */
+public final class ByteBudget {
+  /** Bodies up to this size may take the last byte: ordinary requests have some hundred bytes. */
+  public static final int SMALL_BODY_BYTES = 16_384;
+
+  /**
+   * Part of a body that exists twice while it is written: what waits in the write queue and in the
+   * socket's send buffer, which the system counts double.
+   */
+  public static final int COPY_BYTES = 98_304;
+
+  /** Memory of a machine whose settings name none: less than the smallest known ones have. */
+  public static final long DEFAULT_MEMORY_BYTES = 256L << 20;
+
+  /** Beside the bodies the heap holds the node's tables and texts, and one body being joined. */
+  private static final double HEAP_SHARE = 3.0 / 8;
+
+  /** The rest is for the program, the node's own heap, its threads and its sockets. */
+  private static final double MEMORY_SHARE = 1.0 / 6;
+
+  /** Part that only small bodies may take. */
+  private static final double SMALL_SHARE = 1.0 / 16;
+
+  private final long totalBytes;
+  private final long smallReserveBytes;
+  private final Map<BodyUse, Long> ownBytes = new EnumMap<>(BodyUse.class);
+  private final Map<BodyUse, Long> heldBytes = new EnumMap<>(BodyUse.class);
+  private Runnable onReleased = () -> {};
+  private long allHeldBytes;
+  private long peakBytes;
+
+  /** Creates a budget of which nothing is held. */
+  public ByteBudget(long totalBytes) {
+    if (totalBytes <= 0) {
+      throw new IllegalArgumentException("a budget of " + totalBytes + " bytes holds nothing");
+    }
+    this.totalBytes = totalBytes;
+    this.smallReserveBytes = (long) (totalBytes * SMALL_SHARE);
+    for (BodyUse use : BodyUse.values()) {
+      ownBytes.put(use, (long) (totalBytes * use.ownShare()));
+      heldBytes.put(use, 0L);
+    }
+  }
+
+  /**
+   * The budget of a node.
+   *
+   * @param memoryBytes what the machine grants to the process
+   * @param heapBytes to which the heap may grow
+   */
+  public static ByteBudget of(long memoryBytes, long heapBytes) {
+    return new ByteBudget((long) Math.min(memoryBytes * MEMORY_SHARE, heapBytes * HEAP_SHARE));
+  }
+
+  /** Runs a task after each release. */
+  public void whenReleased(Runnable task) {
+    onReleased = Objects.requireNonNull(task, "task");
+  }
+
+  /** Begins to hold a body of which nothing has come yet. */
+  public Reservation open(BodyUse use) {
+    return new Reservation(use);
+  }
+
+  /** Bytes that may be held at once. */
+  public long totalBytes() {
+    return totalBytes;
+  }
+
+  /** Bytes that are held. */
+  public long heldBytes() {
+    return allHeldBytes;
+  }
+
+  /** Bytes that are held for one use. */
+  public long heldBytes(BodyUse use) {
+    return heldBytes.get(use);
+  }
+
+  /** Most bytes that were ever held at once. */
+  public long peakBytes() {
+    return peakBytes;
+  }
+
+  /** The largest body that fits while nothing else is held. */
+  public long largestBodyBytes(BodyUse use) {
+    long mostBytes = totalBytes - smallReserveBytes - unusedOfOthers(use, false);
+    return Math.max(SMALL_BODY_BYTES, Math.max(mostBytes / 2, mostBytes - COPY_BYTES));
+  }
+
+  private boolean hasRoom(BodyUse use, long bodyBytes, long moreBytes) {
+    long freeBytes = totalBytes - allHeldBytes;
+    if (bodyBytes > SMALL_BODY_BYTES) {
+      freeBytes -= smallReserveBytes + unusedOfOthers(use, true);
+    }
+    return moreBytes <= freeBytes;
+  }
+
+  private long unusedOfOthers(BodyUse use, boolean nowHeld) {
+    long unused = 0;
+    for (BodyUse other : BodyUse.values()) {
+      if (other != use) {
+        long held = nowHeld ? heldBytes.get(other) : 0;
+        unused += Math.max(0, ownBytes.get(other) - held);
+      }
+    }
+    return unused;
+  }
+
+  private void add(BodyUse use, long bytes) {
+    heldBytes.merge(use, bytes, Long::sum);
+    allHeldBytes += bytes;
+    peakBytes = Math.max(peakBytes, allHeldBytes);
+  }
+
+  private static long cost(long bodyBytes) {
+    return bodyBytes + Math.min(bodyBytes, COPY_BYTES);
+  }
+
+  /** One body's part of the budget. */
+  public final class Reservation {
+    private final BodyUse use;
+    private long bodyBytes;
+    private boolean released;
+
+    private Reservation(BodyUse use) {
+      this.use = Objects.requireNonNull(use, "use");
+    }
+
+    /** Holds so many more bytes of the body; false if there is no room, and then holds no more. */
+    public boolean grow(long bytes) {
+      if (bytes < 0) {
+        throw new IllegalArgumentException("a body can't grow by " + bytes + " bytes");
+      }
+      long grown = bodyBytes + bytes;
+      if (released || !hasRoom(use, grown, cost(grown) - cost(bodyBytes))) {
+        return false;
+      }
+      hold(grown);
+      return true;
+    }
+
+    /**
+     * Holds a body that is in memory already, having been counted elsewhere until now, or being too
+     * small to be refused.
+     */
+    public void take(long bytes) {
+      if (!released) {
+        hold(bodyBytes + bytes);
+      }
+    }
+
+    private void hold(long grown) {
+      add(use, cost(grown) - cost(bodyBytes));
+      bodyBytes = grown;
+    }
+
+    /** The body is held no more. Later calls do nothing. */
+    public void release() {
+      if (!released) {
+        released = true;
+        if (bodyBytes > 0) {
+          add(use, -cost(bodyBytes));
+          onReleased.run();
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/memory/ByteBudgetTest.java
@@ -0,0 +1,150 @@
+package org.passhaven.core.memory;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.memory.ByteBudget.Reservation;
+
+/** The load: callers and servers that read slowly, beside ordinary callers. */
+class ByteBudgetTest {
+  private static final long MB = 1L << 20;
+  private static final int ORDINARY_BYTES = 800;
+  private static final List<BodyUse> USES = List.of(BodyUse.values());
+  private final ByteBudget budget = ByteBudget.of(290 * MB, 128 * MB);
+
+  private Reservation held(BodyUse use, long bytes) {
+    Reservation reservation = budget.open(use);
+    assertThat(reservation.grow(bytes), is(true));
+    return reservation;
+  }
+
+  private List<Reservation> fill(BodyUse use, long bytes) {
+    List<Reservation> taken = new ArrayList<>();
+    while (true) {
+      Reservation next = budget.open(use);
+      if (!next.grow(bytes)) {
+        return taken;
+      }
+      taken.add(next);
+    }
+  }
+
+  @Test
+  void theBudgetIsAPartOfTheLessOfMemoryAndHeap() {
+    assertThat(budget.totalBytes(), equalTo(48 * MB));
+    assertThat(ByteBudget.of(682 * MB, 128 * MB).totalBytes(), equalTo(48 * MB));
+    assertThat(ByteBudget.of(120 * MB, 128 * MB).totalBytes(), equalTo(20 * MB));
+    assertThrows(IllegalArgumentException.class, () -> ByteBudget.of(0, 128 * MB));
+  }
+
+  @Test
+  void theLargestBodyOfTheUsualLimitFitsIntoAnIdleNode() {
+    for (BodyUse use : List.of(BodyUse.REQUEST, BodyUse.ANSWER)) {
+      assertThat(budget.largestBodyBytes(use), greaterThanOrEqualTo(32 * MB));
+      held(use, budget.largestBodyBytes(use)).release();
+    }
+    Reservation tooLarge = budget.open(BodyUse.REQUEST);
+    assertThat(tooLarge.grow(budget.largestBodyBytes(BodyUse.REQUEST) + 1), is(false));
+    assertThat(budget.heldBytes(), equalTo(0L));
+  }
+
+  @Test
+  void aThousandUnreadAnswersLeaveRoomForOrdinaryCallersAndForOtherUses() {
+    List<Reservation> unread = fill(BodyUse.ANSWER, 200_000);
+    assertThat(unread.size(), lessThan(1_000));
+    assertThat(unread.size(), greaterThan(100));
+    held(BodyUse.REQUEST, MB);
+    held(BodyUse.JOB, MB);
+    for (int i = 0; i < 500; i++) {
+      held(BodyUse.REQUEST, ORDINARY_BYTES);
+      held(BodyUse.ANSWER, ORDINARY_BYTES);
+    }
+    assertThat(budget.heldBytes(), lessThanOrEqualTo(budget.totalBytes()));
+  }
+
+  @Test
+  void eachUseKeepsItsShareWhenAnotherOneTakesAllItCan() {
+    for (BodyUse greedy : BodyUse.values()) {
+      List<Reservation> taken = fill(greedy, 100_000);
+      for (BodyUse other : BodyUse.values()) {
+        if (other != greedy) {
+          held(other, MB).release();
+        }
+      }
+      taken.forEach(Reservation::release);
+      assertThat(budget.heldBytes(), equalTo(0L));
+    }
+  }
+
+  @Test
+  void smallBodiesMayTakeTheLastByteAndThenAreRefusedToo() {
+    fill(BodyUse.REQUEST, MB);
+    List<Reservation> small = fill(BodyUse.REQUEST, ByteBudget.SMALL_BODY_BYTES);
+    assertThat(small.size(), greaterThan(100));
+    assertThat(
+        budget.totalBytes() - budget.heldBytes(), lessThan(2L * ByteBudget.SMALL_BODY_BYTES));
+    assertThat(budget.heldBytes(), lessThanOrEqualTo(budget.totalBytes()));
+  }
+
+  @Test
+  void aBodyThatOutgrowsSmallSizeIsTreatedAsALargeOne() {
+    fill(BodyUse.REQUEST, MB);
+    fill(BodyUse.REQUEST, 20_000);
+    Reservation growing = held(BodyUse.REQUEST, ByteBudget.SMALL_BODY_BYTES);
+    assertThat(growing.grow(1), is(false));
+    growing.release();
+  }
+
+  @Test
+  void eachReservationIsReleasedOnceAndHoldsNothingAfterwards() {
+    int[] told = new int[1];
+    budget.whenReleased(() -> told[0]++);
+    Reservation body = held(BodyUse.REQUEST, MB);
+    body.release();
+    body.release();
+    assertThat(told[0], equalTo(1));
+    assertThat(budget.heldBytes(), equalTo(0L));
+    assertThat(body.grow(1), is(false));
+    body.take(1);
+    assertThat(budget.heldBytes(), equalTo(0L));
+    assertThrows(IllegalArgumentException.class, () -> budget.open(BodyUse.JOB).grow(-1));
+  }
+
+  @Test
+  void countsAreNeverNegativeNorLeakWhateverComesAndGoes() {
+    Random random = new Random(39);
+    List<Reservation> open = new ArrayList<>();
+    for (int i = 0; i < 20_000; i++) {
+      if (open.isEmpty() || random.nextInt(3) > 0) {
+        Reservation next = budget.open(USES.get(random.nextInt(USES.size())));
+        next.grow(random.nextInt(8) == 0 ? random.nextInt(4 << 20) : random.nextInt(2_000));
+        open.add(next);
+      } else {
+        Reservation some = open.get(random.nextInt(open.size()));
+        if (random.nextBoolean()) {
+          some.grow(random.nextInt(100_000));
+        } else {
+          some.release();
+          open.remove(some);
+        }
+      }
+      assertThat(budget.heldBytes(), lessThanOrEqualTo(budget.totalBytes()));
+      for (BodyUse use : BodyUse.values()) {
+        assertThat(budget.heldBytes(use), greaterThanOrEqualTo(0L));
+      }
+    }
+    open.forEach(Reservation::release);
+    assertThat(budget.heldBytes(), equalTo(0L));
+    assertThat(budget.peakBytes(), greaterThan(0L));
+  }
+}
