A request that is over is kept in memory by no timer

Cause: the timer of a second attempt (0.6 of the target, 90 to 480 ms on the sites that we know) went on after the answer, and kept the request with its body. With a target of 9 s and bodies of 32 MB a heap of 128 MB ran out at the second request.

Weighed: letting the timer know the attempt's number only (it needs the request to begin the next attempt); cancelling it when the request is over: kept.

Conclusion: what a node holds for a request ends with the request.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -105,6 +106,7 @@
     private final long beganAt = context.now();
     private final long lostAtBegin = lostMillis();
     private final Map<Integer, Cancellable> attempts = new HashMap<>();
+    private final List<Timers.Timer> hedges = new ArrayList<>(2);
     private Timers.Timer deadline;
     private int nextAttempt;
     private String lastReason = "";
@@ -192,7 +194,8 @@
         attempts.put(attempt, sending);
       }
       plan.hedgeAfterMillis()
-          .ifPresent(after -> context.timers().after(after, () -> hedge(attempt, server)));
+          .ifPresent(
+              after -> hedges.add(context.timers().after(after, () -> hedge(attempt, server))));
     }
 
     private void hedge(int attempt, ServerEntry server) {
@@ -346,6 +349,8 @@
       inProgress--;
       gate.close(!attempts.isEmpty());
       deadline.cancel();
+      // A timer that waits on would keep the request's body in memory.
+      hedges.forEach(Timers.Timer::cancel);
       List<Cancellable> running = List.copyOf(attempts.values());
       attempts.clear();
       running.forEach(Cancellable::cancel);
--- a/node/src/test/java/org/passhaven/node/ManualTimers.java
+++ b/node/src/test/java/org/passhaven/node/ManualTimers.java
@@ -36,6 +36,11 @@
     return () -> tasks.remove(set);
   }
 
+  /** Timers that are set. */
+  public int pending() {
+    return tasks.size();
+  }
+
   /** Lets time pass and runs what falls due. */
   public void advance(long millis) {
     long until = now + millis;
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -258,4 +258,13 @@
         "a late answer is delivered", outcomes.get(1), instanceOf(ForwardOutcome.Answered.class));
     assertThat(outcomes, hasSize(2));
   }
+
+  @Test
+  void aRequestThatIsOverIsKeptByNoTimer() {
+    int before = timers.pending();
+    ask("/p");
+    assertThat(timers.pending(), greaterThan(before));
+    last().succeed();
+    assertThat(timers.pending(), equalTo(before));
+  }
 }
