--- a/core/src/main/java/org/passhaven/core/memory/ByteBudget.java
+++ b/core/src/main/java/org/passhaven/core/memory/ByteBudget.java
@@ -33,8 +33,7 @@
 
   private final long totalBytes;
   private final long smallReserveBytes;
-  private final Map<BodyUse, Long> ownBytes = new EnumMap<>(BodyUse.class);
-  private final Map<BodyUse, Long> heldBytes = new EnumMap<>(BodyUse.class);
+  private final Map<BodyUse, Part> parts = new EnumMap<>(BodyUse.class);
   private Runnable onReleased = () -> {};
   private long allHeldBytes;
   private long peakBytes;
@@ -47,8 +46,7 @@
     this.totalBytes = totalBytes;
     this.smallReserveBytes = (long) (totalBytes * SMALL_SHARE);
     for (BodyUse use : BodyUse.values()) {
-      ownBytes.put(use, (long) (totalBytes * use.ownShare()));
-      heldBytes.put(use, 0L);
+      parts.put(use, new Part((long) (totalBytes * use.ownShare())));
     }
   }
 
@@ -84,7 +82,7 @@
 
   /** Bytes that are held for one use. */
   public long heldBytes(BodyUse use) {
-    return heldBytes.get(use);
+    return parts.get(use).heldBytes;
   }
 
   /** Most bytes that were ever held at once. */
@@ -110,15 +108,15 @@
     long unused = 0;
     for (BodyUse other : BodyUse.values()) {
       if (other != use) {
-        long held = nowHeld ? heldBytes.get(other) : 0;
-        unused += Math.max(0, ownBytes.get(other) - held);
+        Part part = parts.get(other);
+        unused += Math.max(0, part.ownBytes - (nowHeld ? part.heldBytes : 0));
       }
     }
     return unused;
   }
 
   private void add(BodyUse use, long bytes) {
-    heldBytes.merge(use, bytes, Long::sum);
+    parts.get(use).heldBytes += bytes;
     allHeldBytes += bytes;
     peakBytes = Math.max(peakBytes, allHeldBytes);
   }
@@ -127,7 +125,17 @@
     return bodyBytes + Math.min(bodyBytes, COPY_BYTES);
   }
 
-  /** One body's part of the budget. */
+  /** What one use may keep for itself, and what it holds. */
+  private static final class Part {
+    final long ownBytes;
+    long heldBytes;
+
+    Part(long ownBytes) {
+      this.ownBytes = ownBytes;
+    }
+  }
+
+  /** One body's room in the budget. */
   public final class Reservation {
     private final BodyUse use;
     private long bodyBytes;
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -232,8 +232,17 @@
     private void onFailure(
         int attempt, ServerEntry server, PlatformException failure, long sentAt) {
       attempts.remove(attempt);
-      health.onFailure(server.start(), context.now());
-      boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
+      if (failure.kind() == PlatformException.Kind.ANSWER_DROPPED) {
+        onAnswerDropped(server, failure, sentAt);
+        return;
+      }
+      boolean heldBack = failure.kind() == PlatformException.Kind.HELD_BACK;
+      if (heldBack) {
+        health.avoid(server.start(), FULL_AVOIDED_MILLIS, context.now());
+      } else {
+        health.onFailure(server.start(), context.now());
+      }
+      boolean notRun = heldBack || failure.kind() == PlatformException.Kind.NOT_RUN;
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
       logAttempt(server, outcome, failure.getMessage());
       if (notRun) {
@@ -244,6 +253,20 @@
       gate.onBroken(server).subscribe().with(ignored -> decide(outcome, null));
     }
 
+    /**
+     * A server ran it, and there was no room for the answer. Another attempt would run it once more
+     * for an answer that has no room either.
+     */
+    private void onAnswerDropped(ServerEntry server, PlatformException failure, long sentAt) {
+      logAttempt(server, Outcome.UNKNOWN, failure.getMessage());
+      noteBegun(sentAt);
+      gate.onAnswered(Outcome.UNKNOWN);
+      if (!done) {
+        plan.onEnded(Outcome.UNKNOWN, context.now());
+        giveUp("no room for the answer");
+      }
+    }
+
     /** A request counts once, however many servers ran it. */
     private void noteBegun(long sentAtMillis) {
       if (!hasBegun) {
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -53,7 +53,11 @@
     }
 
     void crash() {
-      answer.fail(new PlatformException(PlatformException.Kind.OUTCOME_UNKNOWN, "reset"));
+      fail(PlatformException.Kind.OUTCOME_UNKNOWN);
+    }
+
+    void fail(PlatformException.Kind kind) {
+      answer.fail(new PlatformException(kind, "reset"));
     }
   }
 
@@ -267,4 +271,44 @@
     last().succeed();
     assertThat(timers.pending(), equalTo(before));
   }
+
+  @Test
+  void aBodyThatIsHeldBackFromOneServerGoesToAnotherAndIsNothingAgainstTheFirst() {
+    ask("/p");
+    String first = last().server();
+    last().fail(PlatformException.Kind.HELD_BACK);
+    timers.advance(20);
+    assertThat(sent, hasSize(2));
+    assertThat(last().server().equals(first), is(false));
+    last().succeed();
+    assertThat(outcomes.get(0), instanceOf(ForwardOutcome.Answered.class));
+    timers.advance(100);
+    ask("/q");
+    assertThat(last().server(), equalTo(first));
+  }
+
+  @Test
+  void aBodyThatIsHeldBackFromAllServersWasNotRun() {
+    ask("/p");
+    for (int i = 0; i < 10 && outcomes.isEmpty(); i++) {
+      last().fail(PlatformException.Kind.HELD_BACK);
+      timers.advance(20);
+    }
+    assertThat(outcomes.get(0), instanceOf(ForwardOutcome.NotRun.class));
+    assertThat(began, hasSize(0));
+  }
+
+  @Test
+  void anAnswerThatHadNoRoomIsOfUnknownOutcomeAndIsNotAskedForAgain() {
+    ask("/p");
+    String server = last().server();
+    last().fail(PlatformException.Kind.ANSWER_DROPPED);
+    timers.advance(4 * HEDGE_MILLIS);
+    assertThat(sent, hasSize(1));
+    assertThat(outcomes.get(0), instanceOf(ForwardOutcome.Unknown.class));
+    assertThat("it ran, and counts", began, hasSize(1));
+    assertThat(checks, equalTo(0));
+    ask("/q");
+    assertThat(last().server(), equalTo(server));
+  }
 }
--- a/spi/src/main/java/org/passhaven/spi/PlatformException.java
+++ b/spi/src/main/java/org/passhaven/spi/PlatformException.java
@@ -13,7 +13,11 @@
     /** No byte of the request reached the other side, or it said that it did not run it. */
     NOT_RUN,
     /** The request may have taken effect. */
-    OUTCOME_UNKNOWN
+    OUTCOME_UNKNOWN,
+    /** This node did not send it, since too much is under way there: no sign against a server. */
+    HELD_BACK,
+    /** It was answered, and this node had no room for the answer: no sign against a server. */
+    ANSWER_DROPPED
   }
 
   private final Kind kind;
