--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -128,6 +129,7 @@
     private final long beganAt = context.now();
     private final long lostAtBegin = lostMillis();
     private final Map<Integer, Cancellable> attempts = new HashMap<>();
+    private final List<Timers.Timer> hedges = new ArrayList<>(2);
     private Timers.Timer deadline;
     private int nextAttempt;
     private String lastReason = "";
@@ -225,7 +227,8 @@
         attempts.put(attempt, sending);
       }
       plan.hedgeAfterMillis()
-          .ifPresent(after -> context.timers().after(after, () -> hedge(attempt, server)));
+          .ifPresent(
+              after -> hedges.add(context.timers().after(after, () -> hedge(attempt, server))));
     }
 
     private void hedge(int attempt, ServerEntry server) {
@@ -269,8 +272,17 @@
     private void onFailure(
         int attempt, ServerEntry server, PlatformException failure, long sentAt) {
       attempts.remove(attempt);
-      health.onFailure(server.start(), context.now());
-      boolean notRun = failure.kind() == PlatformException.Kind.NOT_RUN;
+      if (failure.kind() == PlatformException.Kind.ANSWER_DROPPED) {
+        onAnswerDropped(server, failure, sentAt);
+        return;
+      }
+      boolean heldBack = failure.kind() == PlatformException.Kind.HELD_BACK;
+      if (heldBack) {
+        health.avoid(server.start(), FULL_AVOIDED_MILLIS, context.now());
+      } else {
+        health.onFailure(server.start(), context.now());
+      }
+      boolean notRun = heldBack || failure.kind() == PlatformException.Kind.NOT_RUN;
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
       logAttempt(server, outcome, failure.getMessage());
       if (notRun) {
@@ -281,6 +293,20 @@
       gate.onBroken(server).subscribe().with(ignored -> decide(outcome, null));
     }
 
+    /**
+     * A server ran it, and there was no room for the answer. Another attempt would run it once more
+     * for an answer that has no room either.
+     */
+    private void onAnswerDropped(ServerEntry server, PlatformException failure, long sentAt) {
+      logAttempt(server, Outcome.UNKNOWN, failure.getMessage());
+      noteBegun(sentAt);
+      gate.onAnswered(Outcome.UNKNOWN);
+      if (!done) {
+        plan.onEnded(Outcome.UNKNOWN, context.now());
+        giveUp("no room for the answer");
+      }
+    }
+
     /** A request counts once, however many servers ran it. */
     private void noteBegun(long sentAtMillis) {
       if (!hasBegun) {
@@ -386,6 +412,8 @@
       inProgress--;
       gate.close(!attempts.isEmpty());
       deadline.cancel();
+      // A timer that waits on would keep the request's body in memory.
+      hedges.forEach(Timers.Timer::cancel);
       List<Cancellable> running = List.copyOf(attempts.values());
       attempts.clear();
       running.forEach(Cancellable::cancel);
