The loss of a fleet shows in the order of its log, to all nodes alike

Cause: a node that starts after the loss of all others counted who beat again since it began to read.

Now each beat tells for how long its start has been in the log, counted from the answer to its first beat. So the part of the log between a start's first beat and a later one spans that time at least, however slow the log is: who was there before, was due and is not in it is gone. A node that starts later knows from its first read. The order "first back, first candidate" follows from the beats too (three quarters of the live nodes are fresh), so all nodes agree on it. A node keeps the period that its newest beat has promised, and counts its beats from the first answer.

Weighed: counting only beats of nodes that are not fresh by the reader's clock (each node then still waits for a period of its own); a flag "fleet lost" in beats (one mistaken node would tell all); a time of day in each beat (clocks jump).

Three tests of BeatTableTest were rewritten as strict for the new count (places in the log in place of the reader's clock); seven cases are new.

--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
@@ -23,35 +23,35 @@
   /** Beats that may be missing before a node is dead: two, and the third may be late. */
   private static final double SILENT_PERIODS = 3.2;
 
-  /** Fewer nodes that are silent may be chance. */
-  private static final int MANY_NODES = 4;
-
-  /** Of live nodes all have beaten again by then but those that a store turns away, a third. */
-  private static final int FEW_ONE_IN = 4;
-
   private static final double REQUESTS_PER_NODE = 15;
 
   /**
-   * After the loss of a fleet those who are back first come first, in the order of the log: who is
-   * back later, as slow machines are, would hold up what it is the first candidate for.
+   * In a fleet that has just started those who are back first come first, in the order of the log:
+   * who is back later, as slow machines are, would hold up what it is the first candidate for.
    */
   private static final int FIRST_BACK = 8;
 
-  private static final long AFTER_LOSS_MILLIS = 5_000;
-  private final long silenceMillis;
-  private final Map<String, Heard> members = new TreeMap<>();
-  private final Map<String, MemberBeat> beatsBeforeStart = new HashMap<>();
+  /** Time for which a start counts as fresh: within it a fleet that was lost is back. */
+  private static final long FRESH_MILLIS = 5_000;
 
-  /** Order in which nodes were first heard of, until the reader has followed for a while. */
-  private final Map<MemberBeat.Start, Integer> places = new HashMap<>();
+  /** A fleet counts as just started while this share of its nodes is fresh. */
+  private static final double FRESH_SHARE = 0.75;
 
+  private final long silenceMillis;
+  private final Map<String, Heard> members = new TreeMap<>();
+  private final FleetLoss loss = new FleetLoss();
+  private int beatsHeard;
   private long startMillis = Long.MIN_VALUE;
-  private boolean isAfterLoss;
   private long newestMillis = Long.MIN_VALUE;
   private List<MemberBeat> taking;
 
-  /** {@code isSinceStart}: written after the reader began to follow. */
-  private record Heard(MemberBeat beat, boolean isSinceStart, long atMillis) {}
+  /**
+   * The newest beat of a node.
+   *
+   * @param firstPlace place in the log of the first beat that was read of this start
+   * @param place place of this beat, in the same order
+   */
+  private record Heard(MemberBeat beat, int firstPlace, int place, long atMillis) {}
 
   /**
    * Creates a table.
@@ -63,69 +63,47 @@
     this.silenceMillis = silenceMillis;
   }
 
-  /**
-   * A beat was read that had been written before this node began to follow the beats: up to a
-   * period before, if its node is alive; any time before, if it is not.
-   */
-  public void onBeatBeforeStart(MemberBeat beat, long nowMillis) {
-    hear(beat, false, nowMillis);
-    beatsBeforeStart.put(beat.node(), beat);
-  }
-
-  /** A beat was read. */
+  /** A beat was read; beats are given in the order of the log. */
   public void onBeat(MemberBeat beat, long nowMillis) {
-    hear(beat, true, nowMillis);
-  }
-
-  private void hear(MemberBeat beat, boolean isSinceStart, long nowMillis) {
     Objects.requireNonNull(beat, "beat");
     if (startMillis == Long.MIN_VALUE) {
       startMillis = nowMillis;
     }
     newestMillis = Math.max(newestMillis, nowMillis);
     taking = null;
-    if (isJustStarted()) {
-      places.putIfAbsent(beat.start(), places.size());
+    int place = beatsHeard++;
+    if (newestMillis - startMillis < FRESH_MILLIS) {
+      loss.onBeat(beat, place);
     }
     Heard known = members.get(beat.node());
     // A clock that was set back may give a new start a lower number; silence of the old one
     // decides.
     boolean silent = known == null || isSilent(known);
     if (silent || beat.incarnation() >= known.beat().incarnation()) {
-      members.put(beat.node(), new Heard(beat, isSinceStart, nowMillis));
+      boolean isSameStart = known != null && known.beat().start().equals(beat.start());
+      int firstPlace = isSameStart ? known.firstPlace() : place;
+      members.put(beat.node(), new Heard(beat, firstPlace, place, nowMillis));
     }
   }
 
-  private boolean isJustStarted() {
-    return newestMillis - startMillis < AFTER_LOSS_MILLIS;
+  /** Beats were passed over: who has beaten again is unknown. */
+  public void onGap() {
+    loss.forget();
   }
 
   /**
-   * Whether so few of the nodes that beat before this one's start have done so since that the fleet
-   * must have been lost. To be asked when this node's own next beat was read back: by then each
-   * live node's was that was due, however slow the log is.
+   * Whether so few of the nodes that were there when this reader began go on that the fleet must
+   * have been lost. To be asked within the reader's first seconds.
    */
   public boolean isFleetLost() {
-    List<MemberBeat> due =
-        beatsBeforeStart.values().stream()
-            .filter(beat -> beat.periodMillis() <= newestMillis - startMillis)
-            .toList();
-    long again = due.stream().filter(this::hasBeatenSinceStart).count();
-    return due.size() >= MANY_NODES && again * FEW_ONE_IN < due.size();
-  }
-
-  private boolean hasBeatenSinceStart(MemberBeat before) {
-    Heard heard = members.get(before.node());
-    return heard != null
-        && heard.isSinceStart()
-        && heard.beat().incarnation() == before.incarnation();
+    return loss.lostBefore().isPresent();
   }
 
-  /** The fleet was lost: forgets the nodes that have not beaten since this node's start. */
+  /** The fleet was lost: forgets the nodes that have not beaten since. */
   public void forgetLost() {
-    members.values().removeIf(heard -> !heard.isSinceStart());
+    int lostBefore = loss.lostBefore().orElse(0);
+    members.values().removeIf(heard -> heard.place() < lostBefore);
     taking = null;
-    isAfterLoss = true;
   }
 
   private boolean isSilent(Heard heard) {
@@ -211,19 +189,33 @@
   }
 
   private List<Member> rank(String key) {
-    if (!isAfterLoss || !isJustStarted()) {
+    List<MemberBeat> fresh = freshInOrder();
+    if (fresh.size() < FRESH_SHARE * taking().size()) {
       return rank(key, taking());
     }
-    List<MemberBeat> byStart =
-        taking().stream()
-            .sorted(Comparator.comparingInt((MemberBeat beat) -> places.get(beat.start())))
-            .toList();
-    int first = Math.min(FIRST_BACK, byStart.size());
-    List<Member> ranked = new ArrayList<>(rank(key, byStart.subList(0, first)));
-    ranked.addAll(rank(key, byStart.subList(first, byStart.size())));
+    Set<MemberBeat> first = Set.copyOf(firstOf(fresh));
+    List<MemberBeat> others = taking().stream().filter(beat -> !first.contains(beat)).toList();
+    List<Member> ranked = new ArrayList<>(rank(key, firstOf(fresh)));
+    ranked.addAll(rank(key, others));
     return ranked;
   }
 
+  /** Live nodes that have just started, in the order in which they came. */
+  private List<MemberBeat> freshInOrder() {
+    return taking().stream()
+        .filter(BeatTable::isFresh)
+        .sorted(Comparator.comparingInt(beat -> members.get(beat.node()).firstPlace()))
+        .toList();
+  }
+
+  private static boolean isFresh(MemberBeat beat) {
+    return beat.inLogMillis() > 0 && beat.inLogMillis() < FRESH_MILLIS;
+  }
+
+  private static List<MemberBeat> firstOf(List<MemberBeat> fresh) {
+    return fresh.subList(0, Math.min(FIRST_BACK, fresh.size()));
+  }
+
   private static List<Member> rank(String key, List<MemberBeat> beats) {
     List<Member> candidates =
         beats.stream().map(beat -> new Member(beat.node(), beat.zone())).toList();
--- a/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
+++ b/core/src/test/java/org/passhaven/core/job/RunOwnersTest.java
@@ -17,7 +17,7 @@
   private final RunOwners a = new RunOwners("a", 1, run -> "run/" + run);
 
   private void beat(String node, long incarnation, boolean taking, long now) {
-    beats.onBeat(new MemberBeat(node, node + ":1", "z", incarnation, taking, 0, 0), now);
+    beats.onBeat(new MemberBeat(node, node + ":1", "z", incarnation, taking, 0, 0, 0), now);
   }
 
   private String firstOf(String run) {
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -15,7 +15,7 @@
   private final BeatTable table = new BeatTable(1_500);
 
   private static MemberBeat beat(String node, String zone, long incarnation, boolean taking) {
-    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0, 0);
+    return new MemberBeat(node, node + ":1", zone, incarnation, taking, 0, 0, 0);
   }
 
   @Test
@@ -29,7 +29,7 @@
 
   @Test
   void aNodeWhoseBeatsAreFarApartIsDeadOnlyWhenSeveralAreMissing() {
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000, 0), 0);
     table.onBeat(beat("b", "z", 1, true), 3_100);
     assertThat(table.isTaking("a"), is(true));
     table.onBeat(beat("b", "z", 1, true), 3_200);
@@ -38,27 +38,34 @@
 
   @Test
   void aNodeThatBeatsMoreOftenThanBeforeIsDeadSooner() {
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000), 0);
-    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 400), 100);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 1_000, 0), 0);
+    table.onBeat(new MemberBeat("a", "a:1", "z", 1, true, 0, 400, 0), 100);
     table.onBeat(beat("b", "z", 1, true), 1_600);
     assertThat(table.isTaking("a"), is(false));
   }
 
   private static MemberBeat busyBeat(String node, long incarnation) {
-    return new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500);
+    return freshBeat(node, incarnation, 60_000);
   }
 
-  private void hearBeforeStart(int nodes) {
+  private static MemberBeat freshBeat(String node, long incarnation, long inLogMillis) {
+    return new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500, inLogMillis);
+  }
+
+  private void hearBusy(int nodes) {
     for (int i = 0; i < nodes; i++) {
-      table.onBeatBeforeStart(busyBeat("n" + i, 1), 1_000);
+      table.onBeat(busyBeat("n" + i, 1), 1_000);
     }
   }
 
   @Test
   void aFleetIsLostIfHardlyAnyOfItsNodesBeatsAgain() {
-    hearBeforeStart(20);
+    hearBusy(20);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    assertThat(table.isFleetLost(), is(false));
+    table.onBeat(freshBeat("self", 9, 500), 1_510);
     assertThat(table.isFleetLost(), is(false));
-    table.onBeat(beat("self", "z", 9, true), 1_510);
+    table.onBeat(freshBeat("self", 9, 501), 1_510);
     assertThat(table.isFleetLost(), is(true));
     for (int i = 0; i < 4; i++) {
       table.onBeat(busyBeat("n" + i, 1), 1_520);
@@ -68,22 +75,91 @@
     assertThat(table.isFleetLost(), is(false));
   }
 
+  @Test
+  void aLossShowsAtOnceToWhoStartsBehindOthersThatAreBack() {
+    hearBusy(20);
+    table.onBeat(freshBeat("first", 9, 1), 1_000);
+    for (int i = 0; i < 10; i++) {
+      table.onBeat(freshBeat("n" + i, 2, 1), 1_000);
+    }
+    table.onBeat(freshBeat("first", 9, 520), 1_000);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    assertThat(table.isFleetLost(), is(true));
+    table.forgetLost();
+    assertThat(table.isTaking("first"), is(true));
+    assertThat(table.isTaking("n3", 2), is(true));
+    assertThat(table.isTaking("n13"), is(false));
+  }
+
+  @Test
+  void nodesThatCameBackTogetherSayNothingOfThoseWhoWereLost() {
+    hearBusy(20);
+    for (int i = 0; i < 18; i++) {
+      table.onBeat(freshBeat("back" + i, 9, 1), 1_000);
+    }
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    for (int i = 0; i < 18; i++) {
+      table.onBeat(freshBeat("back" + i, 9, 501), 1_510);
+    }
+    assertThat(table.isFleetLost(), is(true));
+    table.forgetLost();
+    assertThat(table.taking(), hasSize(19));
+  }
+
+  @Test
+  void timeThatTheLogNeedsForABeatIsNoSilence() {
+    hearBusy(20);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    // It was under way for long: the next one was written right after it.
+    table.onBeat(freshBeat("self", 9, 20), 4_000);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  @Test
+  void aStartWhoseFirstBeatWasNotReadTellsNoTime() {
+    hearBusy(20);
+    table.onBeat(freshBeat("other", 9, 300), 1_000);
+    table.onBeat(freshBeat("other", 9, 900), 1_000);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  @Test
+  void beatsThatWerePassedOverMayBeThoseOfLiveNodes() {
+    hearBusy(20);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    table.onGap();
+    table.onBeat(freshBeat("self", 9, 501), 1_510);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  @Test
+  void nodesThatLeftAreNotMissed() {
+    for (int i = 0; i < 20; i++) {
+      table.onBeat(new MemberBeat("n" + i, "n:1", "z", 1, false, 0, 500, 60_000), 1_000);
+    }
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    table.onBeat(freshBeat("self", 9, 501), 1_510);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
   @Test
   void nodesWhoseNextBeatIsNotDueSayNothing() {
     for (int i = 0; i < 20; i++) {
-      table.onBeatBeforeStart(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 4_000), 1_000);
+      table.onBeat(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 4_000, 60_000), 1_000);
     }
-    table.onBeat(beat("self", "z", 9, true), 2_000);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    table.onBeat(freshBeat("self", 9, 1_001), 2_000);
     assertThat(table.isFleetLost(), is(false));
   }
 
   @Test
   void afterALossNodesThatWereStartedAnewAreNoSignOfLife() {
-    hearBeforeStart(6);
+    hearBusy(6);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
     for (int i = 0; i < 3; i++) {
       table.onBeat(busyBeat("n" + i, 2), 1_400);
     }
-    table.onBeat(beat("self", "z", 9, true), 1_510);
+    table.onBeat(freshBeat("self", 9, 501), 1_510);
     assertThat(table.isFleetLost(), is(true));
     table.forgetLost();
     assertThat(
@@ -92,25 +168,39 @@
   }
 
   @Test
-  void afterALossThoseWhoAreBackFirstComeFirst() {
-    hearBeforeStart(4);
-    table.onBeat(beat("self", "z", 9, true), 1_510);
-    table.forgetLost();
+  void inAFleetThatHasJustStartedThoseWhoAreBackFirstComeFirst() {
+    table.onBeat(freshBeat("self", 9, 1), 1_510);
     for (int i = 0; i < 20; i++) {
-      table.onBeat(busyBeat("late" + i, 2), 1_600 + i);
+      table.onBeat(freshBeat("late" + i, 2, 1), 1_600 + i);
     }
+    // Who of the old ones is still thought alive changes nothing while they are few.
+    table.onBeat(busyBeat("old", 1), 1_700);
     for (int key = 0; key < 20; key++) {
       assertThat(table.rankOf("key" + key, "self") < 8, is(true));
       assertThat(table.rankOf("key" + key, "late19") < 8, is(false));
+      assertThat(table.rankOf("key" + key, "old") < 8, is(false));
     }
     for (int i = 0; i < 20; i++) {
-      table.onBeat(busyBeat("late" + i, 2), 6_000);
+      table.onBeat(freshBeat("late" + i, 2, 5_000), 6_000);
     }
-    boolean isEverFirst = false;
+    assertThat(isEverFirst("late19"), is(true));
+  }
+
+  @Test
+  void inAFleetThatGoesOnAFreshNodeIsACandidateAsAnyOther() {
+    hearBusy(20);
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    assertThat(isEverFirst("n7"), is(true));
+    assertThat(isEverFirst("self"), is(true));
+  }
+
+  private boolean isEverFirst(String node) {
     for (int key = 0; key < 200; key++) {
-      isEverFirst |= table.rankOf("key" + key, "late19") == 0;
+      if (table.rankOf("key" + key, node) == 0) {
+        return true;
+      }
     }
-    assertThat(isEverFirst, is(true));
+    return false;
   }
 
   @Test
@@ -132,7 +222,7 @@
   private List<String> addressesUnderLoad(double perSecondEach) {
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
-      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach, 0), 0);
+      table.onBeat(new MemberBeat(node, node, "z", 1, true, perSecondEach, 0, 0), 0);
     }
     return table.addressesFor("z", 2, 64);
   }
@@ -154,7 +244,7 @@
     for (int i = 0; i < 20; i++) {
       String node = "n" + i;
       if (!node.equals(before.get(0))) {
-        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5, 0), 2_000);
+        table.onBeat(new MemberBeat(node, node, "z", 1, true, 0.5, 0, 0), 2_000);
       }
     }
     List<String> after = table.addressesFor("z", 2, 64);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -60,6 +60,9 @@
   /** Times that this node came to hold the lease of the duties, or lost it. */
   public final Counter leaseChanges;
 
+  /** Losses of the whole fleet that this node found at its start. */
+  public final Counter fleetLosses;
+
   /** Windows of usage that this node reported. */
   public final Counter windowsReported;
 
@@ -99,6 +102,7 @@
     requestsWithoutKey = registry.counter(REJECTED, "reason", "no-key");
     requestsWithUnknownKey = registry.counter(REJECTED, "reason", "unknown-key");
     requestsWithUnsureKey = registry.counter(REJECTED, "reason", "unsure");
+    fleetLosses = registry.counter("passhaven.gateway.fleet.losses");
     leaseChanges = registry.counter("passhaven.gateway.lease.changes");
     windowsReported = registry.counter("passhaven.gateway.usage.reports", "outcome", "done");
     windowReportsFailed = registry.counter("passhaven.gateway.usage.reports", "outcome", "failed");
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -40,7 +40,6 @@
   private long beatAt = NEVER;
   private long beatPeriodMillis;
   private long ownBeatReadAt = NEVER;
-  private long ownBeatsRead;
 
   /** Offset of the first beat that was sent since the newest gap of the clocks and is written. */
   private long ownBeatsCountFrom;
@@ -83,7 +82,6 @@
     whenFollowing = Objects.requireNonNull(onFollowing, "onFollowing");
     whenFleetLost = Objects.requireNonNull(onFleetLost, "onFleetLost");
     beganAt = context.now();
-    context.timers().every(context.settings().beat().toMillis(), this::beat);
     beat();
   }
 
@@ -147,7 +145,9 @@
    */
   private void beat() {
     long period = periodMillis();
-    boolean isDue = now() - beatAt >= period || period < beatPeriodMillis;
+    // What the newest beat has promised is kept: others may wait for it.
+    boolean isDue =
+        now() - beatAt >= Math.min(period, beatPeriodMillis) || period < beatPeriodMillis;
     if (!beating && (isDue || !tailing)) {
       append();
     }
@@ -173,7 +173,8 @@
             context.incarnation(),
             taking,
             requestsPerSecond.getAsDouble(),
-            beatPeriodMillis);
+            beatPeriodMillis,
+            inLogMillis());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
@@ -181,6 +182,11 @@
         .with(this::onAppended, this::onBeatFailed);
   }
 
+  /** Counted from the answer, since the beat may have been under way for long. */
+  private long inLogMillis() {
+    return MemberBeat.FIRST_IN_LOG_MILLIS + (tailing ? context.now() - startedAt : 0);
+  }
+
   private void onAppended(long offset) {
     beating = false;
     noteWritten(offset);
@@ -191,6 +197,8 @@
     if (!tailing) {
       tailing = true;
       startedAt = context.now();
+      // Counted from now: when this node's next beat is read back, each live node's is there too.
+      context.timers().every(context.settings().beat().toMillis(), this::beat);
       // Beats of the last moments tell at once who else is there.
       tail.start(Math.max(0, offset - HISTORY_RECORDS));
     }
@@ -222,11 +230,7 @@
       boolean isOwn =
           beat.node().equals(context.settings().node())
               && beat.incarnation() == context.incarnation();
-      if (isOwn || tail.isCaughtUp()) {
-        beats.onBeat(beat, context.now());
-      } else {
-        beats.onBeatBeforeStart(beat, context.now());
-      }
+      beats.onBeat(beat, context.now());
       if (isOwn) {
         onOwnBeatRead();
       }
@@ -237,7 +241,6 @@
 
   private void onOwnBeatRead() {
     long now = now();
-    ownBeatsRead++;
     if (tail.position() > ownBeatsCountFrom) {
       ownBeatReadAt = now;
     }
@@ -245,11 +248,12 @@
 
   /** Of a fleet that was lost the log still tells: who is gone must hold up nobody. */
   private void noteFleetLost() {
-    if (isFleetLost || ownBeatsRead < 2 || !isFresh()) {
+    if (isFleetLost || !tail.isCaughtUp() || !isFresh()) {
       return;
     }
     if (beats.isFleetLost()) {
       isFleetLost = true;
+      context.metrics().fleetLosses.increment();
       int before = beats.taking().size();
       beats.forgetLost();
       LOG.atInfo()
@@ -288,6 +292,11 @@
       MemberAgent.this.onRecord(record);
     }
 
+    @Override
+    public void onGap(long nextOffset) {
+      beats.onGap();
+    }
+
     @Override
     public void onBatchEnd() {
       noteFleetLost();
--- a/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobLogTest.java
@@ -44,7 +44,7 @@
   @Test
   void theFirstCandidateReadsAPartitionBeforeTheOthersDo() {
     for (String node : List.of("n", "other")) {
-      beats.onBeat(new MemberBeat(node, node + ":1", "z", 1, true, 0, 0), 0);
+      beats.onBeat(new MemberBeat(node, node + ":1", "z", 1, true, 0, 0, 0), 0);
     }
     String own = runOfAPartitionWhoseFirstCandidateIs("n");
     String others = runOfAPartitionWhoseFirstCandidateIs("other");
@@ -59,7 +59,7 @@
 
   @Test
   void whereTheLogHasDroppedClaimsTheNextOneIsAboveThem() {
-    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0), 0);
+    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0, 0), 0);
     String run = runOfAPartitionWhoseFirstCandidateIs("n");
     String stream = log.streamOf(run);
     for (long epoch = 1; epoch <= 10; epoch++) {
@@ -77,7 +77,7 @@
 
   @Test
   void aRunnersClaimIsWrittenAgainBeforeTheLogDropsIt() {
-    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0), 0);
+    beats.onBeat(new MemberBeat("n", "n:1", "z", 1, true, 0, 0, 0), 0);
     String run = runOfAPartitionWhoseFirstCandidateIs("n");
     String stream = log.streamOf(run);
     log.start(beats);
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -44,7 +44,7 @@
   @BeforeEach
   void fillTheLogOfAFleetThatIsGone() {
     for (int i = 0; i < 20; i++) {
-      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500);
+      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500, 0);
       log.stream(STREAM).add(Codec.encode(beat));
     }
     agent.start(() -> {}, () -> timesFleetLost++);
@@ -72,7 +72,7 @@
     timers.advance(10);
     log.appends = MemoryLog.Manner.SILENT;
     timers.advance(590);
-    MemberBeat beat = new MemberBeat("old1", "o:1", "z", 1, true, 0, 500);
+    MemberBeat beat = new MemberBeat("old1", "o:1", "z", 1, true, 0, 500, 0);
     log.stream(STREAM).add(Codec.encode(beat));
     timers.advance(400);
     assertThat(timesFleetLost, equalTo(0));
@@ -82,7 +82,7 @@
   void aFleetThatGoesOnIsNotLost() {
     timers.advance(400);
     for (int i = 0; i < 20; i++) {
-      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500);
+      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500, 0);
       log.stream(STREAM).add(Codec.encode(beat));
     }
     timers.advance(1_000);
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -10,6 +10,8 @@
  * @param taking whether it takes new work
  * @param requestsPerSecond requests that it lately forwarded
  * @param periodMillis time in which its next beat is to come; zero if it does not say
+ * @param inLogMillis time since the first beat of this start was known to be in the log, and one;
+ *     one in beats that were written before that, zero if the node does not say
  */
 public record MemberBeat(
     String node,
@@ -18,7 +20,11 @@
     long incarnation,
     boolean taking,
     double requestsPerSecond,
-    long periodMillis) {
+    long periodMillis,
+    long inLogMillis) {
+  /** {@link #inLogMillis} of the first beat of a start. */
+  public static final long FIRST_IN_LOG_MILLIS = 1;
+
   /** One start of a node. */
   public record Start(String node, long incarnation) {}
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -43,6 +43,7 @@
   /** A server that a request has crashed is back after some seconds. */
   private static final long CRASHED_MILLIS = 2_500;
 
+  private static final long NEVER = Long.MAX_VALUE;
   private static final long CLOCK_MILLIS = 5_000;
   private static final double USAGE_OFF = 0.05;
   private static final UsageSettings USAGE = new UsageSettings(5_000, 3_000, 160);
@@ -90,6 +91,10 @@
   private long lookupsEveryMillis;
   private long storeTroubledUntil;
   private int restartSpreadMillis;
+  private long lostAllAtMillis = NEVER;
+  private final List<String> addressesNamed = new ArrayList<>();
+  private int quickNodes;
+  private int slowerByMillis;
 
   /** Creates a world of few nodes. */
   public GatewayWorld(long seed) {
@@ -154,6 +159,12 @@
     restartSpreadMillis = millis;
   }
 
+  /** All but the first so many nodes need longer to start again. */
+  public void setSlowMachines(int quickNodes, int slowerByMillis) {
+    this.quickNodes = quickNodes;
+    this.slowerByMillis = slowerByMillis;
+  }
+
   /** Servers that end start again under the id that they had; set before the run is played. */
   public void restartServersInPlace() {
     entries.setRestartsInPlace();
@@ -178,6 +189,41 @@
     return servers.begunAtMillis();
   }
 
+  /** All nodes are lost soon after the first job that is accepted after a moment. */
+  public void loseAllWithAnOpenJob(long fromMillis, long afterAcceptanceMillis) {
+    trainer.whenAccepted(
+        () -> {
+          if (lostAllAtMillis == NEVER && time.nowMillis() >= fromMillis) {
+            lostAllAtMillis = time.nowMillis() + afterAcceptanceMillis;
+            after(afterAcceptanceMillis, () -> hosts.forEach(this::killAndRestart));
+          }
+        });
+  }
+
+  /** When {@link #loseAllWithAnOpenJob} lost all nodes. */
+  public long lostAllAtMillis() {
+    return lostAllAtMillis;
+  }
+
+  /** Looks at a moment which addresses running nodes name to callers; before the run is played. */
+  public void lookAtAddresses(long atMillis) {
+    after(
+        atMillis,
+        () ->
+            hosts.stream()
+                .filter(GatewayHost::isRunning)
+                .forEach(host -> addressesNamed.addAll(addressesOf(host))));
+  }
+
+  private List<String> addressesOf(GatewayHost host) {
+    return host.gateway().addressesFor(host.process().zone());
+  }
+
+  /** Addresses that were named at the moments looked at, once for each node that named them. */
+  public List<String> addressesNamed() {
+    return List.copyOf(addressesNamed);
+  }
+
   /** Draws faults that begin within a time. */
   public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
     UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
@@ -326,7 +372,8 @@
     if (host.gateway() != null) {
       host.kill();
       int spread = restartSpreadMillis == 0 ? 0 : random.nextInt(restartSpreadMillis);
-      after(RESTART_MILLIS + spread, () -> startIfEnded(host));
+      int slower = hosts.indexOf(host) < quickNodes ? 0 : slowerByMillis;
+      after(RESTART_MILLIS + spread + slower, () -> startIfEnded(host));
     }
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -31,6 +31,7 @@
   private int wholeSteps;
   private JobSubmission job;
   private final List<JobSubmission> acceptedJobs = new ArrayList<>();
+  private Runnable whenAccepted = () -> {};
   private boolean accepted;
   private long acceptedAt;
   private long submittedAt;
@@ -62,6 +63,11 @@
     return List.copyOf(acceptedJobs);
   }
 
+  /** Runs a task each time that a job is accepted. */
+  void whenAccepted(Runnable task) {
+    whenAccepted = task;
+  }
+
   void start() {
     beginStep();
   }
@@ -137,6 +143,7 @@
       accepted = true;
       acceptedJobs.add(submitted);
       acceptedAt = time.nowMillis();
+      whenAccepted.run();
       poll(submitted);
     }
   }
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
@@ -89,7 +89,8 @@
 
   private void start(int node) {
     String name = "n" + node;
-    beats.onBeat(new MemberBeat(name, name + ":1", zoneOf(node), 1, true, 0, 0), time.nowMillis());
+    beats.onBeat(
+        new MemberBeat(name, name + ":1", zoneOf(node), 1, true, 0, 0, 0), time.nowMillis());
     SimulatedProcess process = new SimulatedProcess(time, name, zoneOf(node));
     long incarnation = process.start();
     boolean isFast = node % FAST_ONE_IN == 0;
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
@@ -2,6 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
@@ -53,4 +56,67 @@
   void aLargeFleetDoesNotWaitForThoseWhoAreNotBackYet() {
     checkMeanPause(NODES);
   }
+
+  private static final int UNEVEN_NODES = 80;
+  private static final int QUICK_NODES = 19;
+  private static final int SLOWER_BY_MILLIS = 1_200;
+  private static final int QUICK_SPREAD_MILLIS = 150;
+
+  /** The last of the quick nodes is back, one beat of the first, and its way to all others. */
+  private static final long KNOWN_AFTER_MILLIS = RESTART_MILLIS + QUICK_SPREAD_MILLIS + 850;
+
+  /** Most machines need longer to start again than the others. */
+  private static GatewayWorld unevenWorld(long seed) {
+    GatewayWorld world = new GatewayWorld(seed, UNEVEN_NODES);
+    world.setRestartSpread(QUICK_SPREAD_MILLIS);
+    world.setSlowMachines(QUICK_NODES, SLOWER_BY_MILLIS);
+    return world;
+  }
+
+  /** A beat that is missed, one read of the jobs, and one claim. */
+  private static final long OPEN_JOB_LIMIT_MILLIS = 800;
+
+  private static final GatewayFault STORE_AWAY =
+      new GatewayFault(Kind.STORE_REFUSES, 4_000, 3_000, 0);
+
+  private static boolean isSlow(String address) {
+    return Integer.parseInt(address.substring(1, address.indexOf(':'))) >= QUICK_NODES;
+  }
+
+  @Test
+  void callersAreToldOfNoNodeThatIsNotBackYet() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      GatewayWorld world = unevenWorld(seed);
+      long lostAtMillis = KILLED_AT_MILLIS + seed * 100;
+      world.lookAtAddresses(lostAtMillis + KNOWN_AFTER_MILLIS);
+      GatewayFault loss = new GatewayFault(Kind.ALL_NODES_KILLED, lostAtMillis, 1, 0);
+      Report report = world.play(List.of(STORE_AWAY, loss), 24_000);
+      assertThat(report.violations(), empty());
+      assertThat(world.addressesNamed(), hasSize(greaterThan(QUICK_NODES)));
+      List<String> gone =
+          world.addressesNamed().stream().filter(FleetRecoveryTest::isSlow).toList();
+      assertThat(gone, empty());
+    }
+  }
+
+  private static long openJobPauseMillis(long seed) {
+    GatewayWorld world = unevenWorld(seed);
+    world.loseAllWithAnOpenJob(KILLED_AT_MILLIS, 40 * seed);
+    Report report = world.play(List.of(STORE_AWAY), 24_000);
+    assertThat(report.violations(), empty());
+    return world.generationsBegunAtMillis().stream()
+            .filter(atMillis -> atMillis > world.lostAllAtMillis())
+            .mapToLong(Long::longValue)
+            .min()
+            .orElseThrow()
+        - world.lostAllAtMillis()
+        - RESTART_MILLIS;
+  }
+
+  @Test
+  void anOpenJobWaitsForNoSlowMachine() {
+    List<Long> pauses =
+        LongStream.rangeClosed(1, 10).mapToObj(FleetRecoveryTest::openJobPauseMillis).toList();
+    assertThat(pauses, everyItem(lessThan(OPEN_JOB_LIMIT_MILLIS)));
+  }
 }
