A run that lost its runner is taken before its next job comes

Cause: runs were claimed, and the texts that the former runner left read, only when one of their jobs was open. Candidates also kept their places among the machines that were gone for up to 2 s, and read the partitions with the pauses of nodes that nobody waits for (a quick node read both acceptances 1.5 s late).

Now the close candidates of a run claim it as soon as its runner is gone, with or without an open job, and an owner reads the texts at once. Close ones only: others read with pauses of 2 s and would claim what was taken. When the loss of the fleet shows, places are ranked again and pauses end. Claiming has a class of its own (RunClaims).

Weighed: beginning jobs without waiting for the texts (a later job may carry on items of an earlier one, whose texts would be lost); claims by all candidates (void appends).

--- a/core/src/main/java/org/passhaven/core/job/RunOwners.java
+++ b/core/src/main/java/org/passhaven/core/job/RunOwners.java
@@ -110,6 +110,11 @@
     return owner != null && owner.node().equals(node) && owner.incarnation() == incarnation;
   }
 
+  /** Runs that some node has taken, whether it is alive or not. */
+  public List<String> runs() {
+    return List.copyOf(owners.keySet());
+  }
+
   /** Runs that this start of this node runs. */
   public List<String> ownRuns() {
     return owners.keySet().stream().filter(this::isOwn).toList();
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -69,7 +69,7 @@
   private final JobTable table = new JobTable();
   private final long[] calledAtMillis;
   private final BitSet closeTo = new BitSet();
-  private long rankedAtMillis = Long.MIN_VALUE / 2;
+  private long rankedAtMillis = LONG_AGO_MILLIS;
   private BeatTable beats;
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
@@ -149,6 +149,11 @@
             .anyMatch(job -> isCloseCandidate(partitionOf(job.submission().run())));
   }
 
+  /** Whether this node is among the first that would take over a run. */
+  boolean isCloseCandidate(String run) {
+    return isCloseCandidate(partitionOf(run));
+  }
+
   private boolean isCloseCandidate(int partition) {
     if (context.now() - rankedAtMillis >= RANK_AGAIN_MILLIS) {
       rankedAtMillis = context.now();
@@ -186,7 +191,9 @@
   /** The nodes behind which this one waited to read are gone. */
   void startSooner() {
     if (beats != null) {
+      rankedAtMillis = LONG_AGO_MILLIS;
       starts.schedule(beats);
+      tails.forEach(LogTail::hurry);
     }
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -14,7 +14,6 @@
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.job.TextTable;
-import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
@@ -23,7 +22,6 @@
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Call;
 import org.passhaven.spi.BackEndService.Progress;
-import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -47,8 +45,8 @@
   private final JobScheduler scheduler;
   private final TextLog texts;
   private final ScoreCalls scores;
+  private final RunClaims claims;
   private final Map<Long, Cancellable> generations = new HashMap<>();
-  private boolean leaving;
   private boolean stopped;
   private boolean deciding;
 
@@ -69,6 +67,7 @@
     this.scheduler = new JobScheduler(context.settings().zone(), this.crashes);
     this.texts = new TextLog(context, log.history(), scheduler, this::decideSoon);
     this.scores = new ScoreCalls(context, directory, forwarder, scheduler, this::apply);
+    this.claims = new RunClaims(members, log);
     log.addListener(this::onRecord);
     log.addOwnerListener(this::decideSoon);
   }
@@ -94,13 +93,13 @@
    * when the texts are in the log, or the log gave no answer in time.
    */
   public Uni<Void> leave() {
-    leaving = true;
+    claims.stop();
     return leaveTexts();
   }
 
   /** Runs nothing more; what nobody has taken by now leaves its texts once more. */
   public Uni<Void> stop() {
-    leaving = true;
+    claims.stop();
     stopped = true;
     Uni<Void> left = leaveTexts();
     scheduler.running().forEach(job -> drop(job, "stopping"));
@@ -186,6 +185,9 @@
     List.copyOf(log.table().open()).stream()
         .filter(job -> log.isCaughtUp(job.submission().run()))
         .forEach(this::takeOrDrop);
+    claims.claimIdle();
+    // What a former runner left is read before the run's next job comes, which may go on with it.
+    log.owners().ownRuns().forEach(run -> texts.leftOf(run, log.owners().epochOf(run)));
     if (scheduler.hasJobs()) {
       apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
     }
@@ -193,7 +195,7 @@
 
   private void takeOrDrop(Job job) {
     String run = job.submission().run();
-    claim(run);
+    claims.claim(run);
     boolean mine = log.owners().isOwn(run);
     boolean running = scheduler.isRunning(job.id());
     if (running && !mine) {
@@ -220,32 +222,6 @@
     }
   }
 
-  private void claim(String run) {
-    boolean isKnown = members.isSettled() || log.owners().isOwnerOver(run, members.beats());
-    if (leaving || !members.isInTouch() || !isKnown) {
-      return;
-    }
-    Optional<JobRecord.RunTaken> claim = log.claim(run);
-    if (claim.isPresent()) {
-      JobRecord record = claim.get();
-      LOG.atInfo()
-          .addKeyValue("run", run)
-          .addKeyValue("epoch", claim.get().epoch())
-          .addKeyValue("live", members.beats().taking().size())
-          .log("job: run claimed");
-      log.append(log.streamOf(run), List.of(Codec.encode(record)))
-          .subscribe()
-          .with(
-              // Followers read with pauses; who has claimed is to know at once.
-              offset -> log.refresh(run).subscribe().with(isSure -> {}),
-              failure ->
-                  LOG.atInfo()
-                      .addKeyValue("run", run)
-                      .addKeyValue("reason", PlatformException.from(failure).getMessage())
-                      .log("job: a claim failed"));
-    }
-  }
-
   private Optional<JobPolicy> policyOf(JobSubmission submission) {
     return directory
         .routes()
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -43,7 +43,6 @@
   /** A server that a request has crashed is back after some seconds. */
   private static final long CRASHED_MILLIS = 2_500;
 
-  private static final long NEVER = Long.MAX_VALUE;
   private static final long CLOCK_MILLIS = 5_000;
   private static final double USAGE_OFF = 0.05;
   private static final UsageSettings USAGE = new UsageSettings(5_000, 3_000, 160);
@@ -85,16 +84,13 @@
   private final List<GatewayHost> hosts = new ArrayList<>();
   private final ServerEntries entries;
   private final SimulatedTrainer trainer;
+  private final FleetLosses losses;
   private final CrashingRequests crashing;
   private final SimulatedCallers callers;
   private int lookupPaths;
   private long lookupsEveryMillis;
   private long storeTroubledUntil;
   private int restartSpreadMillis;
-  private long lostAllAtMillis = NEVER;
-  private final List<String> addressesNamed = new ArrayList<>();
-  private int quickNodes;
-  private int slowerByMillis;
 
   /** Creates a world of few nodes. */
   public GatewayWorld(long seed) {
@@ -122,6 +118,7 @@
     servers = new SimulatedServers(time, random, checker, ZONES, crashing);
     servers.setRunListener(duties::onBegun);
     trainer = new SimulatedTrainer(this, time, random);
+    losses = new FleetLosses(time, trainer, hosts, this::killAndRestart);
     callers =
         new SimulatedCallers(this, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 17 + 3));
     for (int i = 0; i < nodes; i++) {
@@ -159,12 +156,6 @@
     restartSpreadMillis = millis;
   }
 
-  /** All but the first so many nodes need longer to start again. */
-  public void setSlowMachines(int quickNodes, int slowerByMillis) {
-    this.quickNodes = quickNodes;
-    this.slowerByMillis = slowerByMillis;
-  }
-
   /** Servers that end start again under the id that they had; set before the run is played. */
   public void restartServersInPlace() {
     entries.setRestartsInPlace();
@@ -189,39 +180,9 @@
     return servers.begunAtMillis();
   }
 
-  /** All nodes are lost soon after the first job that is accepted after a moment. */
-  public void loseAllWithAnOpenJob(long fromMillis, long afterAcceptanceMillis) {
-    trainer.whenAccepted(
-        () -> {
-          if (lostAllAtMillis == NEVER && time.nowMillis() >= fromMillis) {
-            lostAllAtMillis = time.nowMillis() + afterAcceptanceMillis;
-            after(afterAcceptanceMillis, () -> hosts.forEach(this::killAndRestart));
-          }
-        });
-  }
-
-  /** When {@link #loseAllWithAnOpenJob} lost all nodes. */
-  public long lostAllAtMillis() {
-    return lostAllAtMillis;
-  }
-
-  /** Looks at a moment which addresses running nodes name to callers; before the run is played. */
-  public void lookAtAddresses(long atMillis) {
-    after(
-        atMillis,
-        () ->
-            hosts.stream()
-                .filter(GatewayHost::isRunning)
-                .forEach(host -> addressesNamed.addAll(addressesOf(host))));
-  }
-
-  private List<String> addressesOf(GatewayHost host) {
-    return host.gateway().addressesFor(host.process().zone());
-  }
-
-  /** Addresses that were named at the moments looked at, once for each node that named them. */
-  public List<String> addressesNamed() {
-    return List.copyOf(addressesNamed);
+  /** Losses of all nodes at a moment of a step, and what callers are told then. */
+  public FleetLosses losses() {
+    return losses;
   }
 
   /** Draws faults that begin within a time. */
@@ -372,8 +333,7 @@
     if (host.gateway() != null) {
       host.kill();
       int spread = restartSpreadMillis == 0 ? 0 : random.nextInt(restartSpreadMillis);
-      int slower = hosts.indexOf(host) < quickNodes ? 0 : slowerByMillis;
-      after(RESTART_MILLIS + spread + slower, () -> startIfEnded(host));
+      after(RESTART_MILLIS + spread + losses.slowerByMillis(host), () -> startIfEnded(host));
     }
   }
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -17,6 +17,7 @@
 final class SimulatedTrainer {
   private static final long POLL_MILLIS = 400;
   private static final long CALL_LIMIT_MILLIS = 3_000;
+  private static final long RETRY_MILLIS = CALL_LIMIT_MILLIS + POLL_MILLIS;
   private static final long STEP_LIMIT_MILLIS = 12_000;
   private static final long TRAIN_MILLIS = 500;
   private static final long SETTLE_MILLIS = 1_000;
@@ -31,7 +32,10 @@
   private int wholeSteps;
   private JobSubmission job;
   private final List<JobSubmission> acceptedJobs = new ArrayList<>();
+  private final List<Long> acceptedAtMillis = new ArrayList<>();
+  private long noNodeRetryMillis = RETRY_MILLIS;
   private Runnable whenAccepted = () -> {};
+  private Runnable whenEnded = () -> {};
   private boolean accepted;
   private long acceptedAt;
   private long submittedAt;
@@ -68,6 +72,21 @@
     whenAccepted = task;
   }
 
+  /** Runs a task each time that a step has ended. */
+  void whenEnded(Runnable task) {
+    whenEnded = task;
+  }
+
+  /** Sets after what time a job is handed in again while no node runs. */
+  void setNoNodeRetryMillis(long millis) {
+    noNodeRetryMillis = millis;
+  }
+
+  /** When the jobs were accepted, in their order. */
+  List<Long> acceptedAtMillis() {
+    return List.copyOf(acceptedAtMillis);
+  }
+
   void start() {
     beginStep();
   }
@@ -123,19 +142,19 @@
     if (accepted || !isCurrent(submitted)) {
       return;
     }
-    anyNode()
-        .ifPresent(
-            host ->
-                host.process()
-                    .execute(
-                        host.process().generation(),
-                        () ->
-                            host.gateway()
-                                .jobs()
-                                .submit(submitted, CALL_LIMIT_MILLIS)
-                                .subscribe()
-                                .with(outcome -> onSubmitted(submitted, outcome))));
-    later(CALL_LIMIT_MILLIS + POLL_MILLIS, () -> submit(submitted));
+    Optional<GatewayHost> node = anyNode();
+    node.ifPresent(
+        host ->
+            host.process()
+                .execute(
+                    host.process().generation(),
+                    () ->
+                        host.gateway()
+                            .jobs()
+                            .submit(submitted, CALL_LIMIT_MILLIS)
+                            .subscribe()
+                            .with(outcome -> onSubmitted(submitted, outcome))));
+    later(node.isPresent() ? RETRY_MILLIS : noNodeRetryMillis, () -> submit(submitted));
   }
 
   private void onSubmitted(JobSubmission submitted, JobOutcome outcome) {
@@ -143,6 +162,7 @@
       accepted = true;
       acceptedJobs.add(submitted);
       acceptedAt = time.nowMillis();
+      acceptedAtMillis.add(acceptedAt);
       whenAccepted.run();
       poll(submitted);
     }
@@ -196,6 +216,7 @@
     step++;
     version++;
     job = null;
+    whenEnded.run();
     world.name(version);
     later(TRAIN_MILLIS, this::beginStep);
   }
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
@@ -28,13 +28,7 @@
         world.play(
             List.of(new GatewayFault(Kind.ALL_NODES_KILLED, KILLED_AT_MILLIS, 1, 0)), 24_000);
     assertThat(report.violations(), empty());
-    return world.generationsBegunAtMillis().stream()
-            .filter(atMillis -> atMillis > KILLED_AT_MILLIS)
-            .mapToLong(Long::longValue)
-            .min()
-            .orElseThrow()
-        - KILLED_AT_MILLIS
-        - RESTART_MILLIS;
+    return firstGenerationAfter(KILLED_AT_MILLIS, world) - KILLED_AT_MILLIS - RESTART_MILLIS;
   }
 
   /** Four rounds of reads, beats and claims; each node that waits in vain for one adds to it. */
@@ -69,13 +63,17 @@
   private static GatewayWorld unevenWorld(long seed) {
     GatewayWorld world = new GatewayWorld(seed, UNEVEN_NODES);
     world.setRestartSpread(QUICK_SPREAD_MILLIS);
-    world.setSlowMachines(QUICK_NODES, SLOWER_BY_MILLIS);
+    world.losses().setSlowMachines(QUICK_NODES, SLOWER_BY_MILLIS);
     return world;
   }
 
   /** A beat that is missed, one read of the jobs, and one claim. */
   private static final long OPEN_JOB_LIMIT_MILLIS = 800;
 
+  /** Less than a claim needs to be written and read: the run was taken before the job came. */
+  private static final long NEW_JOB_LIMIT_MILLIS = 8;
+
+  private static final long READ_BYTES_PER_MILLI = 5_000;
   private static final GatewayFault STORE_AWAY =
       new GatewayFault(Kind.STORE_REFUSES, 4_000, 3_000, 0);
 
@@ -88,29 +86,24 @@
     for (long seed = 1; seed <= SEEDS; seed++) {
       GatewayWorld world = unevenWorld(seed);
       long lostAtMillis = KILLED_AT_MILLIS + seed * 100;
-      world.lookAtAddresses(lostAtMillis + KNOWN_AFTER_MILLIS);
+      world.losses().lookAtAddresses(lostAtMillis + KNOWN_AFTER_MILLIS);
       GatewayFault loss = new GatewayFault(Kind.ALL_NODES_KILLED, lostAtMillis, 1, 0);
       Report report = world.play(List.of(STORE_AWAY, loss), 24_000);
       assertThat(report.violations(), empty());
-      assertThat(world.addressesNamed(), hasSize(greaterThan(QUICK_NODES)));
+      assertThat(world.losses().addressesNamed(), hasSize(greaterThan(QUICK_NODES)));
       List<String> gone =
-          world.addressesNamed().stream().filter(FleetRecoveryTest::isSlow).toList();
+          world.losses().addressesNamed().stream().filter(FleetRecoveryTest::isSlow).toList();
       assertThat(gone, empty());
     }
   }
 
   private static long openJobPauseMillis(long seed) {
     GatewayWorld world = unevenWorld(seed);
-    world.loseAllWithAnOpenJob(KILLED_AT_MILLIS, 40 * seed);
+    world.losses().loseAllWithAnOpenJob(KILLED_AT_MILLIS, 40 * seed);
     Report report = world.play(List.of(STORE_AWAY), 24_000);
     assertThat(report.violations(), empty());
-    return world.generationsBegunAtMillis().stream()
-            .filter(atMillis -> atMillis > world.lostAllAtMillis())
-            .mapToLong(Long::longValue)
-            .min()
-            .orElseThrow()
-        - world.lostAllAtMillis()
-        - RESTART_MILLIS;
+    long lostAtMillis = world.losses().lostAtMillis();
+    return firstGenerationAfter(lostAtMillis, world) - lostAtMillis - RESTART_MILLIS;
   }
 
   @Test
@@ -119,4 +112,30 @@
         LongStream.rangeClosed(1, 10).mapToObj(FleetRecoveryTest::openJobPauseMillis).toList();
     assertThat(pauses, everyItem(lessThan(OPEN_JOB_LIMIT_MILLIS)));
   }
+
+  /** Time from the acceptance of the first job after the loss to its first generation. */
+  private static long newJobPauseMillis(long seed) {
+    GatewayWorld world = unevenWorld(seed);
+    world.losses().loseAllBetweenSteps(KILLED_AT_MILLIS, 30 * seed, 1_500);
+    world.setReadBandwidth(READ_BYTES_PER_MILLI);
+    Report report = world.play(List.of(STORE_AWAY), 24_000);
+    assertThat(report.violations(), empty());
+    long acceptedAtMillis = world.losses().nextAcceptedAtMillis();
+    return firstGenerationAfter(acceptedAtMillis, world) - acceptedAtMillis;
+  }
+
+  private static long firstGenerationAfter(long millis, GatewayWorld world) {
+    return world.generationsBegunAtMillis().stream()
+        .filter(atMillis -> atMillis > millis)
+        .mapToLong(Long::longValue)
+        .min()
+        .orElseThrow();
+  }
+
+  @Test
+  void aJobThatIsHandedInAfterTheLossWaitsForNoRunner() {
+    List<Long> pauses =
+        LongStream.rangeClosed(1, 10).mapToObj(FleetRecoveryTest::newJobPauseMillis).toList();
+    assertThat(pauses, everyItem(lessThan(NEW_JOB_LIMIT_MILLIS)));
+  }
 }
