A node that has just started names nobody before it knows who lives

Cause: callers keep the addresses that they are told for 2 s, some for 6 s.

From its first beat in the log until its second one is back, by which all others' are there, a node answers a look-up of addresses with 503 (callers ask the next of three nodes, or keep what they know): some 0.6 s a start, 1.1 s at most where the log falls silent meanwhile. A node that knows of no other names itself as before.

Weighed: naming only those who beat since (one fresh node would draw the callers of a whole zone for seconds each time that it is restarted in a sound fleet); naming itself (the same).

--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -151,9 +151,15 @@
     return jobs;
   }
 
-  /** Addresses that a caller in {@code zone} is to use. */
+  /**
+   * Addresses that a caller in {@code zone} is to use; none if another node is to be asked. Callers
+   * keep an answer for seconds, so a node names nobody before it knows who lives.
+   */
   public List<String> addressesFor(String zone) {
     askedAtMillis = context.now();
+    if (members.isUnsureWhoLives()) {
+      return List.of();
+    }
     List<String> known = namedFor(zone);
     if (known.isEmpty() && isReady()) {
       return List.of(context.settings().address());
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -40,6 +40,7 @@
   private long beatAt = NEVER;
   private long beatPeriodMillis;
   private long ownBeatReadAt = NEVER;
+  private long ownBeatsRead;
 
   /** Offset of the first beat that was sent since the newest gap of the clocks and is written. */
   private long ownBeatsCountFrom;
@@ -134,6 +135,18 @@
     return tailing && isInTouch() && context.now() - startedAt >= SETTLE_MILLIS;
   }
 
+  /**
+   * Whether those who beat before this node's start may all be gone: until its next beat is back,
+   * by which the others' are there too, or as long as that takes where the log is sound.
+   */
+  boolean isUnsureWhoLives() {
+    return tailing
+        && !isFleetLost
+        && ownBeatsRead < 2
+        && context.now() - startedAt < SETTLE_MILLIS
+        && beats.taking().size() > 1;
+  }
+
   /** Tells everybody that this node takes no new work. */
   public void announceLeaving() {
     taking = false;
@@ -241,6 +254,7 @@
 
   private void onOwnBeatRead() {
     long now = now();
+    ownBeatsRead++;
     if (tail.position() > ownBeatsCountFrom) {
       ownBeatReadAt = now;
     }
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -90,6 +90,29 @@
     assertThat(agent.beats().isTaking("old3"), is(true));
   }
 
+  @Test
+  void whoLivesIsKnownOnceThisNodesNextBeatIsBack() {
+    timers.advance(400);
+    assertThat(agent.isUnsureWhoLives(), is(true));
+    for (int i = 0; i < 20; i++) {
+      MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500, 0);
+      log.stream(STREAM).add(Codec.encode(beat));
+    }
+    timers.advance(300);
+    assertThat(agent.isUnsureWhoLives(), is(false));
+    assertThat(agent.beats().isTaking("old3"), is(true));
+  }
+
+  @Test
+  void aLogThatFallsSilentDoesNotKeepANodeFromNamingOthersForLong() {
+    timers.advance(10);
+    log.appends = MemoryLog.Manner.SILENT;
+    timers.advance(1_080);
+    assertThat(agent.isUnsureWhoLives(), is(true));
+    timers.advance(20);
+    assertThat(agent.isUnsureWhoLives(), is(false));
+  }
+
   private int beatsWithin(long millis) {
     int before = log.stream(STREAM).size();
     timers.advance(millis);
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
@@ -59,6 +59,8 @@
   /** The last of the quick nodes is back, one beat of the first, and its way to all others. */
   private static final long KNOWN_AFTER_MILLIS = RESTART_MILLIS + QUICK_SPREAD_MILLIS + 850;
 
+  private static final long LOOK_MILLIS = 100;
+
   /** Most machines need longer to start again than the others. */
   private static GatewayWorld unevenWorld(long seed) {
     GatewayWorld world = new GatewayWorld(seed, UNEVEN_NODES);
@@ -86,7 +88,9 @@
     for (long seed = 1; seed <= SEEDS; seed++) {
       GatewayWorld world = unevenWorld(seed);
       long lostAtMillis = KILLED_AT_MILLIS + seed * 100;
-      world.losses().lookAtAddresses(lostAtMillis + KNOWN_AFTER_MILLIS);
+      for (long after = RESTART_MILLIS; after <= KNOWN_AFTER_MILLIS; after += LOOK_MILLIS) {
+        world.losses().lookAtAddresses(lostAtMillis + after);
+      }
       GatewayFault loss = new GatewayFault(Kind.ALL_NODES_KILLED, lostAtMillis, 1, 0);
       Report report = world.play(List.of(STORE_AWAY, loss), 24_000);
       assertThat(report.violations(), empty());
