--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -99,6 +99,11 @@
     return loss.lostBefore().isPresent();
   }
 
+  /** Whether the nodes that are thought alive are enough for their loss to show. */
+  public boolean couldLossShow() {
+    return taking().size() > FleetLoss.MANY_NODES;
+  }
+
   /** The fleet was lost: forgets the nodes that have not beaten since. */
   public void forgetLost() {
     int lostBefore = loss.lostBefore().orElse(0);
--- a/core/src/main/java/org/passhaven/core/member/FleetLoss.java
+++ b/core/src/main/java/org/passhaven/core/member/FleetLoss.java
@@ -15,7 +15,7 @@
  */
 final class FleetLoss {
   /** Fewer nodes that are silent may be chance. */
-  private static final int MANY_NODES = 4;
+  static final int MANY_NODES = 4;
 
   /** Of live nodes all have beaten again by then but those that a store turns away, a third. */
   private static final int FEW_ONE_IN = 4;
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -106,6 +106,14 @@
     assertThat(table.taking(), hasSize(19));
   }
 
+  @Test
+  void ofFewNodesNoLossCanShow() {
+    hearBusy(4);
+    assertThat(table.couldLossShow(), is(false));
+    table.onBeat(freshBeat("self", 9, 1), 1_000);
+    assertThat(table.couldLossShow(), is(true));
+  }
+
   @Test
   void timeThatTheLogNeedsForABeatIsNoSilence() {
     hearBusy(20);
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -144,7 +144,7 @@
         && !isFleetLost
         && ownBeatsRead < 2
         && context.now() - startedAt < SETTLE_MILLIS
-        && beats.taking().size() > 1;
+        && beats.couldLossShow();
   }
 
   /** Tells everybody that this node takes no new work. */
