--- a/core/src/test/java/org/passhaven/core/member/StrongNodesTest.java
+++ b/core/src/test/java/org/passhaven/core/member/StrongNodesTest.java
@@ -21,7 +21,7 @@
   private final BeatTable table = new BeatTable(1_600);
 
   private void beat(String node, long incarnation, double cores) {
-    MemberBeat beat = new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500, cores);
+    MemberBeat beat = new MemberBeat(node, node + ":1", "z", incarnation, true, 0, 500, cores, 0);
     table.onBeat(beat, 1_000);
   }
 
@@ -76,7 +76,7 @@
     BeatTable silent = new BeatTable(1_600);
     for (int i = 0; i < 12; i++) {
       beat("n" + i, 1, STRONG_CORES);
-      silent.onBeat(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 500, 0), 1_000);
+      silent.onBeat(new MemberBeat("n" + i, "n:1", "z", 1, true, 0, 500, 0, 0), 1_000);
     }
     for (int key = 0; key < 100; key++) {
       for (int i = 0; i < 12; i++) {
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -83,7 +83,6 @@
     whenFollowing = Objects.requireNonNull(onFollowing, "onFollowing");
     whenFleetLost = Objects.requireNonNull(onFleetLost, "onFleetLost");
     beganAt = context.now();
-    context.timers().every(context.settings().beat().toMillis(), this::beat);
     beat();
   }
 
@@ -136,6 +135,18 @@
     return tailing && isInTouch() && context.now() - startedAt >= SETTLE_MILLIS;
   }
 
+  /**
+   * Whether those who beat before this node's start may all be gone: until its next beat is back,
+   * by which the others' are there too, or as long as that takes where the log is sound.
+   */
+  boolean isUnsureWhoLives() {
+    return tailing
+        && !isFleetLost
+        && ownBeatsRead < 2
+        && context.now() - startedAt < SETTLE_MILLIS
+        && beats.couldLossShow();
+  }
+
   /** Tells everybody that this node takes no new work. */
   public void announceLeaving() {
     taking = false;
@@ -147,7 +158,9 @@
    */
   private void beat() {
     long period = periodMillis();
-    boolean isDue = now() - beatAt >= period || period < beatPeriodMillis;
+    // What the newest beat has promised is kept: others may wait for it.
+    boolean isDue =
+        now() - beatAt >= Math.min(period, beatPeriodMillis) || period < beatPeriodMillis;
     if (!beating && (isDue || !tailing)) {
       append();
     }
@@ -174,7 +187,8 @@
             taking,
             requestsPerSecond.getAsDouble(),
             beatPeriodMillis,
-            settings.cores());
+            settings.cores(),
+            inLogMillis());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
@@ -182,6 +196,11 @@
         .with(this::onAppended, this::onBeatFailed);
   }
 
+  /** Counted from the answer, since the beat may have been under way for long. */
+  private long inLogMillis() {
+    return MemberBeat.FIRST_IN_LOG_MILLIS + (tailing ? context.now() - startedAt : 0);
+  }
+
   private void onAppended(long offset) {
     beating = false;
     noteWritten(offset);
@@ -192,6 +211,8 @@
     if (!tailing) {
       tailing = true;
       startedAt = context.now();
+      // Counted from now: when this node's next beat is read back, each live node's is there too.
+      context.timers().every(context.settings().beat().toMillis(), this::beat);
       // Beats of the last moments tell at once who else is there.
       tail.start(Math.max(0, offset - HISTORY_RECORDS));
     }
@@ -223,11 +244,7 @@
       boolean isOwn =
           beat.node().equals(context.settings().node())
               && beat.incarnation() == context.incarnation();
-      if (isOwn || tail.isCaughtUp()) {
-        beats.onBeat(beat, context.now());
-      } else {
-        beats.onBeatBeforeStart(beat, context.now());
-      }
+      beats.onBeat(beat, context.now());
       if (isOwn) {
         onOwnBeatRead();
       }
@@ -246,11 +263,12 @@
 
   /** Of a fleet that was lost the log still tells: who is gone must hold up nobody. */
   private void noteFleetLost() {
-    if (isFleetLost || ownBeatsRead < 2 || !isFresh()) {
+    if (isFleetLost || !tail.isCaughtUp() || !isFresh()) {
       return;
     }
     if (beats.isFleetLost()) {
       isFleetLost = true;
+      context.metrics().fleetLosses.increment();
       int before = beats.taking().size();
       beats.forgetLost();
       LOG.atInfo()
@@ -289,6 +307,11 @@
       MemberAgent.this.onRecord(record);
     }
 
+    @Override
+    public void onGap(long nextOffset) {
+      beats.onGap();
+    }
+
     @Override
     public void onBatchEnd() {
       noteFleetLost();
--- a/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
@@ -102,7 +102,7 @@
   }
 
   private static MemberBeat beat(String node) {
-    return new MemberBeat(node, node + ":1", "z", 1, true, 0, 500, 0);
+    return new MemberBeat(node, node + ":1", "z", 1, true, 0, 500, 0, 0);
   }
 
   private static ServerEntry entry(int i, boolean isReady) {
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -11,6 +11,8 @@
  * @param requestsPerSecond requests that it lately forwarded
  * @param periodMillis time in which its next beat is to come; zero if it does not say
  * @param cores processor of its machine, in cores; zero if it does not say
+ * @param inLogMillis time since the first beat of this start was known to be in the log, and one;
+ *     one in beats that were written before that, zero if the node does not say
  */
 public record MemberBeat(
     String node,
@@ -20,7 +22,11 @@
     boolean taking,
     double requestsPerSecond,
     long periodMillis,
-    double cores) {
+    double cores,
+    long inLogMillis) {
+  /** {@link #inLogMillis} of the first beat of a start. */
+  public static final long FIRST_IN_LOG_MILLIS = 1;
+
   /** One start of a node. */
   public record Start(String node, long incarnation) {}
 
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -84,6 +84,7 @@
   private final List<GatewayHost> hosts = new ArrayList<>();
   private final ServerEntries entries;
   private final SimulatedTrainer trainer;
+  private final FleetLosses losses;
   private final CrashingRequests crashing;
   private final SimulatedCallers callers;
   private int lookupPaths;
@@ -117,6 +118,7 @@
     servers = new SimulatedServers(time, random, checker, ZONES, crashing);
     servers.setRunListener(duties::onBegun);
     trainer = new SimulatedTrainer(this, time, random);
+    losses = new FleetLosses(time, trainer, hosts, this::killAndRestart);
     callers =
         new SimulatedCallers(this, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 17 + 3));
     for (int i = 0; i < nodes; i++) {
@@ -179,6 +181,11 @@
     return servers.begunAtMillis();
   }
 
+  /** Losses of all nodes at a moment of a step, and what callers are told then. */
+  public FleetLosses losses() {
+    return losses;
+  }
+
   /** Draws faults that begin within a time. */
   public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
     UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
@@ -327,7 +334,7 @@
     if (host.gateway() != null) {
       host.kill();
       int spread = restartSpreadMillis == 0 ? 0 : random.nextInt(restartSpreadMillis);
-      after(RESTART_MILLIS + spread, () -> startIfEnded(host));
+      after(RESTART_MILLIS + spread + losses.slowerByMillis(host), () -> startIfEnded(host));
     }
   }
 
