Generations are placed by what all runners have and see at a server

Cause: runners of several jobs on one set of servers counted their own generations only, took a slow moment for a slow server, and sent whole bursts to servers that were about to load weights. In virtual time with queues as the servers have, refusals come from the loads: a step begins as its version is named, and a loading server refused six at once and was asked again up to eight times; runners that meet at a server wait in its queue instead.

Change: ServerUse digests on runners' beats (none while one node runs all jobs; other beats keep their size; mixed fleets read each other), ServerUseTable and ServerView join them with own figures, Refusals holds a refusal by server and model until the version changes and sends one generation at a time to servers that are about to load or have just started, ServerPace knows moments from lasting pauses, and only lasting ones of 1.4 times and 0.8 s to save move a generation.

Two tests of GenerationPickerTest asserted a move at 1.25 times for 0.4 s saved. That threshold is changed on purpose, so they now check both sides of the new one, and a new test holds that 1.25 times moves nothing.

--- a/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerHealth.java
@@ -76,6 +76,11 @@
     return server != null && nowMillis < server.avoidUntil;
   }
 
+  /** Servers of which something is known. */
+  public Set<ServerStart> starts() {
+    return Set.copyOf(seen.keySet());
+  }
+
   /** Requests of this node at a server. */
   public int inProgress(ServerStart start) {
     Seen server = seen.get(start);
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -1,23 +1,21 @@
 package org.passhaven.core.job;
 
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
-import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.placement.Rendezvous;
 
 /**
  * Chooses the server of a generation: one whose weights are allowed and that has a free slot, by
- * the time that the rest of the text is expected to take there, load, weights and what it keeps of
- * the group's prompt. So long texts go to fast servers and short ones leave them room. A server
- * that refused gets one generation at a time until it takes one. Times in monotonic milliseconds.
- * Not thread-safe.
+ * the time that the rest of the text is expected to take there, what all nodes have there, weights
+ * and what it keeps of the group's prompt. So long texts go to fast servers and short ones leave
+ * them room. Servers that may refuse get one generation at a time until they take one. Times in
+ * monotonic milliseconds. Not thread-safe.
  */
 final class GenerationPicker {
   private static final double AFFINITY_GAIN_MILLIS = 60;
@@ -27,48 +25,53 @@
   /** What the last free slot of a server is worth to a longer text that may come. */
   private static final double FULL_MILLIS = 600;
 
-  private static final double MIN_MOVE_RATIO = 1.15;
-  private static final double MIN_MOVE_GAIN_MILLIS = 400;
+  /** Time until a slot of a server becomes free whose slots are all taken. */
+  private static final double QUEUED_MILLIS = 200;
+
+  /** Servers that differ less may change places by chance. */
+  private static final double MIN_MOVE_RATIO = 1.4;
+
+  /** A move costs a connection, a slot and the prompt read again, and what is saved is a guess. */
+  private static final double MIN_MOVE_GAIN_MILLIS = 800;
+
   private static final int MAX_GROUPS = 4_096;
+  private final String node;
   private final String zone;
-  private final ServerHealth health;
-  private final ServerPace pace;
+  private final ServerView view;
   private final LengthEstimate lengths;
-  private Map<ServerStart, Double> pausesMillis = Map.of();
+  private final Refusals refusals = new Refusals();
   private final Map<String, ServerStart> serverByGroup = new LinkedHashMap<>();
+  private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
 
-  /** Servers whose last word to a generation was that they do not take it. */
-  private final Set<ServerStart> refusing = new HashSet<>();
-
-  /** Generations sent that the server has neither begun nor refused, by server. */
-  private final Map<ServerStart, Integer> unanswered = new HashMap<>();
-
-  GenerationPicker(String zone, ServerHealth health, ServerPace pace, LengthEstimate lengths) {
+  GenerationPicker(String node, String zone, ServerView view, LengthEstimate lengths) {
+    this.node = Objects.requireNonNull(node, "node");
     this.zone = Objects.requireNonNull(zone, "zone");
-    this.health = Objects.requireNonNull(health, "health");
-    this.pace = Objects.requireNonNull(pace, "pace");
+    this.view = Objects.requireNonNull(view, "view");
     this.lengths = Objects.requireNonNull(lengths, "lengths");
   }
 
-  /** Begins a round of decisions: how fast the servers are stays the same in it. */
-  void beginRound(ReadyServers servers, long nowMillis) {
-    Map<ServerStart, Double> pauses = new HashMap<>();
-    for (String service : servers.services()) {
-      pauses.putAll(pace.pausesMillis(servers.startsOf(service), nowMillis));
-    }
-    pausesMillis = pauses;
+  /** Begins a round of decisions: the servers and how fast they are stay the same in it. */
+  void beginRound(ReadyServers nowReady, long nowMillis) {
+    servers = nowReady;
+    refusals.retain(nowReady.starts());
+    view.beginRound(nowReady, nowMillis);
   }
 
   /** The server for an item; empty if none has room and may serve it. */
-  Optional<ServerEntry> choose(ItemRun run, ReadyServers servers, long nowMillis) {
+  Optional<ServerEntry> choose(ItemRun run, long nowMillis) {
     return servers.of(run.job.policy.service()).stream()
         .filter(server -> mayServe(run, server, nowMillis))
         .min(
-            Comparator.comparingDouble(
-                    (ServerEntry server) -> cost(run, server, servers, nowMillis))
+            Comparator.comparingDouble((ServerEntry server) -> cost(run, server, nowMillis))
+                .thenComparingLong(this::tieBreak)
                 .thenComparing(ServerEntry::start));
   }
 
+  /** Nodes that see the same servers free at the same time each prefer others of them. */
+  private long tieBreak(ServerEntry server) {
+    return view.isShared() ? Rendezvous.weight(node, server.start().id()) : 0;
+  }
+
   /** A generation of a group began at a server, which now keeps the group's prompt. */
   void onBegun(String group, ServerStart start) {
     serverByGroup.remove(group);
@@ -78,54 +81,54 @@
     }
   }
 
-  /** A generation was sent to a server. */
-  void onSent(ServerStart start) {
-    unanswered.merge(start, 1, Integer::sum);
+  /** A generation was sent to its server. */
+  void onSent(ItemRun run) {
+    refusals.onSent(run.server, modelOf(run));
   }
 
-  /** A server has begun a generation. */
-  void onTaken(ServerStart start) {
-    onAnswered(start);
-    refusing.remove(start);
+  /** The server of a generation has begun it. */
+  void onTaken(ItemRun run) {
+    refusals.onTaken(run.server, modelOf(run));
   }
 
-  /** A server does not take a generation: it is full, or loads weights. */
-  void onRefused(ServerStart start) {
-    refusing.add(start);
+  /** The server of a generation does not take it: it is full, or loads weights. */
+  void onRefused(ItemRun run, long nowMillis) {
+    ServerEntry server = servers.get(run.server);
+    long heldVersion = server == null ? 0 : server.versionOf(modelOf(run));
+    refusals.onRefused(
+        run.server, modelOf(run), heldVersion, servers.newestOf(modelOf(run)), nowMillis);
   }
 
   /** A generation that was sent waits for its server no longer, whatever came of it. */
-  void onAnswered(ServerStart start) {
-    unanswered.computeIfPresent(start, (name, count) -> count > 1 ? count - 1 : null);
-  }
-
-  /** Forgets servers that are not listed any more. */
-  void retain(Set<ServerStart> starts) {
-    refusing.retainAll(starts);
+  void onAnswered(ItemRun run) {
+    refusals.onAnswered(run.server, modelOf(run));
   }
 
   /** A server on which a generation would end so much sooner that it is worth to move it. */
-  Optional<ServerEntry> chooseFaster(ItemRun run, ReadyServers servers, long nowMillis) {
-    double here = pausesMillis.getOrDefault(run.server, 0.0);
+  Optional<ServerEntry> chooseFaster(ItemRun run, long nowMillis) {
+    double here = view.lastingPauseMillis(run.server);
     double remaining = remainingEvents(run);
     if (here == 0) {
       return Optional.empty();
     }
-    return choose(run, servers, nowMillis)
+    return choose(run, nowMillis)
         .filter(server -> !server.start().equals(run.server))
-        .filter(server -> isSettled(run, server, servers))
-        .filter(server -> here >= MIN_MOVE_RATIO * pauseMillis(server))
-        .filter(server -> remaining * (here - pauseMillis(server)) >= MIN_MOVE_GAIN_MILLIS);
+        .filter(server -> isSettled(run, server))
+        .filter(server -> here >= MIN_MOVE_RATIO * view.lastingPauseMillis(server.start()))
+        .filter(
+            server ->
+                remaining * (here - view.lastingPauseMillis(server.start()))
+                    >= MIN_MOVE_GAIN_MILLIS);
   }
 
   /** Whether a server neither loads weights, by all that is known, nor is about to. */
-  private boolean isSettled(ItemRun run, ServerEntry server, ReadyServers servers) {
-    return !refusing.contains(server.start())
-        && !servers.lacksNewestWeights(server, run.job.job.submission().model());
+  private boolean isSettled(ItemRun run, ServerEntry server) {
+    return !refusals.isRefusing(server, modelOf(run))
+        && !servers.lacksNewestWeights(server, modelOf(run));
   }
 
-  private double pauseMillis(ServerEntry server) {
-    return pausesMillis.getOrDefault(server.start(), 0.0);
+  private static String modelOf(ItemRun run) {
+    return run.job.job.submission().model();
   }
 
   private double remainingEvents(ItemRun run) {
@@ -133,30 +136,37 @@
   }
 
   private boolean mayServe(ItemRun run, ServerEntry server, long nowMillis) {
-    String model = run.job.job.submission().model();
+    String model = modelOf(run);
     boolean versionFits =
         model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
-    boolean isProbed = refusing.contains(server.start()) && unanswered.containsKey(server.start());
     return versionFits
-        && !isProbed
-        && !health.isAvoided(server.start(), nowMillis)
-        && health.inProgress(server.start()) < Math.max(1, server.slots());
+        && refusals.maySend(
+            server, model, servers.isAboutToLoad(server, model, nowMillis), nowMillis)
+        && !view.health().isAvoided(server.start(), nowMillis)
+        && view.health().inProgress(server.start()) < Math.max(1, server.slots());
   }
 
   /** Expected time of the rest of a text at a server, and what else speaks against it. */
-  private double cost(ItemRun run, ServerEntry server, ReadyServers servers, long nowMillis) {
+  private double cost(ItemRun run, ServerEntry server, long nowMillis) {
     ServerStart start = server.start();
-    double load = health.inProgress(start) / (double) Math.max(1, server.slots());
-    double cost = remainingEvents(run) * pauseMillis(server) + FULL_MILLIS * load;
+    double cost = view.millisFor(remainingEvents(run), start) + loadCost(server);
     if (start.equals(serverByGroup.get(run.item.group()))) {
       cost -= AFFINITY_GAIN_MILLIS;
     }
     if (!server.zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
-    if (servers.hasOverdueWeights(server, run.job.job.submission().model(), nowMillis)) {
+    if (servers.hasOverdueWeights(server, modelOf(run), nowMillis)) {
       cost += OVERDUE_WEIGHTS_MILLIS;
     }
     return cost;
   }
+
+  /** The fuller a server is, by all nodes' generations, the dearer are its last slots. */
+  private double loadCost(ServerEntry server) {
+    int slots = Math.max(1, server.slots());
+    int taken = view.placesTaken(server.start());
+    int queued = Math.max(0, taken + 1 - slots);
+    return FULL_MILLIS * Math.min(slots, taken) / slots + QUEUED_MILLIS * queued;
+  }
 }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -20,12 +20,17 @@
  * the log; a successor generates it anew. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class JobScheduler {
+  /** Why a generation is stopped that moves from a slow server. */
+  public static final String SLOW_SERVER = "slow server";
+
+  /** Why a generation is stopped that has stalled. */
+  public static final String STALLED = "stalled";
+
   private static final int MOST_MOVES = 6;
   private static final long MOVE_AFTER_MILLIS = 500;
   private static final long FIRST_EVENT_MILLIS = 1_200;
   private static final long NEXT_EVENT_MILLIS = 700;
   private static final long STALL_AVOIDED_MILLIS = 600;
-  private static final long REFUSED_AVOIDED_MILLIS = 80;
   private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
   private static final long RETRY_MILLIS = 40;
   private static final long SCORE_RETRY_MILLIS = 100;
@@ -49,8 +54,8 @@
   private final RunningJobs jobs = new RunningJobs();
   private final Map<Long, ItemRun> generating = new HashMap<>();
   private final KeptTexts kept = new KeptTexts();
-  private final ServerHealth health = new ServerHealth();
-  private final ServerPace pace = new ServerPace();
+  private final ServerView view = new ServerView();
+  private final ServerHealth health = view.health();
   private final LengthEstimate lengths = new LengthEstimate();
   private final GenerationPicker picker;
   private final ItemGate gate;
@@ -58,13 +63,18 @@
 
   /** Creates the scheduler of a node in {@code zone} that holds no item back. */
   public JobScheduler(String zone) {
-    this(zone, (job, item) -> true);
+    this("", zone, (job, item) -> true);
   }
 
   /** Creates the scheduler of a node in {@code zone}. */
-  public JobScheduler(String zone, ItemGate gate) {
+  public JobScheduler(String node, String zone, ItemGate gate) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(zone, health, pace, lengths);
+    this.picker = new GenerationPicker(node, zone, view, lengths);
+  }
+
+  /** What is known of the servers, from this node and from others. */
+  public ServerView serverView() {
+    return view;
   }
 
   /** Whether this node runs a job. */
@@ -170,7 +180,7 @@
     generating.remove(run.attempt);
     health.onEnded(run.server);
     if (!run.answered) {
-      picker.onAnswered(run.server);
+      picker.onAnswered(run);
     }
     run.phase = ItemRun.Phase.WAITING;
   }
@@ -184,9 +194,6 @@
       Collection<ServerEntry> servers, Map<String, NamedVersion> newest, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
     ReadyServers ready = new ReadyServers(servers, newest);
-    pace.retain(ready.starts());
-    health.retain(ready.starts());
-    picker.retain(ready.starts());
     picker.beginRound(ready, nowMillis);
     for (JobWork work : jobs.byUrgency()) {
       giveUpOld(work, nowMillis, actions);
@@ -197,13 +204,13 @@
       int priority = jobs.priorityOf(work);
       for (ItemRun run : work.waiting(nowMillis)) {
         picker
-            .choose(run, ready, nowMillis)
+            .choose(run, nowMillis)
             .filter(server -> mayBegin(run))
             .ifPresent(server -> begin(run, server, priority, nowMillis, actions));
       }
     }
     for (ItemRun run : List.copyOf(generating.values())) {
-      moveIfHeldUp(run, ready, nowMillis, actions);
+      moveIfHeldUp(run, nowMillis, actions);
     }
     return actions;
   }
@@ -237,7 +244,7 @@
     run.progressAt = nowMillis;
     generating.put(run.attempt, run);
     health.onSent(server.start());
-    picker.onSent(server.start());
+    picker.onSent(run);
     run.answered = false;
     picker.onBegun(run.item.group(), server.start());
     actions.add(
@@ -251,12 +258,11 @@
   }
 
   /** Moves a generation that has stalled, or whose server is slow or leaves, if there is room. */
-  private void moveIfHeldUp(
-      ItemRun run, ReadyServers ready, long nowMillis, List<JobAction> actions) {
+  private void moveIfHeldUp(ItemRun run, long nowMillis, List<JobAction> actions) {
     long patience = run.version == 0 ? FIRST_EVENT_MILLIS : NEXT_EVENT_MILLIS;
     if (nowMillis - run.progressAt >= patience) {
       health.avoid(run.server, STALL_AVOIDED_MILLIS, nowMillis);
-      stop(run, "stalled", actions);
+      stop(run, STALLED, actions);
       run.moves++;
       return;
     }
@@ -264,9 +270,9 @@
     if (!settled || run.moves >= MOST_MOVES) {
       return;
     }
-    Optional<ServerEntry> better = picker.chooseFaster(run, ready, nowMillis);
+    Optional<ServerEntry> better = picker.chooseFaster(run, nowMillis);
     if (better.isPresent() && mayBegin(run)) {
-      stop(run, "slow server", actions);
+      stop(run, SLOW_SERVER, actions);
       run.moves++;
       begin(run, better.get(), jobs.priorityOf(run.job), nowMillis, actions);
     }
@@ -278,7 +284,7 @@
     ItemRun run = generating.get(attempt);
     if (run != null && !run.answered) {
       run.answered = true;
-      picker.onTaken(run.server);
+      picker.onTaken(run);
     }
     // A continuation behind the last event has nothing to name a version for.
     if (run != null && version != 0) {
@@ -322,7 +328,7 @@
     }
     boolean first = run.progressAt == run.startedAt;
     if (!first) {
-      pace.onPause(run.server, nowMillis - run.progressAt, nowMillis);
+      view.pace().onPause(run.server, nowMillis - run.progressAt, nowMillis);
     }
     run.progressAt = nowMillis;
     if (!run.text.append(event, run.version, data)) {
@@ -370,10 +376,7 @@
     leaveServer(run);
     run.notBefore = nowMillis + RETRY_MILLIS;
     switch (failure) {
-      case REFUSED -> {
-        picker.onRefused(run.server);
-        health.avoid(run.server, REFUSED_AVOIDED_MILLIS, nowMillis);
-      }
+      case REFUSED -> picker.onRefused(run, nowMillis);
       case MISDIRECTED -> health.avoid(run.server, MISDIRECTED_AVOIDED_MILLIS, nowMillis);
       case CUT -> health.onFailure(run.server, nowMillis);
       case SERVER_ERROR -> run.serverErrors++;
--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -51,10 +51,20 @@
     return of(service).stream().map(ServerEntry::start).toList();
   }
 
+  /** Newest named weight version of a model; zero if none is named. */
+  long newestOf(String model) {
+    NamedVersion newest = named.get(model);
+    return newest == null ? 0 : newest.version();
+  }
+
   /** Whether a server does not hold the newest weights of a model, so that it will load them. */
   boolean lacksNewestWeights(ServerEntry server, String model) {
-    NamedVersion newest = named.get(model);
-    return newest != null && server.versionOf(model) < newest.version();
+    return server.versionOf(model) < newestOf(model);
+  }
+
+  /** Whether newer weights of a model were just named, so that a server may begin to load them. */
+  boolean isAboutToLoad(ServerEntry server, String model, long nowMillis) {
+    return lacksNewestWeights(server, model) && !hasOverdueWeights(server, model, nowMillis);
   }
 
   /** Whether a server still holds older weights of a model though newer ones are overdue. */
--- a/core/src/main/java/org/passhaven/core/job/ServerPace.java
+++ b/core/src/main/java/org/passhaven/core/job/ServerPace.java
@@ -1,14 +1,15 @@
 package org.passhaven.core.job;
 
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.passhaven.core.backend.ServerStart;
 
 /**
- * How fast servers generate, by the pauses between events as this node sees them. Times in
- * monotonic milliseconds. Not thread-safe.
+ * How fast servers generate, by the pauses between events as this node sees them, on two time
+ * scales: a server that shares its machine is slow for moments, which end before a generation that
+ * was moved has made up for it; a slow server stays slow. Times in monotonic milliseconds. Not
+ * thread-safe.
  */
 final class ServerPace {
   /** A server makes hundreds of events a second: few of them say little. */
@@ -16,13 +17,58 @@
 
   private static final long TRUSTED_MILLIS = 4_000;
   private static final int SAMPLES_NEEDED = 8;
-  private static final double UNKNOWN_PAUSE_MILLIS = 40;
+
+  /** Together the spans are longer than a moment, so that one of them lies outside of it. */
+  private static final int SPANS = 5;
+
+  private static final long SPAN_MILLIS = 300;
+  private static final int SPAN_SAMPLES_NEEDED = 3;
   private final Map<ServerStart, Seen> seen = new HashMap<>();
 
+  /** Pauses in a span of time. */
+  private static final class Span {
+    long number = Long.MIN_VALUE;
+    double sumMillis;
+    int samples;
+
+    void add(long spanNumber, long pauseMillis) {
+      if (number != spanNumber) {
+        number = spanNumber;
+        sumMillis = 0;
+        samples = 0;
+      }
+      sumMillis += pauseMillis;
+      samples++;
+    }
+
+    double meanMillis() {
+      return sumMillis / samples;
+    }
+  }
+
   private static final class Seen {
     double pauseMillis;
     int samples;
     long at;
+    final Span[] spans = new Span[SPANS];
+
+    Seen() {
+      for (int i = 0; i < SPANS; i++) {
+        spans[i] = new Span();
+      }
+    }
+
+    /** The least mean of the last spans; {@code orElse} if none holds enough. */
+    double lastingMillis(double orElse) {
+      long newest = at / SPAN_MILLIS;
+      double least = Double.MAX_VALUE;
+      for (Span span : spans) {
+        if (newest - span.number < SPANS && span.samples >= SPAN_SAMPLES_NEEDED) {
+          least = Math.min(least, span.meanMillis());
+        }
+      }
+      return least == Double.MAX_VALUE ? orElse : least;
+    }
   }
 
   void onPause(ServerStart server, long pauseMillis, long nowMillis) {
@@ -34,29 +80,24 @@
     double weight = Math.max(MIN_WEIGHT, 1.0 / pace.samples);
     pace.pauseMillis += weight * (pauseMillis - pace.pauseMillis);
     pace.at = nowMillis;
+    long span = nowMillis / SPAN_MILLIS;
+    pace.spans[(int) Math.floorMod(span, (long) SPANS)].add(span, pauseMillis);
   }
 
-  /** Pause between two events at each server; the middle one's where it is not known. */
-  Map<ServerStart, Double> pausesMillis(Collection<ServerStart> servers, long nowMillis) {
-    double[] known =
-        servers.stream().mapToDouble(name -> known(name, nowMillis)).filter(p -> p > 0).toArray();
-    Arrays.sort(known);
-    double middle = known.length == 0 ? UNKNOWN_PAUSE_MILLIS : known[(known.length - 1) / 2];
-    Map<ServerStart, Double> pauses = new HashMap<>();
-    for (ServerStart server : servers) {
-      double own = known(server, nowMillis);
-      pauses.put(server, own > 0 ? own : middle);
-    }
-    return pauses;
-  }
-
-  private double known(ServerStart server, long nowMillis) {
+  /** Pause between two events at a server in the last moment; zero if it is not known. */
+  double momentMillis(ServerStart server, long nowMillis) {
     Seen pace = seen.get(server);
     boolean trusted =
         pace != null && pace.samples >= SAMPLES_NEEDED && nowMillis - pace.at <= TRUSTED_MILLIS;
     return trusted ? pace.pauseMillis : 0;
   }
 
+  /** Pause between two events at a server that lasts; zero if it is not known. */
+  double lastingMillis(ServerStart server, long nowMillis) {
+    double moment = momentMillis(server, nowMillis);
+    return moment == 0 ? 0 : Math.min(moment, seen.get(server).lastingMillis(moment));
+  }
+
   void retain(Collection<ServerStart> servers) {
     seen.keySet().retainAll(servers);
   }
--- /dev/null
+++ b/core/src/test/java/org/passhaven/core/backend/ServerUseTableTest.java
@@ -0,0 +1,60 @@
+package org.passhaven.core.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.passhaven.protocol.member.ServerUse;
+
+class ServerUseTableTest {
+  private static final ServerStart S = ServerStart.of("s");
+  private final ServerUseTable table = new ServerUseTable();
+
+  private void tell(String node, long incarnation, int inProgress, int pauseMillis, long now) {
+    table.onTold(node, incarnation, List.of(new ServerUse("s", 0, inProgress, pauseMillis)), now);
+  }
+
+  @Test
+  void whatNodesToldAddsUpAndTheNewestWordOfEachCounts() {
+    tell("a", 1, 6, 40, 0);
+    tell("b", 1, 2, 80, 100);
+    tell("a", 1, 3, 50, 200);
+    assertThat(table.placesTaken(S, 200), equalTo(5.0));
+    assertThat(table.pauseMillis(S, 200), equalTo(50.0));
+    assertThat(table.ageMillis(S, 200), equalTo(100L));
+  }
+
+  @Test
+  void anOldFigureCountsLessAndThenNotAtAll() {
+    tell("a", 1, 6, 40, 0);
+    assertThat(table.placesTaken(S, 1_000), equalTo(6.0));
+    assertThat(table.placesTaken(S, 2_500), closeTo(3.0, 0.01));
+    assertThat(table.placesTaken(S, 4_000), equalTo(0.0));
+    assertThat(table.ageMillis(S, 4_000), equalTo(Long.MAX_VALUE));
+    table.forgetOld(4_000);
+    assertThat(table.tellers(), equalTo(0));
+  }
+
+  @Test
+  void aNodeThatTellsNothingMoreHasNothingThere() {
+    tell("a", 1, 6, 40, 0);
+    table.onTold("a", 1, List.of(), 500);
+    assertThat(table.placesTaken(S, 500), equalTo(0.0));
+  }
+
+  @Test
+  void anEarlierStartOfANodeSaysNothingMore() {
+    tell("a", 2, 1, 40, 0);
+    tell("a", 1, 6, 40, 10);
+    assertThat(table.placesTaken(S, 10), equalTo(1.0));
+  }
+
+  @Test
+  void whatWasToldOfAnEarlierStartOfAServerSaysNothingOfTheNext() {
+    table.onTold("a", 1, List.of(new ServerUse("s", 5, 6, 40)), 0);
+    assertThat(table.placesTaken(new ServerStart("s", 5), 0), equalTo(6.0));
+    assertThat(table.placesTaken(new ServerStart("s", 9), 0), equalTo(0.0));
+  }
+}
--- a/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
@@ -1,6 +1,8 @@
 package org.passhaven.core.job;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 
 import java.util.List;
@@ -9,17 +11,16 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
-import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerStart;
 import org.passhaven.protocol.job.JobItem;
+import org.passhaven.protocol.member.ServerUse;
 
 class GenerationPickerTest {
   private static final ServerEntry FAST = server("fast");
   private static final ServerEntry SLOW = server("slow");
-  private final ServerHealth health = new ServerHealth();
-  private final ServerPace pace = new ServerPace();
+  private final ServerView view = new ServerView();
   private final LengthEstimate lengths = new LengthEstimate();
-  private final GenerationPicker picker = new GenerationPicker("z", health, pace, lengths);
+  private final GenerationPicker picker = new GenerationPicker("n", "z", view, lengths);
   private final ReadyServers servers = new ReadyServers(List.of(FAST, SLOW), Map.of());
 
   private static ServerEntry server(String name) {
@@ -41,19 +42,19 @@
   void observe() {
     lengths.onWhole(100, 10);
     for (int i = 0; i < 20; i++) {
-      pace.onPause(ServerStart.of("fast"), 40, i);
-      pace.onPause(ServerStart.of("slow"), 50, i);
+      view.pace().onPause(ServerStart.of("fast"), 40, i);
+      view.pace().onPause(ServerStart.of("slow"), 50, i);
     }
     picker.beginRound(servers, 20);
   }
 
   private String choose(long expectedTokens) {
-    return picker.choose(item(expectedTokens), servers, 20).orElseThrow().start().id();
+    return picker.choose(item(expectedTokens), 20).orElseThrow().start().id();
   }
 
   private void busy(String server, int generations) {
     for (int i = 0; i < generations; i++) {
-      health.onSent(ServerStart.of(server));
+      view.health().onSent(ServerStart.of(server));
     }
   }
 
@@ -69,25 +70,116 @@
     assertThat(choose(50), equalTo("slow"));
   }
 
+  /** From now on the slow server takes half as long again for each event. */
+  private void slowDown() {
+    for (int i = 0; i < 100; i++) {
+      view.pace().onPause(ServerStart.of("fast"), 40, 2_000 + i);
+      view.pace().onPause(ServerStart.of("slow"), 60, 2_000 + i);
+    }
+    picker.beginRound(servers, 2_100);
+  }
+
+  private Optional<ServerEntry> chooseFaster(ItemRun run, String from) {
+    run.server = ServerStart.of(from);
+    return picker.chooseFaster(run, 2_100);
+  }
+
+  private static ItemRun longerThanExpected(int events) {
+    ItemRun run = item(50);
+    for (int event = 1; event <= events; event++) {
+      run.text.append(event, 1, "e");
+    }
+    return run;
+  }
+
   @Test
   void aTextIsMovedWhereItsRestEndsMuchSooner() {
+    slowDown();
+    assertThat(chooseFaster(item(1_000), "slow"), equalTo(Optional.of(FAST)));
+    assertThat(chooseFaster(item(100), "slow"), equalTo(Optional.empty()));
+    assertThat(chooseFaster(item(1_000), "fast"), equalTo(Optional.empty()));
+  }
+
+  @Test
+  void aTextThatTurnsOutLongIsMovedToo() {
+    slowDown();
+    assertThat(chooseFaster(longerThanExpected(45), "slow"), equalTo(Optional.of(FAST)));
+    assertThat(chooseFaster(longerThanExpected(30), "slow"), equalTo(Optional.empty()));
+  }
+
+  /** A quarter more is within what servers differ by as they get fuller. */
+  @Test
+  void aTextStaysAtAServerThatIsHardlySlower() {
     ItemRun run = item(1_000);
     run.server = ServerStart.of("slow");
-    assertThat(picker.chooseFaster(run, servers, 20), equalTo(Optional.of(FAST)));
-    ItemRun small = item(100);
-    small.server = ServerStart.of("slow");
-    assertThat(picker.chooseFaster(small, servers, 20), equalTo(Optional.empty()));
-    run.server = ServerStart.of("fast");
-    assertThat(picker.chooseFaster(run, servers, 20), equalTo(Optional.empty()));
+    assertThat(picker.chooseFaster(run, 20), equalTo(Optional.empty()));
   }
 
   @Test
-  void aTextThatTurnsOutLongIsMovedToo() {
-    ItemRun run = item(50);
+  void aTextStaysAtAServerThatIsSlowForAMoment() {
+    for (int now = 1_000; now < 2_600; now++) {
+      view.pace().onPause(ServerStart.of("fast"), 40, now);
+      view.pace().onPause(ServerStart.of("slow"), now < 2_000 ? 40 : 100, now);
+    }
+    picker.beginRound(servers, 2_600);
+    ItemRun run = item(1_000);
     run.server = ServerStart.of("slow");
-    for (int event = 1; event <= 40; event++) {
-      run.text.append(event, 1, "e");
+    assertThat(picker.chooseFaster(run, 2_600), equalTo(Optional.empty()));
+    assertThat(view.slowServers(), empty());
+  }
+
+  @Test
+  void aServerWhoseSlotsOthersHaveTakenIsLeftToThem() {
+    assertThat(choose(1_000), equalTo("fast"));
+    view.onTold("other", 1, List.of(new ServerUse("fast", 0, 12, 40)), 20);
+    picker.beginRound(servers, 20);
+    assertThat(choose(100), equalTo("slow"));
+    assertThat(view.estimate(ServerStart.of("fast"), 20).placesTaken(), equalTo(12));
+  }
+
+  @Test
+  void whatOthersToldOfAServersPaceCountsUntilThisNodeKnowsIt() {
+    ServerView newcomer = new ServerView();
+    newcomer.onTold(
+        "other", 1, List.of(new ServerUse("fast", 0, 1, 40), new ServerUse("slow", 0, 1, 80)), 20);
+    newcomer.beginRound(servers, 20);
+    assertThat(newcomer.estimate(ServerStart.of("slow"), 20).relativePace(), equalTo(2.0));
+    assertThat(newcomer.slowServers(), contains(ServerStart.of("slow")));
+  }
+
+  @Test
+  void aServerThatWasJustOrderedToLoadGetsOneGenerationAtATime() {
+    ReadyServers justNamed =
+        new ReadyServers(List.of(FAST, SLOW), Map.of("m", new NamedVersion(2, 0)));
+    picker.beginRound(justNamed, 20);
+    for (String chosen : List.of("fast", "slow")) {
+      ItemRun run = item(1_000);
+      run.server = ServerStart.of(chosen);
+      assertThat(choose(1_000), equalTo(chosen));
+      picker.onSent(run);
     }
-    assertThat(picker.chooseFaster(run, servers, 20), equalTo(Optional.of(FAST)));
+    assertThat(picker.choose(item(1_000), 20), equalTo(Optional.empty()));
+    ItemRun refused = item(1_000);
+    refused.server = ServerStart.of("fast");
+    picker.onAnswered(refused);
+    picker.onRefused(refused, 25);
+    assertThat(picker.choose(item(1_000), 900), equalTo(Optional.empty()));
+    ServerEntry loaded =
+        new ServerEntry(FAST.start(), "llm", "fast:1", "z", 12, true, Map.of("m", 2L));
+    picker.beginRound(
+        new ReadyServers(List.of(loaded, SLOW), Map.of("m", new NamedVersion(2, 0))), 901);
+    assertThat(picker.choose(item(1_000), 901), equalTo(Optional.of(loaded)));
+  }
+
+  @Test
+  void aServerThatJustStartedGetsOneGenerationUntilItTakesIt() {
+    ServerEntry started = server("a-new-one");
+    picker.beginRound(new ReadyServers(List.of(started), Map.of()), 30);
+    ItemRun run = item(100);
+    run.server = started.start();
+    picker.onSent(run);
+    assertThat(picker.choose(item(100), 30), equalTo(Optional.empty()));
+    picker.onTaken(run);
+    assertThat(picker.choose(item(100), 30), equalTo(Optional.of(started)));
   }
 }
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -84,7 +84,7 @@
   @Test
   void whatTheGateHoldsBackDoesNotBeginAndTheOthersDo() {
     Set<String> held = new HashSet<>(Set.of("x"));
-    JobScheduler gated = new JobScheduler("z", (job, item) -> !held.contains(item.id()));
+    JobScheduler gated = new JobScheduler("n", "z", (job, item) -> !held.contains(item.id()));
     List<ServerEntry> servers = List.of(server("a", 1));
     gated.take(
         job("j", 0, 1, item("x", "g", 9, false), item("y", "g", 0, false)), POLICY, NOTHING_LEFT);
@@ -98,7 +98,7 @@
   @Test
   void aCutGenerationThatTheGateHoldsBackKeepsItsTextAndGoesOnWhenItMay() {
     boolean[] isHeld = new boolean[1];
-    JobScheduler gated = new JobScheduler("z", (job, item) -> !isHeld[0]);
+    JobScheduler gated = new JobScheduler("n", "z", (job, item) -> !isHeld[0]);
     List<ServerEntry> servers = List.of(server("a", 1), server("b", 1));
     gated.take(job("j", 0, 1, item("x", "g", 0, false)), POLICY, NOTHING_LEFT);
     long attempt = starts(gated.decide(servers, NOTHING_NAMED, 0)).get(0).attempt();
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -6,10 +6,13 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import org.passhaven.core.job.JobScheduler;
+import org.passhaven.spi.BackEndException;
 
 /** Counters and latency histograms of a gateway node, named as docs/OPERATIONS.md lists them. */
 public final class GatewayMetrics {
   private static final String REJECTED = "passhaven.gateway.requests.rejected";
+  private static final String MOVED = "passhaven.gateway.generations.moved";
   private static final Duration[] LATENCY_BOUNDS = {
     Duration.ofMillis(25),
     Duration.ofMillis(50),
@@ -39,9 +42,18 @@
   /** Generations that failed at a server. */
   public final Counter generationsFailed;
 
+  /** Generations that a server did not take, being full or loading weights. */
+  public final Counter generationsRefused;
+
   /** Generations that this node stopped. */
   public final Counter generationsStopped;
 
+  /** Generations moved from a server that is slow. */
+  public final Counter movesFromSlowServers;
+
+  /** Generations moved since they had stalled. */
+  public final Counter movesOfStalled;
+
   /** Results read back from the log. */
   public final Counter resultsListed;
 
@@ -90,6 +102,9 @@
     attemptsFailed = registry.counter("passhaven.gateway.attempts.failed");
     generationsBegun = registry.counter("passhaven.gateway.generations.begun");
     generationsFailed = registry.counter("passhaven.gateway.generations.failed");
+    generationsRefused = registry.counter("passhaven.gateway.generations.refused");
+    movesFromSlowServers = registry.counter(MOVED, "reason", "slow-server");
+    movesOfStalled = registry.counter(MOVED, "reason", "stalled");
     generationsStopped = registry.counter("passhaven.gateway.generations.stopped");
     resultsListed = registry.counter("passhaven.gateway.results.listed");
     appendsRepeated = registry.counter("passhaven.gateway.appends.repeated");
@@ -114,6 +129,24 @@
     registry.gauge("passhaven.gateway.partitions.behind", log, read -> read.behind().size());
   }
 
+  /** This node stopped a generation. */
+  public void onGenerationStopped(String why) {
+    generationsStopped.increment();
+    if (why.equals(JobScheduler.SLOW_SERVER)) {
+      movesFromSlowServers.increment();
+    } else if (why.equals(JobScheduler.STALLED)) {
+      movesOfStalled.increment();
+    }
+  }
+
+  /** A generation failed at a server. */
+  public void onGenerationFailed(BackEndException.Kind kind) {
+    generationsFailed.increment();
+    if (kind == BackEndException.Kind.REFUSED) {
+      generationsRefused.increment();
+    }
+  }
+
   /** A request has ended, whatever its outcome. */
   public void onRequest(ForwardOutcome outcome, long tookMillis) {
     requestLatency.record(tookMillis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.passhaven.core.backend.ServerStart;
 import org.passhaven.core.job.ItemHistory;
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobAction;
@@ -66,9 +67,11 @@
     this.members = Objects.requireNonNull(members, "members");
     this.log = Objects.requireNonNull(log, "log");
     this.results = new ResultWriter(context, log);
-    this.scheduler = new JobScheduler(context.settings().zone(), this.crashes);
+    this.scheduler =
+        new JobScheduler(context.settings().node(), context.settings().zone(), this.crashes);
     this.texts = new TextLog(context, log.history(), scheduler, this::decideSoon);
     this.scores = new ScoreCalls(context, directory, forwarder, scheduler, this::apply);
+    new ServerUseExchange(context, log, scheduler.serverView(), members);
     log.addListener(this::onRecord);
     log.addOwnerListener(this::decideSoon);
   }
@@ -297,7 +300,7 @@
     Cancellable running = generations.remove(stop.attempt());
     if (running != null) {
       running.cancel();
-      context.metrics().generationsStopped.increment();
+      context.metrics().onGenerationStopped(stop.why());
       LOG.atInfo()
           .addKeyValue("attempt", stop.attempt())
           .addKeyValue("why", stop.why())
@@ -310,12 +313,14 @@
     JobItem item = start.item();
     Call call = callOf(start.job(), item);
     long attempt = start.attempt();
+    ServerStart server = start.server().start();
     LOG.atLevel(start.lastEvent() > 0 ? Level.INFO : Level.DEBUG)
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", item.id())
         .addKeyValue("attempt", attempt)
-        .addKeyValue("server", start.server().start())
+        .addKeyValue("server", server)
         .addKeyValue("after", start.lastEvent())
+        .addKeyValue("estimate", scheduler.serverView().estimate(server, context.now()))
         .log("job: generation begins");
     Cancellable running =
         context
@@ -363,7 +368,7 @@
 
   private void onFailed(JobAction.Start start, BackEndException failure) {
     generations.remove(start.attempt());
-    context.metrics().generationsFailed.increment();
+    context.metrics().onGenerationFailed(failure.kind());
     // A full server is no failure, and there may be many such answers.
     LOG.atLevel(failure.kind() == BackEndException.Kind.REFUSED ? Level.DEBUG : Level.INFO)
         .addKeyValue("job", start.job().id())
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -3,14 +3,17 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.passhaven.core.member.BeatPace;
 import org.passhaven.core.member.BeatTable;
 import org.passhaven.node.follow.LogTail;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.protocol.member.ServerUse;
 import org.passhaven.spi.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +55,8 @@
   private Runnable whenFollowing = () -> {};
   private Runnable whenFleetLost = () -> {};
   private Runnable whenClocksParted = () -> {};
+  private Supplier<List<ServerUse>> serverUse = List::of;
+  private Consumer<MemberBeat> onOthersBeat = beat -> {};
 
   /**
    * Creates the agent.
@@ -92,6 +97,17 @@
     whenClocksParted = Objects.requireNonNull(task, "task");
   }
 
+  /**
+   * Lets nodes that run jobs know of each other's generations.
+   *
+   * @param own what this node does at servers, asked for each of its beats
+   * @param others told of each beat of another node that was just written
+   */
+  void shareServerUse(Supplier<List<ServerUse>> own, Consumer<MemberBeat> others) {
+    serverUse = Objects.requireNonNull(own, "own");
+    onOthersBeat = Objects.requireNonNull(others, "others");
+  }
+
   /** Something has come to depend on this node: its beats come more often from now on. */
   void hurry() {
     if (periodMillis() < beatPeriodMillis) {
@@ -173,7 +189,8 @@
             context.incarnation(),
             taking,
             requestsPerSecond.getAsDouble(),
-            beatPeriodMillis);
+            beatPeriodMillis,
+            serverUse.get());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(beat)))
@@ -229,6 +246,8 @@
       }
       if (isOwn) {
         onOwnBeatRead();
+      } else if (tail.isCaughtUp()) {
+        onOthersBeat.accept(beat);
       }
     } catch (CodecException e) {
       LOG.warn("members: a record can't be read: {}", e.getMessage());
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -1,11 +1,14 @@
 package org.passhaven.node.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -14,6 +17,7 @@
 import org.passhaven.node.WatchedTimers;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.protocol.member.ServerUse;
 import org.passhaven.spi.DutyService;
 
 class MemberAgentTest {
@@ -177,4 +181,34 @@
     timers.advance(1_100);
     assertThat(agent.isInTouch(), is(true));
   }
+
+  private List<ServerUse> lastOwnUse() {
+    List<byte[]> records = log.stream(STREAM);
+    return Codec.decode(records.get(records.size() - 1), MemberBeat.class).serverUse();
+  }
+
+  @Test
+  void beatsTellOfServersWhileThereIsSomethingToTell() {
+    List<ServerUse> own = new ArrayList<>();
+    agent.shareServerUse(() -> own, beat -> {});
+    own.add(new ServerUse("s", 0, 3, 45));
+    timers.advance(600);
+    assertThat(lastOwnUse(), equalTo(own));
+    own.clear();
+    timers.advance(600);
+    assertThat(lastOwnUse(), empty());
+  }
+
+  @Test
+  void whatOthersTellOfServersIsPassedOnAndWhatWasToldLongAgoIsNot() {
+    List<MemberBeat> told = new ArrayList<>();
+    agent.shareServerUse(List::of, told::add);
+    timers.advance(600);
+    assertThat(told, empty());
+    MemberBeat beat =
+        new MemberBeat("other", "o:1", "z", 1, true, 0, 500, List.of(new ServerUse("s", 0, 3, 45)));
+    log.stream(STREAM).add(Codec.encode(beat));
+    timers.advance(600);
+    assertThat(told, contains(beat));
+  }
 }
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -1,5 +1,7 @@
 package org.passhaven.protocol.member;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -10,6 +12,8 @@
  * @param taking whether it takes new work
  * @param requestsPerSecond requests that it lately forwarded
  * @param periodMillis time in which its next beat is to come; zero if it does not say
+ * @param serverUse what it does at servers that generate, if it shares them with others; left out
+ *     of the encoding where there is none, and ignored by nodes that do not know it
  */
 public record MemberBeat(
     String node,
@@ -18,7 +22,8 @@
     long incarnation,
     boolean taking,
     double requestsPerSecond,
-    long periodMillis) {
+    long periodMillis,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerUse> serverUse) {
   /** One start of a node. */
   public record Start(String node, long incarnation) {}
 
@@ -26,6 +31,19 @@
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(zone, "zone");
+    serverUse = serverUse == null ? List.of() : List.copyOf(serverUse);
+  }
+
+  /** A beat of a node that tells nothing of servers. */
+  public MemberBeat(
+      String node,
+      String address,
+      String zone,
+      long incarnation,
+      boolean taking,
+      double requestsPerSecond,
+      long periodMillis) {
+    this(node, address, zone, incarnation, taking, requestsPerSecond, periodMillis, List.of());
   }
 
   /** The start of the node that wrote this beat. */
--- /dev/null
+++ b/protocol/src/test/java/org/passhaven/protocol/member/MemberBeatTest.java
@@ -0,0 +1,71 @@
+package org.passhaven.protocol.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.passhaven.protocol.Codec;
+
+/** Beats of nodes of both versions, side by side as during an upgrade. */
+class MemberBeatTest {
+  /** Room that what is told of servers may take on a beat. */
+  private static final int MAX_USE_BYTES = 1_024;
+
+  private static final int MAX_USES = 32;
+
+  /** A beat as nodes write it that know nothing of servers' use. */
+  record OldBeat(
+      String node,
+      String address,
+      String zone,
+      long incarnation,
+      boolean taking,
+      double requestsPerSecond,
+      long periodMillis) {}
+
+  private static final OldBeat OLD = new OldBeat("n", "n:1", "z", 7, true, 2.5, 500);
+
+  private static MemberBeat beat(List<ServerUse> uses) {
+    return new MemberBeat("n", "n:1", "z", 7, true, 2.5, 500, uses);
+  }
+
+  @Test
+  void aBeatKeepsWhatItTellsOfServers() {
+    MemberBeat beat =
+        beat(List.of(new ServerUse("s1", 1_785_333_665_078L, 6, 45), new ServerUse("s2", 0, 1, 0)));
+    assertThat(Codec.decode(Codec.encode(beat), MemberBeat.class), equalTo(beat));
+  }
+
+  @Test
+  void aBeatOfAnOlderNodeTellsNothingOfServers() {
+    MemberBeat decoded = Codec.decode(Codec.encode(OLD), MemberBeat.class);
+    assertThat(decoded.serverUse(), empty());
+    assertThat(decoded, equalTo(beat(List.of())));
+  }
+
+  @Test
+  void anOlderNodeReadsTheRestOfABeat() {
+    byte[] encoded = Codec.encode(beat(List.of(new ServerUse("s1", 0, 6, 45))));
+    assertThat(Codec.decode(encoded, OldBeat.class), equalTo(OLD));
+  }
+
+  @Test
+  void aBeatThatTellsNothingOfServersIsAsSmallAsBefore() {
+    assertThat(Codec.encode(beat(List.of())).length, equalTo(Codec.encode(OLD).length));
+  }
+
+  @Test
+  void whatABeatMayTellOfServersIsSmall() {
+    List<ServerUse> uses = new ArrayList<>();
+    for (int i = 0; i < MAX_USES; i++) {
+      uses.add(new ServerUse(String.format("i-%010x", i), 1_785_333_665_078L + i, 20, 250));
+    }
+    int extra = Codec.encode(beat(uses)).length - Codec.encode(OLD).length;
+    System.out.printf("beat: %d bytes for %d servers%n", extra, MAX_USES);
+    assertThat(extra, lessThanOrEqualTo(MAX_USE_BYTES));
+  }
+}
