A loading server is asked again when its load must have ended

Cause: the change before waited 1 s after each refusal of a loading server and let one generation at a time go to servers about to load.

Change: a refusing server is asked again 1 s after its version was named, then after 160 and 320 ms; each generation that a server about to load has taken lets one more go at once; a full server is asked each 80 ms, as before this part.

--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -14,7 +14,7 @@
  * Chooses the server of a generation: one whose weights are allowed and that has a free slot, by
  * the time that the rest of the text is expected to take there, what all nodes have there, weights
  * and what it keeps of the group's prompt. So long texts go to fast servers and short ones leave
- * them room. Servers that may refuse get one generation at a time until they take one. Times in
+ * them room. Servers that may refuse get one generation first, and more as they take them. Times in
  * monotonic milliseconds. Not thread-safe.
  */
 final class GenerationPicker {
@@ -88,15 +88,17 @@
 
   /** The server of a generation has begun it. */
   void onTaken(ItemRun run) {
-    refusals.onTaken(run.server, modelOf(run));
+    refusals.onTaken(run.server, modelOf(run), servers.newestOf(modelOf(run)));
   }
 
   /** The server of a generation does not take it: it is full, or loads weights. */
   void onRefused(ItemRun run, long nowMillis) {
+    String model = modelOf(run);
     ServerEntry server = servers.get(run.server);
-    long heldVersion = server == null ? 0 : server.versionOf(modelOf(run));
-    refusals.onRefused(
-        run.server, modelOf(run), heldVersion, servers.newestOf(modelOf(run)), nowMillis);
+    if (server != null) {
+      refusals.onRefused(
+          run.server, model, server.versionOf(model), servers.lacking(server, model), nowMillis);
+    }
   }
 
   /** A generation that was sent waits for its server no longer, whatever came of it. */
@@ -140,8 +142,7 @@
     boolean versionFits =
         model.isEmpty() || server.versionOf(model) >= run.job.job.submission().oldestVersion();
     return versionFits
-        && refusals.maySend(
-            server, model, servers.isAboutToLoad(server, model, nowMillis), nowMillis)
+        && refusals.maySend(server, model, servers.aboutToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.start(), nowMillis)
         && view.health().inProgress(server.start()) < Math.max(1, server.slots());
   }
--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -62,9 +63,15 @@
     return server.versionOf(model) < newestOf(model);
   }
 
-  /** Whether newer weights of a model were just named, so that a server may begin to load them. */
-  boolean isAboutToLoad(ServerEntry server, String model, long nowMillis) {
-    return lacksNewestWeights(server, model) && !hasOverdueWeights(server, model, nowMillis);
+  /** Newest weights of a model, if a server does not hold them. */
+  Optional<NamedVersion> lacking(ServerEntry server, String model) {
+    return lacksNewestWeights(server, model) ? Optional.of(named.get(model)) : Optional.empty();
+  }
+
+  /** Newest weights of a model that were just named, if a server may begin to load them. */
+  Optional<NamedVersion> aboutToLoad(ServerEntry server, String model, long nowMillis) {
+    return lacking(server, model)
+        .filter(newest -> !newest.isOverdueAt(server.versionOf(model), nowMillis));
   }
 
   /** Whether a server still holds older weights of a model though newer ones are overdue. */
--- a/core/src/main/java/org/passhaven/core/job/Refusals.java
+++ b/core/src/main/java/org/passhaven/core/job/Refusals.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerStart;
@@ -17,17 +18,20 @@
   /** A full server has room again when one of its generations ends. */
   private static final long FULL_PAUSE_MILLIS = 80;
 
-  /** Time that a load takes; its end is told, so that asking before is no gain. */
-  private static final long LOAD_PAUSE_MILLIS = 1_000;
+  /** News of a load's end may be later than an answer, so that a loading server is asked too. */
+  private static final long MAX_LOADING_PAUSE_MILLIS = 320;
 
-  /** A load that takes longer, or whose end is not known here yet. */
-  private static final long LONG_LOAD_PAUSE_MILLIS = 320;
+  /** Time from the naming of a version until a server that loaded it at once has it. */
+  private static final long LOAD_MILLIS = 1_000;
 
   private final Map<Key, Refused> refused = new HashMap<>();
 
   /** Generations sent that the server has neither begun nor refused. */
   private final Map<Key, Integer> unanswered = new HashMap<>();
 
+  /** Generations that a server has taken since it last refused one, under one newest version. */
+  private final Map<Key, Taken> taken = new HashMap<>();
+
   /** Servers that started while this node ran jobs and have taken nothing from it yet. */
   private final Set<ServerStart> untried = new HashSet<>();
 
@@ -35,7 +39,9 @@
 
   private record Key(ServerStart start, String model) {}
 
-  private record Refused(long heldVersion, long untilMillis) {}
+  private record Taken(long newest, int generations) {}
+
+  private record Refused(long heldVersion, long pauseMillis, long untilMillis) {}
 
   /** Forgets servers that are not listed any more, and notes those that are new. */
   void retain(Set<ServerStart> starts) {
@@ -49,6 +55,7 @@
     untried.retainAll(starts);
     refused.keySet().removeIf(key -> !starts.contains(key.start()));
     unanswered.keySet().removeIf(key -> !starts.contains(key.start()));
+    taken.keySet().removeIf(key -> !starts.contains(key.start()));
   }
 
   void onSent(ServerStart start, String model) {
@@ -61,21 +68,38 @@
         new Key(start, model), (key, count) -> count > 1 ? count - 1 : null);
   }
 
-  /** A server has begun a generation. */
-  void onTaken(ServerStart start, String model) {
+  /**
+   * A server has begun a generation.
+   *
+   * @param newest newest weight version of the model
+   */
+  void onTaken(ServerStart start, String model, long newest) {
+    Key key = new Key(start, model);
     onAnswered(start, model);
-    refused.remove(new Key(start, model));
+    refused.remove(key);
     untried.remove(start);
+    taken.put(key, new Taken(newest, takenAt(key, newest) + 1));
+  }
+
+  private int takenAt(Key key, long newest) {
+    Taken before = taken.get(key);
+    return before == null || before.newest() != newest ? 0 : before.generations();
   }
 
   /**
    * A server does not take a generation: it is full, or loads weights.
    *
    * @param heldVersion version of the model that it is known to hold
-   * @param newest newest weight version of the model
+   * @param newest newest weight version of the model, if the server does not hold it
    */
-  void onRefused(ServerStart start, String model, long heldVersion, long newest, long nowMillis) {
+  void onRefused(
+      ServerStart start,
+      String model,
+      long heldVersion,
+      Optional<NamedVersion> newest,
+      long nowMillis) {
     Key key = new Key(start, model);
+    taken.remove(key);
     Refused last = refused.get(key);
     boolean isAgain = last != null && last.heldVersion() == heldVersion;
     if (isAgain && nowMillis < last.untilMillis()) {
@@ -83,10 +107,12 @@
       return;
     }
     long pause = FULL_PAUSE_MILLIS;
-    if (heldVersion < newest) {
-      pause = isAgain ? LONG_LOAD_PAUSE_MILLIS : LOAD_PAUSE_MILLIS;
+    if (isAgain && newest.isPresent()) {
+      pause = Math.min(MAX_LOADING_PAUSE_MILLIS, 2 * last.pauseMillis());
     }
-    refused.put(key, new Refused(heldVersion, nowMillis + pause));
+    long loadedAt = newest.map(named -> named.namedAtMillis() + LOAD_MILLIS).orElse(nowMillis);
+    long until = Math.max(nowMillis + pause, loadedAt);
+    refused.put(key, new Refused(heldVersion, pause, until));
   }
 
   /** Whether a server's last word to a generation of a model was that it does not take it. */
@@ -96,17 +122,21 @@
   }
 
   /**
-   * Whether a generation of a model may be sent to a server now.
+   * Whether a generation of a model may be sent to a server now. Where it may be refused, each one
+   * that was taken lets one more go at once.
    *
-   * @param isAboutToLoad whether the server may begin at any moment to load weights of the model
+   * @param newest newest weight version of the model, if the server is about to load it
    */
-  boolean maySend(ServerEntry server, String model, boolean isAboutToLoad, long nowMillis) {
+  boolean maySend(ServerEntry server, String model, Optional<NamedVersion> newest, long nowMillis) {
     Key key = new Key(server.start(), model);
     boolean isRefusing = isRefusing(server, model);
     if (isRefusing && nowMillis < refused.get(key).untilMillis()) {
       return false;
     }
-    boolean isOneAtATime = isAboutToLoad || isRefusing || untried.contains(server.start());
-    return !isOneAtATime || !unanswered.containsKey(key);
+    int waiting = unanswered.getOrDefault(key, 0);
+    if (isRefusing || untried.contains(server.start())) {
+      return waiting == 0;
+    }
+    return newest.isEmpty() || waiting <= takenAt(key, newest.get().version());
   }
 }
