--- a/core/src/main/java/org/passhaven/core/job/ReadyServers.java
+++ b/core/src/main/java/org/passhaven/core/job/ReadyServers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -51,10 +52,26 @@
     return of(service).stream().map(ServerEntry::start).toList();
   }
 
+  /** Newest named weight version of a model; zero if none is named. */
+  long newestOf(String model) {
+    NamedVersion newest = named.get(model);
+    return newest == null ? 0 : newest.version();
+  }
+
   /** Whether a server does not hold the newest weights of a model, so that it will load them. */
   boolean lacksNewestWeights(ServerEntry server, String model) {
-    NamedVersion newest = named.get(model);
-    return newest != null && server.versionOf(model) < newest.version();
+    return server.versionOf(model) < newestOf(model);
+  }
+
+  /** Newest weights of a model, if a server does not hold them. */
+  Optional<NamedVersion> lacking(ServerEntry server, String model) {
+    return lacksNewestWeights(server, model) ? Optional.of(named.get(model)) : Optional.empty();
+  }
+
+  /** Newest weights of a model that were just named, if a server may begin to load them. */
+  Optional<NamedVersion> aboutToLoad(ServerEntry server, String model, long nowMillis) {
+    return lacking(server, model)
+        .filter(newest -> !newest.isOverdueAt(server.versionOf(model), nowMillis));
   }
 
   /** Whether a server still holds older weights of a model though newer ones are overdue. */
