Split the forwarder: attempts under way and log lines are classes

ForwardAttempts now sends attempts and keeps those under way with their hedge timers; ForwardLog writes the lines of attempts and outcomes, under the logger's name as before.

Moved, nothing else: order of calls, names of fields in the log and the moments at which things are cancelled are as before.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -1,12 +1,8 @@
 package org.passhaven.node.gateway;
 
 import io.smallrye.mutiny.Uni;
-import io.smallrye.mutiny.subscription.Cancellable;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -21,19 +17,13 @@
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.ShareRotation;
 import org.passhaven.protocol.member.MemberBeat;
-import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
-import org.passhaven.spi.BackEndService.Target;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.Timers;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
 
 /** Brings requests to servers as their {@link ForwardPlan} decides. */
 public final class RequestForwarder {
-  private static final Logger LOG = LoggerFactory.getLogger(RequestForwarder.class);
   private static final long RETRY_PAUSE_MILLIS = 10;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
@@ -118,8 +108,7 @@
     return admission;
   }
 
-  private final class Forward implements RequestAdmission.Asker {
-    private final Route route;
+  private final class Forward implements RequestAdmission.Asker, ForwardAttempts.Listener {
     private final Call call;
     private final UniEmitter<? super ForwardOutcome> emitter;
     private final ForwardPlan plan;
@@ -128,22 +117,21 @@
     private final RequestAdmission.Place place;
     private final long beganAt = context.now();
     private final long lostAtBegin = lostMillis();
-    private final Map<Integer, Cancellable> attempts = new HashMap<>();
-    private final List<Timers.Timer> hedges = new ArrayList<>(2);
+    private final ForwardAttempts attempts;
+    private final ForwardLog log;
     private Timers.Timer deadline;
-    private int nextAttempt;
-    private String lastReason = "";
     private boolean hasBegun;
     private boolean done;
 
     Forward(Route route, Call call, Source source, UniEmitter<? super ForwardOutcome> emitter) {
-      this.route = route;
       this.call = call;
       this.emitter = emitter;
       this.plan = new ForwardPlan(route, beganAt + call.deadlineMillis());
       this.gate = new ForwardGate(crashes, call);
       this.service = rotation.next(route);
       this.place = admission.place(route, call, service, source, plan.deadlineMillis());
+      this.attempts = new ForwardAttempts(context, health, call, plan, this);
+      this.log = new ForwardLog(context, directory, route, call, service, beganAt);
     }
 
     void begin() {
@@ -179,7 +167,7 @@
       if (server.isEmpty()) {
         return plan.inProgress() > 0;
       }
-      send(server.get(), plan.inProgress() > 1);
+      attempts.send(server.get(), plan.inProgress() > 1);
       return true;
     }
 
@@ -195,54 +183,14 @@
       }
     }
 
-    /**
-     * Sends the request. An attempt beside another one that is silent goes over a new connection:
-     * where kept ones have gone silent, both would else share their fate.
-     */
-    private void send(ServerEntry server, boolean isBeside) {
-      int attempt = nextAttempt++;
-      long sentAt = context.now();
-      health.onSent(server.start());
-      Call left =
-          new Call(
-              call.id(),
-              call.tenant(),
-              call.method(),
-              call.uri(),
-              call.host(),
-              call.headers(),
-              call.body(),
-              Math.max(1, plan.leftMillis(sentAt)));
-      Target target = ServerTargets.of(server);
-      BackEndService backEnds = context.backEnds();
-      Cancellable sending =
-          (isBeside ? backEnds.callAnew(target, left) : backEnds.call(target, left))
-              .onTermination()
-              .invoke(() -> health.onEnded(server.start()))
-              .subscribe()
-              .with(
-                  answer -> onAnswer(attempt, server, answer, sentAt),
-                  failure -> onFailure(attempt, server, PlatformException.from(failure), sentAt));
-      if (!done) {
-        attempts.put(attempt, sending);
-      }
-      plan.hedgeAfterMillis()
-          .ifPresent(
-              after -> hedges.add(context.timers().after(after, () -> hedge(attempt, server))));
-    }
-
-    private void hedge(int attempt, ServerEntry server) {
-      if (!done && attempts.containsKey(attempt)) {
-        LOG.atDebug()
-            .addKeyValue("request", call.id())
-            .addKeyValue("server", server.start())
-            .log("request: silent server, another one is asked");
-        tryNext();
-      }
+    @Override
+    public void onSilent(ServerEntry server) {
+      log.onSilent(server);
+      tryNext();
     }
 
-    private void onAnswer(int attempt, ServerEntry server, Answer answer, long sentAt) {
-      attempts.remove(attempt);
+    @Override
+    public void onAnswer(ServerEntry server, Answer answer, long sentAt) {
       long now = context.now();
       Outcome outcome = classify(answer);
       if (outcome != Outcome.NOT_RUN) {
@@ -255,7 +203,7 @@
         onNotRun(server, answer.status() != MISDIRECTED);
       }
       if (outcome != Outcome.SUCCESS) {
-        logAttempt(server, outcome, "status " + answer.status());
+        log.onAttemptFailed(server, outcome, "status " + answer.status());
       }
       gate.onAnswered(outcome);
       decide(outcome, answer);
@@ -269,9 +217,8 @@
       }
     }
 
-    private void onFailure(
-        int attempt, ServerEntry server, PlatformException failure, long sentAt) {
-      attempts.remove(attempt);
+    @Override
+    public void onFailure(ServerEntry server, PlatformException failure, long sentAt) {
       if (failure.kind() == PlatformException.Kind.ANSWER_DROPPED) {
         onAnswerDropped(server, failure, sentAt);
         return;
@@ -284,7 +231,7 @@
       }
       boolean notRun = heldBack || failure.kind() == PlatformException.Kind.NOT_RUN;
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-      logAttempt(server, outcome, failure.getMessage());
+      log.onAttemptFailed(server, outcome, failure.getMessage());
       if (notRun) {
         decide(outcome, null);
         return;
@@ -298,7 +245,7 @@
      * for an answer that has no room either.
      */
     private void onAnswerDropped(ServerEntry server, PlatformException failure, long sentAt) {
-      logAttempt(server, Outcome.UNKNOWN, failure.getMessage());
+      log.onAttemptFailed(server, Outcome.UNKNOWN, failure.getMessage());
       noteBegun(sentAt);
       gate.onAnswered(Outcome.UNKNOWN);
       if (!done) {
@@ -315,27 +262,6 @@
       }
     }
 
-    private void logAttempt(ServerEntry server, Outcome outcome, String reason) {
-      context.metrics().attemptsFailed.increment();
-      lastReason = reason;
-      // While no server of a service is up, refused connections come by the hundred a second.
-      LOG.atLevel(outcome == Outcome.NOT_RUN ? Level.DEBUG : Level.INFO)
-          .addKeyValue("request", call.id())
-          .addKeyValue("route", route.name())
-          .addKeyValue("path", path())
-          .addKeyValue("server", server.start())
-          .addKeyValue("outcome", outcome)
-          .addKeyValue("reason", reason)
-          .addKeyValue("afterMillis", context.now() - beganAt)
-          .log("request: attempt failed");
-    }
-
-    /** Path without its query, by which repeats of one request are told in the log. */
-    private String path() {
-      int query = call.uri().indexOf('?');
-      return query < 0 ? call.uri() : call.uri().substring(0, query);
-    }
-
     private void decide(Outcome outcome, Answer answer) {
       if (done) {
         return;
@@ -383,18 +309,7 @@
           plan.hasSurelyNotRun()
               ? new ForwardOutcome.NotRun(reason, retryAfterMillis())
               : new ForwardOutcome.Unknown(reason, timedOut, plan.serverErrors());
-      LOG.atInfo()
-          .addKeyValue("request", call.id())
-          .addKeyValue("route", route.name())
-          .addKeyValue("service", service)
-          .addKeyValue("ready", directory.servers().readyOf(service).size())
-          .addKeyValue("configuration", directory.routes().version())
-          .addKeyValue("attempts", nextAttempt)
-          .addKeyValue("outcome", outcome.getClass().getSimpleName())
-          .addKeyValue("reason", reason)
-          .addKeyValue("lastAttempt", lastReason)
-          .addKeyValue("tookMillis", context.now() - beganAt)
-          .log("request: given up");
+      log.onGivenUp(outcome, attempts.begun(), reason);
       finish(outcome);
     }
 
@@ -410,13 +325,9 @@
       }
       done = true;
       inProgress--;
-      gate.close(!attempts.isEmpty());
+      gate.close(attempts.isRunning());
       deadline.cancel();
-      // A timer that waits on would keep the request's body in memory.
-      hedges.forEach(Timers.Timer::cancel);
-      List<Cancellable> running = List.copyOf(attempts.values());
-      attempts.clear();
-      running.forEach(Cancellable::cancel);
+      attempts.cancel();
       place.release();
     }
   }
