Tell services' queues of an end or of servers over a copy of the services

Cause: RequestAdmission walked its map of services and told each of changed servers, or of the node's end. Who is rejected then may ask at once for a service that nobody asked for so far (a runner's next scoring on a route with two services); that put a service into the map under the walk, and the walk ended with ConcurrentModificationException. Gateway.end() then never stopped the runner, and a change of servers never reached the directory's listeners after this one.

Measured: AdmissionServicesTest ended with that exception before, passes now; RequestAdmissionTest 19, no failure.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
@@ -57,7 +57,12 @@
   }
 
   private void onServersChanged() {
-    services.values().forEach(Service::onServers);
+    known().forEach(Service::onServers);
+  }
+
+  /** A copy: who is told something may ask for a service that nobody has asked for so far. */
+  private List<Service> known() {
+    return List.copyOf(services.values());
   }
 
   /** This node stops: what waits is sent or rejected soon. */
@@ -68,7 +73,7 @@
 
   /** This node ends: what still waits is rejected. */
   void end() {
-    services.values().forEach(service -> service.apply(service.admission.end(context.now())));
+    known().forEach(service -> service.apply(service.admission.end(context.now())));
   }
 
   /** One request's place; released when the request is over. */
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/AdmissionServicesTest.java
@@ -0,0 +1,90 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.admission.AdmissionRequest.Source;
+import org.passhaven.core.admission.AdmissionVerdict.Reject;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.ServiceShare;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.DutyService;
+
+/** Services with one server of one place each: two requests may be there, others wait. */
+class AdmissionServicesTest {
+  private static final long DEADLINE_MILLIS = 1_500;
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/",
+          List.of(new ServiceShare("old", 9), new ServiceShare("new", 1)),
+          Route.Kind.AT_MOST_ONCE,
+          DEADLINE_MILLIS,
+          250,
+          4,
+          false,
+          false,
+          0,
+          0,
+          true);
+  private final ManualTimers timers = new ManualTimers();
+  private final GatewayContext context =
+      new GatewayContext(
+          GatewayFixture.settings(1, 262_144, 2_097_152),
+          1,
+          timers,
+          bound -> 0,
+          new MemoryLog(timers),
+          new GatewayFixture.NoTables(),
+          new GatewayFixture.NoServers(),
+          DutyService.NONE,
+          new GatewayFixture.NoDocuments(),
+          new GatewayMetrics(new SimpleMeterRegistry()));
+  private final RequestAdmission admission =
+      new RequestAdmission(
+          context, new Directory(context, () -> 0), AdmissionServicesTest::serversOf);
+  private final List<String> told = new ArrayList<>();
+
+  private static List<ServerEntry> serversOf(String service) {
+    return List.of(
+        new ServerEntry(ServerStart.of(service), service, "a:1", "z", 1, true, Map.of()));
+  }
+
+  private void ask(String id, String service, Runnable whenRejected) {
+    Call call = new Call(id, "", "GET", "/", "h", List.of(), new byte[0], DEADLINE_MILLIS);
+    admission
+        .place(ROUTE, call, service, Source.SCORING, DEADLINE_MILLIS)
+        .ask(
+            new RequestAdmission.Asker() {
+              @Override
+              public void onSend() {
+                told.add(id + " sent");
+              }
+
+              @Override
+              public void onReject(Reject verdict) {
+                told.add(id + " rejected");
+                whenRejected.run();
+              }
+            });
+  }
+
+  @Test
+  void anEndThatMakesARunnerAskForAServiceThatWasNotUsedYetIsCarriedOut() {
+    ask("1", "old", () -> {});
+    ask("2", "old", () -> {});
+    ask("3", "old", () -> ask("4", "new", () -> {}));
+    admission.end();
+    assertThat(told, contains("1 sent", "2 sent", "3 rejected", "4 sent"));
+  }
+}
