An attempt that ends within the call that sends it is not kept as under way

Cause: the attempt was noted as under way after it was begun. It then stayed noted: its hedge timer asked another server beside nothing that was silent, and a request that ended in its trial did not give the trial back, since it passed for running.

Mend: it is noted before it is begun and taken out as it ends; one that has ended gets no hedge timer.

Measured: ForwardAttemptsTest failed before (under way), passes now; RequestForwarderTest 12, no failure.

--- a/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
@@ -57,6 +57,7 @@
     int attempt = begun++;
     long sentAt = context.now();
     health.onSent(server.start());
+    underWay.put(attempt, () -> {});
     Call left = withTimeLeft(sentAt);
     Target target = ServerTargets.of(server);
     BackEndService backEnds = context.backEnds();
@@ -74,8 +75,9 @@
                   underWay.remove(attempt);
                   listener.onFailure(server, PlatformException.from(failure), sentAt);
                 });
-    if (!isOver) {
-      underWay.put(attempt, sending);
+    // An attempt may end within the call that sends it, and then nothing is left to wait for.
+    if (underWay.replace(attempt, sending) == null) {
+      return;
     }
     plan.hedgeAfterMillis()
         .ifPresent(
--- /dev/null
+++ b/node/src/test/java/org/passhaven/node/gateway/ForwardAttemptsTest.java
@@ -0,0 +1,108 @@
+package org.passhaven.node.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.backend.ServerStart;
+import org.passhaven.core.forward.ForwardPlan;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.ServiceShare;
+import org.passhaven.node.ManualTimers;
+import org.passhaven.node.MemoryLog;
+import org.passhaven.spi.BackEndService.Answer;
+import org.passhaven.spi.BackEndService.Call;
+import org.passhaven.spi.DutyService;
+import org.passhaven.spi.PlatformException;
+
+/**
+ * Attempts that end within the call that sends them, as those do for which a node has no room under
+ * way to a server.
+ */
+class ForwardAttemptsTest {
+  private static final long DEADLINE_MILLIS = 1_500;
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/",
+          List.of(new ServiceShare("s", 1)),
+          Route.Kind.REPEATABLE,
+          DEADLINE_MILLIS,
+          250,
+          4,
+          false,
+          false,
+          0,
+          0,
+          true);
+  private static final ServerEntry SERVER =
+      new ServerEntry(ServerStart.of("a"), "s", "a:1", "z", 6, true, Map.of());
+  private final ManualTimers timers = new ManualTimers();
+  private final List<PlatformException.Kind> failures = new ArrayList<>();
+  private final List<ServerStart> silent = new ArrayList<>();
+  private final ForwardAttempts attempts =
+      new ForwardAttempts(
+          context(),
+          new ServerHealth(),
+          new Call("id", "", "GET", "/", "h", List.of(), new byte[0], DEADLINE_MILLIS),
+          new ForwardPlan(ROUTE, DEADLINE_MILLIS),
+          new Heard());
+
+  private static final class FullServers extends GatewayFixture.NoServers {
+    @Override
+    public Uni<Answer> call(Target target, Call call) {
+      return Uni.createFrom()
+          .failure(new PlatformException(PlatformException.Kind.HELD_BACK, "no room"));
+    }
+  }
+
+  private final class Heard implements ForwardAttempts.Listener {
+    @Override
+    public void onAnswer(ServerEntry server, Answer answer, long sentAtMillis) {
+      throw new IllegalStateException("nobody answers");
+    }
+
+    @Override
+    public void onFailure(ServerEntry server, PlatformException failure, long sentAtMillis) {
+      failures.add(failure.kind());
+    }
+
+    @Override
+    public void onSilent(ServerEntry server) {
+      silent.add(server.start());
+    }
+  }
+
+  private GatewayContext context() {
+    return new GatewayContext(
+        GatewayFixture.settings(1, 262_144, 2_097_152),
+        1,
+        timers,
+        bound -> 0,
+        new MemoryLog(timers),
+        new GatewayFixture.NoTables(),
+        new FullServers(),
+        DutyService.NONE,
+        new GatewayFixture.NoDocuments(),
+        new GatewayMetrics(new SimpleMeterRegistry()));
+  }
+
+  @Test
+  void anAttemptThatEndsAtOnceIsNotUnderWayAndIsNeverCalledSilent() {
+    attempts.send(SERVER, false);
+    assertThat(failures, contains(PlatformException.Kind.HELD_BACK));
+    assertThat(attempts.isRunning(), equalTo(false));
+    timers.advance(DEADLINE_MILLIS);
+    assertThat(silent, empty());
+  }
+}
