A server's new weights move no subset and no first choice

Cause: a subset was formed anew when any part of a server's entry changed, the weight versions too, and it then counted as another set of servers: the first choice that was kept while nodes came and went was given up, and its connection with it, though neither nodes nor servers had changed.

Mend: subsets depend on a server's start, zone and places; where only the rest has changed, the newest entries are put into the subset that stands. A kept first choice is found by its start.

Weighed: to hold starts only in a subset, and look entries up at each request; more work a request.

Measured: SubsetForwardTest.theFirstChoiceStaysWhereAServerTellsOfNewWeights failed before, passes now; the other 11 and ServerSubsetTest 12 without failure.

--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -5,8 +5,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
 
@@ -63,6 +66,34 @@
     return new ServerSubset(ordered, size);
   }
 
+  /** Whether two lists of servers, each in the order of their ids, give the same subsets. */
+  public static boolean areAlike(List<ServerEntry> servers, List<ServerEntry> others) {
+    if (servers.size() != others.size()) {
+      return false;
+    }
+    for (int i = 0; i < servers.size(); i++) {
+      ServerEntry server = servers.get(i);
+      ServerEntry other = others.get(i);
+      boolean isAlike =
+          server.start().equals(other.start())
+              && server.zone().equals(other.zone())
+              && server.slots() == other.slots();
+      if (!isAlike) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The same servers with their newest entries. */
+  public ServerSubset withEntries(Collection<ServerEntry> newest) {
+    Map<ServerStart, ServerEntry> byStart =
+        newest.stream().collect(Collectors.toMap(ServerEntry::start, Function.identity()));
+    return new ServerSubset(
+        byPreference.stream().map(server -> byStart.getOrDefault(server.start(), server)).toList(),
+        size);
+  }
+
   /** Servers that each of some nodes sends to. */
   static int sizeFor(int nodes, int servers) {
     int shared = (servers * MIN_NODES_A_SERVER + nodes - 1) / Math.max(1, nodes);
@@ -85,7 +116,8 @@
     if (earlier.byPreference.isEmpty()) {
       return this;
     }
-    int place = byPreference.indexOf(earlier.byPreference.get(0));
+    List<ServerStart> starts = byPreference.stream().map(ServerEntry::start).toList();
+    int place = starts.indexOf(earlier.byPreference.get(0).start());
     if (place < 0 || place >= size) {
       return this;
     }
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -79,15 +79,21 @@
   private void refresh(String name, Service service) {
     List<ServerEntry> ready = directory.servers().readyOf(name);
     List<Member> live = liveMembers();
-    if (ready.equals(service.ready) && live.equals(service.nodes)) {
+    boolean isSameFleet = live.equals(service.nodes);
+    if (isSameFleet && ready.equals(service.ready)) {
+      return;
+    }
+    boolean isSameServers = ServerSubset.areAlike(ready, service.ready);
+    service.ready = ready;
+    service.nodes = live;
+    if (isSameFleet && isSameServers) {
+      // Servers tell of new weights many times a minute: who goes where does not depend on them.
+      service.formed = service.formed.withEntries(ready);
       return;
     }
     // A server that comes is to become some nodes' first choice; a node that comes brings its own.
-    boolean isSameServers = ready.equals(service.ready);
     ServerSubset formed = ServerSubset.of(self, live, ready);
     service.formed = isSameServers ? formed.keepingFirstOf(service.formed) : formed;
-    service.ready = ready;
-    service.nodes = live;
     LOG.atDebug()
         .addKeyValue("service", name)
         .addKeyValue("nodes", live.size())
--- a/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
@@ -216,6 +216,28 @@
     assertThat(used(), contains(first));
   }
 
+  @Test
+  void theFirstChoiceStaysWhereAServerTellsOfNewWeights() {
+    ask();
+    last().succeed();
+    String first = preferred(0);
+    List<MemberBeat> all = nodes;
+    int left = NODES;
+    while (preferred(0).equals(first) || !inSubset().contains(first)) {
+      left--;
+      nodes = all.subList(0, left);
+      subset = subset();
+    }
+    ask();
+    last().succeed();
+    ServerEntry told = entry(SERVERS - 1, true).withAtLeast(Map.of("model", 2L));
+    list(told);
+    timers.advance(10);
+    ask();
+    last().succeed();
+    assertThat(used(), contains(first));
+  }
+
   @Test
   void fewRequestsAtOnceStayInTheSubset() {
     IntStream.range(0, 4).forEach(i -> ask());
