The soak learns uneven servers, slow readers and a flood by one tenant

Cause: admission, subsets and the budget of bodies decide under load that the soak never made, and no promise of its judged what they are for.

Back ends' harms are noted, so that checks of shares don't bind while one is hung.

Weighed: slow readers behind the soak's links: a link takes the answer from the node and nothing is slow for it; they connect directly. A share by request instead of by attempt: the history doesn't tell which attempts belong together.

--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -53,7 +53,12 @@
             .addOption(
                 Flags.simple(
                     "silent-connections",
-                    "adds open connections that go silent for good, also to a calm run"));
+                    "adds open connections that go silent for good, also to a calm run"))
+            .addOption(
+                Flags.simple(
+                    "hard-load",
+                    "adds slow readers and floods by one tenant, with uneven servers also to a calm"
+                        + " run"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -130,6 +135,7 @@
                         line.hasOption("calm"),
                         line.hasOption("crashes"),
                         line.hasOption("silent-connections"),
+                        line.hasOption("hard-load"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/check/Judge.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Judge.java
@@ -43,6 +43,10 @@
     checks.put(Promise.CRASHES_BOUNDED, CrashCheck::judge);
     checks.put(Promise.TENANT_TRUE, TenantCheck::judge);
     checks.put(Promise.SERVED_OVER_NEW_CONNECTIONS, SilenceCheck::judge);
+    checks.put(Promise.SERVED_BESIDE_SLOW_READERS, SlowReaderChecks::servedBeside);
+    checks.put(Promise.ONLY_STALLED_DROPPED, SlowReaderChecks::onlyStalledDropped);
+    checks.put(Promise.WITHIN_MEMORY, MemoryCheck::judge);
+    checks.put(Promise.NO_TENANT_STARVED, TenantShareCheck::judge);
     checks.put(Promise.PROCESS_STAYS, RunChecks::processStays);
     return Collections.unmodifiableMap(checks);
   }
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -38,6 +38,14 @@
   TENANT_TRUE,
   /** While open connections are silent, what may be repeated is served over new ones. */
   SERVED_OVER_NEW_CONNECTIONS,
+  /** While some callers read slowly, others are served as at other times. */
+  SERVED_BESIDE_SLOW_READERS,
+  /** Of callers that read slowly only those are dropped that take nothing for long. */
+  ONLY_STALLED_DROPPED,
+  /** A process stays within its memory, and the bodies that it holds within their budget. */
+  WITHIN_MEMORY,
+  /** While one tenant floods, no other is served much less often than all. */
+  NO_TENANT_STARVED,
   /** No process ends by itself. */
   PROCESS_STAYS
 }
--- a/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
@@ -7,6 +7,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.platform.standin.history.RequestObservation.FloodBegun;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
 import org.passhaven.platform.standin.history.RequestObservation.RequestSent;
 import org.passhaven.platform.standin.history.ServerObservation.ServerEnded;
@@ -32,10 +33,12 @@
   private final Evidence evidence;
   private final TouchTable others;
   private final Set<String> served;
+  private final Set<String> slow;
 
   private SilenceCheck(Evidence evidence) {
     this.evidence = evidence;
     this.others = TouchTable.of(withoutStrikes(evidence), evidence.bounds().contactMillis());
+    this.slow = SlowReaderChecks.ids(evidence);
     this.served =
         evidence
             .all(RequestAnswered.class)
@@ -84,6 +87,7 @@
             .all(RequestSent.class)
             .filter(RequestSent::mayRepeat)
             .filter(request -> request.deadlineMillis() >= LEAST_DEADLINE_MILLIS)
+            .filter(request -> !slow.contains(request.id()))
             .filter(request -> isWithin(request.atMillis(), atMillis, WINDOW_MILLIS))
             .toList();
     long untilMillis =
@@ -97,6 +101,7 @@
             .anyMatch(end -> isWithin(end.atMillis(), atMillis, untilMillis - atMillis));
     if (sent.size() < FEW_REQUESTS
         || isEnd
+        || isFlooded(atMillis, untilMillis)
         || !others.areInTouch(evidence.nodes(), atMillis, untilMillis)) {
       return;
     }
@@ -110,6 +115,16 @@
             answered + " of " + sent.size() + " requests were served while connections are silent");
   }
 
+  /** A flood is refused in part, whatever the connections do. */
+  private boolean isFlooded(long fromMillis, long untilMillis) {
+    return evidence
+        .all(FloodBegun.class)
+        .anyMatch(
+            flood ->
+                flood.atMillis() <= untilMillis
+                    && flood.atMillis() + flood.forMillis() >= fromMillis);
+  }
+
   private static boolean isWithin(long millis, long fromMillis, long forMillis) {
     return millis >= fromMillis && millis < fromMillis + forMillis;
   }
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -22,6 +22,8 @@
   private final Map<LinkEnd, List<LinkHarm>> links = new HashMap<>();
   private final Map<Integer, List<StoreHarm>> stores = new HashMap<>();
 
+  private final Map<Integer, List<Double>> paces = new HashMap<>();
+
   private record LinkEnd(LinkKind link, int target) {}
 
   ActiveFaults(Hands hands) {
@@ -38,6 +40,11 @@
       beginStore(onStore);
     } else if (fault instanceof Fault.OnBackEnd on) {
       hands.harmBackEnd(on.backEnd(), on.harm(), on.forMillis());
+    } else if (fault instanceof Fault.UnevenBackEnd on) {
+      paces.computeIfAbsent(on.backEnd(), key -> new ArrayList<>()).add(on.factor());
+      hands.pace(on.backEnd(), on.factor());
+    } else if (fault instanceof Fault.OnCallers on) {
+      hands.harmCallers(on.harm(), on.forMillis());
     } else if (fault instanceof Fault.OnRequest on) {
       hands.harmRequest(on.harm());
     } else if (fault instanceof Fault.Change change) {
@@ -55,6 +62,10 @@
       storeNodes(onStore).forEach(node -> endStore(node, onStore.harm()));
     } else if (fault instanceof Fault.OnBackEnd on) {
       hands.healBackEnd(on.backEnd(), on.harm());
+    } else if (fault instanceof Fault.UnevenBackEnd on) {
+      List<Double> left = paces.getOrDefault(on.backEnd(), List.of());
+      left.remove(on.factor());
+      hands.pace(on.backEnd(), newest(left).orElse(1.0));
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.passhaven.soak.plan.BackEndHarm;
+import org.passhaven.soak.plan.CallerHarm;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -49,6 +50,12 @@
   /** A back end's harm is over. */
   void healBackEnd(int backEnd, BackEndHarm harm);
 
+  /** A back end takes so many times as long as usual; 1 for as usual. */
+  void pace(int backEnd, double factor);
+
+  /** Callers begin to make it hard for the nodes, for the given time. */
+  void harmCallers(CallerHarm harm, long forMillis);
+
   /** The next request of a kind becomes one that crashes servers. */
   void harmRequest(RequestHarm harm);
 
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -109,6 +109,46 @@
     }
   }
 
+  /**
+   * A back end takes so many times as long as others.
+   *
+   * @param factor how many times
+   */
+  record UnevenBackEnd(long atMillis, long forMillis, int backEnd, double factor) implements Fault {
+    /** Checks. */
+    public UnevenBackEnd {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return forMillis > HardLoadPlan.MOMENT_MILLIS ? "uneven-LONG" : "uneven-MOMENT";
+    }
+  }
+
+  /** Callers make it hard for the nodes. */
+  record OnCallers(long atMillis, long forMillis, CallerHarm harm) implements Fault {
+    /** Checks. */
+    public OnCallers {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "callers-" + harm;
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -91,6 +91,11 @@
     if (settings.hasSilentConnections()) {
       addSilentConnections(seed, lastMillis);
     }
+    faults.addAll(
+        HardLoadPlan.uneven(seed, settings.backEndCount(), CALM_START_MILLIS, lastMillis));
+    if (settings.hasHardLoad()) {
+      faults.addAll(HardLoadPlan.callers(seed, CALM_START_MILLIS, lastMillis));
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -11,6 +11,7 @@
  *     added to what the seed gives without them
  * @param hasSilentConnections whether open connections to the store and to back ends go silent for
  *     good, added to what the seed gives without
+ * @param hasHardLoad whether callers that read slowly and floods by one tenant are added
  */
 public record PlanSettings(
     int nodeCount,
@@ -18,7 +19,8 @@
     long trafficMillis,
     boolean isFinalFaultCertain,
     boolean hasCrashesAndSuspensions,
-    boolean hasSilentConnections) {
+    boolean hasSilentConnections,
+    boolean hasHardLoad) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
+++ b/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
@@ -93,6 +93,11 @@
     return life != null && life.isAlive();
   }
 
+  /** The present life's process id; 0 before the first. */
+  public synchronized long pid() {
+    return life == null ? 0 : life.pid();
+  }
+
   /** Waits until the life is over; false if that takes longer. */
   public boolean awaitEnd(long atMostMillis) throws InterruptedException {
     Process present;
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -1,19 +1,24 @@
 package org.passhaven.soak.run;
 
 import io.vertx.core.Future;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.passhaven.platform.standin.StandinPlatform;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
+import org.passhaven.platform.standin.history.NodeObservation.ServerHarmSet;
 import org.passhaven.platform.standin.history.Observation;
 import org.passhaven.platform.standin.server.CrashingRequests;
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.platform.standin.store.StoreFault;
 import org.passhaven.soak.fault.Hands;
 import org.passhaven.soak.plan.BackEndHarm;
+import org.passhaven.soak.plan.CallerHarm;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -38,6 +43,8 @@
   private final Links links;
   private final StandinPlatform platform;
   private final Consumer<Observation> history;
+  private final Map<Integer, Double> paces = new HashMap<>();
+  private final Set<Integer> slow = new HashSet<>();
   private final boolean losesByReset;
   private final AtomicReference<Future<Void>> change =
       new AtomicReference<>(Future.succeededFuture());
@@ -157,13 +164,41 @@
     }
   }
 
+  @Override
+  public void pace(int backEnd, double factor) {
+    paces.put(backEnd, factor);
+    applyPace(backEnd);
+  }
+
+  /** A back end that is slow and uneven at once is as slow as the worse of both. */
+  private void applyPace(int backEnd) {
+    double slowness = slow.contains(backEnd) ? SLOW_FACTOR : 1;
+    server(backEnd).slow(Math.max(slowness, paces.getOrDefault(backEnd, 1.0)));
+  }
+
+  @Override
+  public void harmCallers(CallerHarm harm, long forMillis) {
+    switch (harm) {
+      case SLOW_READERS -> platform.clients().readSlowly();
+      case TENANT_FLOOD -> platform.clients().flood(forMillis);
+    }
+  }
+
+  private void tellServer(int backEnd, String fault) {
+    history.accept(new ServerHarmSet(platform.nowMillis(), "", backEnd, fault));
+  }
+
   @Override
   public void harmBackEnd(int backEnd, BackEndHarm harm, long forMillis) {
+    tellServer(backEnd, harm.name());
     ServerControl server = server(backEnd);
     switch (harm) {
       case CRASH -> server.crash(forMillis);
       case HANG -> server.hang(true);
-      case SLOW -> server.slow(SLOW_FACTOR);
+      case SLOW -> {
+        slow.add(backEnd);
+        applyPace(backEnd);
+      }
     }
   }
 
@@ -172,8 +207,12 @@
     switch (harm) {
       case CRASH -> server(backEnd).start();
       case HANG -> server(backEnd).hang(false);
-      case SLOW -> server(backEnd).slow(1);
+      case SLOW -> {
+        slow.remove(backEnd);
+        applyPace(backEnd);
+      }
     }
+    tellServer(backEnd, "");
   }
 
   @Override
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -84,18 +84,22 @@
                 settings.trafficMillis(),
                 settings.isFinalFaultCertain(),
                 settings.hasCrashesAndSuspensions(),
-                settings.hasSilentConnections()));
+                settings.hasSilentConnections(),
+                settings.hasHardLoad()));
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
-  /** The same plan with nothing but connections that go silent, where they are asked for. */
+  /** The same plan with nothing but what is asked for by its own option. */
   private static FaultPlan calm(SoakSettings settings, FaultPlan plan) {
-    List<Fault> silences =
-        plan.faults().stream()
-            .filter(fault -> fault instanceof Fault.OnLink on && on.harm() == LinkHarm.MUTE)
-            .toList();
-    return new FaultPlan(
-        plan.seed(), plan.trafficMillis(), silences, settings.isFinalFaultCertain());
+    List<Fault> asked =
+        plan.faults().stream().filter(fault -> isAskedFor(settings, fault)).toList();
+    return new FaultPlan(plan.seed(), plan.trafficMillis(), asked, settings.isFinalFaultCertain());
+  }
+
+  private static boolean isAskedFor(SoakSettings settings, Fault fault) {
+    return (fault instanceof Fault.OnLink on && on.harm() == LinkHarm.MUTE)
+        || fault instanceof Fault.OnCallers
+        || (settings.hasHardLoad() && fault instanceof Fault.UnevenBackEnd);
   }
 
   /** Does a run; lines of progress and the verdict's lines go to the consumer. */
@@ -130,7 +134,10 @@
     Thread.sleep(WARM_MILLIS);
     platform.begin();
     SoakHands hands = new SoakHands(settings, nodes, links, platform, history);
-    try (FaultSchedule schedule = new FaultSchedule(hands, this::tellFault)) {
+    try (MemoryWatch memory =
+            new MemoryWatch(places, nodes, settings.folder(), platform::nowMillis, history);
+        FaultSchedule schedule = new FaultSchedule(hands, this::tellFault)) {
+      memory.begin();
       schedule.add(plan.faults());
       pass(settings.trafficMillis());
       awaitCalm(schedule);
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -12,6 +12,7 @@
  * @param isCalm whether nothing at all is done to the system but a final fault
  * @param hasCrashesAndSuspensions whether some requests crash servers and machines are suspended
  * @param hasSilentConnections whether open connections go silent for good, also in a calm run
+ * @param hasHardLoad whether callers read slowly and one tenant floods, also in a calm run
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -24,6 +25,7 @@
     boolean isCalm,
     boolean hasCrashesAndSuspensions,
     boolean hasSilentConnections,
+    boolean hasHardLoad,
     SoakLoad load,
     Path repository,
     Path folder) {
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.passhaven.soak.plan.BackEndHarm;
+import org.passhaven.soak.plan.CallerHarm;
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
@@ -53,6 +54,23 @@
             "link STORE 2 DELAY", "link STORE 2 SILENCE", "link STORE 2 DELAY", "link STORE 2 "));
   }
 
+  @Test
+  void theNewestPaceOfABackEndHoldsAndCallersAreHarmedOnce() {
+    Fault lasting = new Fault.UnevenBackEnd(0, 10, 2, 3);
+    Fault moment = new Fault.UnevenBackEnd(0, 10, 2, 5.5);
+    Fault flood = new Fault.OnCallers(0, 10, CallerHarm.TENANT_FLOOD);
+    active.begin(lasting);
+    active.begin(moment);
+    active.begin(flood);
+    active.end(lasting);
+    active.end(moment);
+    active.end(flood);
+    assertThat(
+        done,
+        contains(
+            "pace 2 3.0", "pace 2 5.5", "callers TENANT_FLOOD 10", "pace 2 5.5", "pace 2 1.0"));
+  }
+
   @Test
   void aStoreThatHarmsAllIsSoundAgainAtItsEnd() {
     Fault down = onStore(StoreHarm.DOWN);
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.passhaven.soak.plan.BackEndHarm;
+import org.passhaven.soak.plan.CallerHarm;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -67,6 +68,16 @@
     done.add("harm " + backEnd + " " + harm + " " + forMillis);
   }
 
+  @Override
+  public void pace(int backEnd, double factor) {
+    done.add("pace " + backEnd + " " + factor);
+  }
+
+  @Override
+  public void harmCallers(CallerHarm harm, long forMillis) {
+    done.add("callers " + harm + " " + forMillis);
+  }
+
   @Override
   public void healBackEnd(int backEnd, BackEndHarm harm) {
     done.add("heal " + backEnd + " " + harm);
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -60,6 +60,7 @@
             isOnlySilent,
             hasCrashesAndSuspensions,
             isOnlySilent,
+            false,
             SoakLoad.small(),
             module.getParent(),
             folder);
