Fleet loss: nodes that beat before they are due count as alive

Cause: only nodes whose period is no longer than the time that the log spans were counted. Half a second after a start these are the nodes that beat fast: fresh ones and those on which somebody depends. Where many nodes are restarted, fail while they are fresh and are restarted again, the failed ones are most of these, and the fleet was taken for lost though the nodes at rest went on: live nodes were forgotten until their next beats, and runs could be claimed without watching the beats first.

Weighed: a least share of all nodes that must be due. It would make a real loss show later where most nodes beat slowly. A beat of a node that was not due yet costs nothing to count: after a loss there is none.

Measured: the test (20 nodes at rest, 10 restarted twice) fails on the code before and passes now (BeatTableTest).

--- a/core/src/main/java/org/passhaven/core/member/FleetLoss.java
+++ b/core/src/main/java/org/passhaven/core/member/FleetLoss.java
@@ -71,9 +71,11 @@
     int due = 0;
     int again = 0;
     for (Track track : newestBefore(since).values()) {
-      if (track.isDueWithin(since.spanMillis())) {
+      boolean isAgain = track.place > since.firstPlace;
+      // Who need not have beaten yet but has is a sign of life all the same.
+      if (isAgain || track.isDueWithin(since.spanMillis())) {
         due++;
-        again += track.place > since.firstPlace ? 1 : 0;
+        again += isAgain ? 1 : 0;
       }
     }
     return due >= MANY_NODES && again * FEW_ONE_IN < due;
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -160,6 +160,27 @@
     assertThat(table.isFleetLost(), is(false));
   }
 
+  @Test
+  void nodesThatAreNotDueYetButBeatAgainAreASignOfLife() {
+    // A third of the fleet is restarted, fails while it is fresh, and is restarted again.
+    for (int i = 0; i < 20; i++) {
+      table.onBeat(idleBeat("n" + i), 1_000);
+    }
+    for (int i = 0; i < 10; i++) {
+      table.onBeat(freshBeat("again" + i, 2, 1_500), 1_000);
+    }
+    table.onBeat(freshBeat("again0", 3, 1), 1_000);
+    for (int i = 0; i < 10; i++) {
+      table.onBeat(idleBeat("n" + i), 1_400);
+    }
+    table.onBeat(freshBeat("again0", 3, 501), 1_510);
+    assertThat(table.isFleetLost(), is(false));
+  }
+
+  private static MemberBeat idleBeat(String node) {
+    return new MemberBeat(node, node + ":1", "z", 1, true, 0, 1_000, 0, 60_000);
+  }
+
   @Test
   void afterALossNodesThatWereStartedAnewAreNoSignOfLife() {
     hearBusy(6);
