Server use: nodes that run no jobs forget those that are gone

Cause: each node takes in what runners tell on their beats, but only a node that decides on generations forgot old figures. On all others the last word of each runner that was lost stayed for ever, some kilobytes for each node name; at the node's first round as a runner it was cleared.

Weighed: a timer; taking in a beat is the only way by which the table grows, so it forgets there.

Measured: the new test fails on the code before (two tellers in place of one) and passes now (ServerUseTableTest).

--- a/core/src/main/java/org/passhaven/core/backend/ServerUseTable.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerUseTable.java
@@ -25,6 +25,8 @@
   /** Another node told what it does at servers: all that it does there. */
   public void onTold(String node, long incarnation, List<ServerUse> uses, long nowMillis) {
     Objects.requireNonNull(node, "node");
+    // A node that runs no jobs begins no rounds, but is told all the same.
+    forgetOld(nowMillis);
     Told before = byNode.get(node);
     if (before != null && incarnation < before.incarnation()) {
       return;
--- a/core/src/test/java/org/passhaven/core/backend/ServerUseTableTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/ServerUseTableTest.java
@@ -37,6 +37,13 @@
     assertThat(table.tellers(), equalTo(0));
   }
 
+  @Test
+  void aNodeThatIsGoneIsForgottenWhereNoJobsAreRun() {
+    tell("gone", 1, 6, 40, 0);
+    tell("a", 1, 1, 40, 4_000);
+    assertThat(table.tellers(), equalTo(1));
+  }
+
   @Test
   void aNodeThatTellsNothingMoreHasNothingThere() {
     tell("a", 1, 6, 40, 0);
