Runs: without open jobs claimed only while some job of them is kept

Cause: runs that lost their runner are claimed though no job is open, so that the next step need not wait. Nothing told a run that pauses from one that is over: its claim was taken over at each loss or restart, renewed in the log by each next runner, its former runner's texts were read, and each round asked for each run that there ever was. So claims, reads and work grew with all runs since the log began.

Weighed: an end of a run in the log (callers tell none); an age of the claim (renewals make it young). Jobs are kept for some minutes on each node by the same setting; a run that pauses longer is claimed with its next job, as before idle runs were claimed.

Measured: the new test fails on the code before (a run without any job is claimed) and passes now (JobRunnerTest).

--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.CodecException;
 import org.passhaven.protocol.job.JobRecord;
@@ -35,6 +37,7 @@
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Job> open = new LinkedHashMap<>();
+  private final Set<String> runs = new HashSet<>();
   private final Map<PartKey, List<byte[]>> parts = new HashMap<>();
   private final Map<String, Long> endedUnknown = new HashMap<>();
 
@@ -91,6 +94,7 @@
     try {
       Job job = new Job(Codec.decode(whole.toByteArray(), JobSubmission.class), nowMillis);
       jobs.put(id, job);
+      runs.add(job.submission().run());
       if (endedUnknown.remove(id) != null) {
         job.end();
       }
@@ -111,9 +115,16 @@
     return open.values();
   }
 
+  /** Whether some job of a run is known and not forgotten yet, open or not. */
+  public boolean hasJobsOf(String run) {
+    return runs.contains(run);
+  }
+
   /** Forgets what was accepted before {@code beforeMillis} and is not open. */
   public void forget(long beforeMillis) {
     jobs.values().removeIf(job -> job.acceptedAtMillis() < beforeMillis && !job.isOpen());
+    runs.clear();
+    jobs.values().forEach(job -> runs.add(job.submission().run()));
     endedUnknown.values().removeIf(at -> at < beforeMillis);
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/RunClaims.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RunClaims.java
@@ -29,10 +29,12 @@
   /**
    * Claims runs that have lost their runner while none of their jobs is open: the next job then
    * waits neither for a claim nor for the texts that the former runner left. Only by those who
-   * follow the run's partition closely, since others would not see that it was taken.
+   * follow the run's partition closely, since others would not see that it was taken. A run whose
+   * jobs are all forgotten is likely over: its claim would be renewed in the log for ever.
    */
   void claimIdle() {
     log.owners().runs().stream()
+        .filter(run -> log.table().hasJobsOf(run))
         .filter(run -> log.isCaughtUp(run) && log.isCloseCandidate(run))
         .forEach(this::claim);
   }
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -159,6 +159,36 @@
     assertThat(log.stream("jobs.0"), hasSize(before));
   }
 
+  private void takeByANodeThatIsGone(String run) {
+    long readTo = log.stream("jobs.0").size();
+    JobRecord taken = new JobRecord.RunTaken(run, readTo + 1, "gone", 1, readTo);
+    log.stream("jobs.0").add(Codec.encode(taken));
+  }
+
+  private long claimsOf(String run) {
+    return log.stream("jobs.0").stream()
+        .map(bytes -> Codec.decode(bytes, JobRecord.class))
+        .filter(record -> record instanceof JobRecord.RunTaken taken && taken.run().equals(run))
+        .filter(record -> ((JobRecord.RunTaken) record).node().equals("n"))
+        .count();
+  }
+
+  @Test
+  void aRunWithoutOpenJobsIsClaimedOnlyWhileItsJobsAreKept() {
+    JobRecord ended = new JobRecord.JobEnded("j");
+    log.stream("jobs.0").add(Codec.encode(ended));
+    takeByANodeThatIsGone(MODEL);
+    takeByANodeThatIsGone("over");
+    timers.advance(3_000);
+    assertThat(claimsOf(MODEL), equalTo(2L));
+    assertThat(claimsOf("over"), equalTo(0L));
+    timers.advance(165_000);
+    takeByANodeThatIsGone(MODEL);
+    long before = claimsOf(MODEL);
+    timers.advance(3_000);
+    assertThat(claimsOf(MODEL), equalTo(before));
+  }
+
   @Test
   void theEndOfAPlannedStopStopsWhatNobodyTook() {
     gateway.leave().subscribe().with(left -> {});
