Job scheduler: scores and results of items in a class of their own

What becomes of an item whose text is whole or which is given up (score asked for, score come or failed, result given) decides on no server, so it moves to ItemOutcomes; the fields of an attempt that begins are set by ItemRun.

Moved, not rewritten; the public face and the tests are untouched.

--- a/core/src/main/java/org/passhaven/core/job/ItemRun.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemRun.java
@@ -59,6 +59,19 @@
         server);
   }
 
+  /** An attempt begins at a server. */
+  void begin(long newAttempt, ServerStart at, long nowMillis) {
+    phase = Phase.GENERATING;
+    attempt = newAttempt;
+    attempts++;
+    firstBegunAt = attempts == 1 ? nowMillis : firstBegunAt;
+    server = at;
+    version = 0;
+    startedAt = nowMillis;
+    progressAt = nowMillis;
+    answered = false;
+  }
+
   /** Whether nothing but the score, or the record of the result, is missing. */
   boolean hasWholeText() {
     return phase == Phase.WAITING_FOR_SCORE || phase == Phase.SCORING || phase == Phase.FINISHING;
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -11,7 +11,6 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
-import org.passhaven.protocol.job.ItemResult;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -33,7 +32,6 @@
   private static final long STALL_AVOIDED_MILLIS = 600;
   private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
   private static final long RETRY_MILLIS = 40;
-  private static final long SCORE_RETRY_MILLIS = 100;
 
   /** What is known of a generation that ended without its whole text. */
   public enum Failure {
@@ -52,6 +50,7 @@
   }
 
   private final RunningJobs jobs = new RunningJobs();
+  private final ItemOutcomes outcomes = new ItemOutcomes(jobs);
   private final Map<Long, ItemRun> generating = new HashMap<>();
   private final KeptTexts kept = new KeptTexts();
   private final ServerView view = new ServerView();
@@ -197,10 +196,7 @@
     picker.beginRound(ready, nowMillis);
     for (JobWork work : jobs.byUrgency()) {
       giveUpOld(work, nowMillis, actions);
-      work.runs.values().stream()
-          .filter(run -> run.phase == ItemRun.Phase.WAITING_FOR_SCORE)
-          .filter(run -> run.notBefore <= nowMillis)
-          .forEach(run -> scoreOrFinish(run, actions));
+      outcomes.scoreAgain(work, nowMillis, actions);
       int priority = jobs.priorityOf(work);
       for (ItemRun run : work.waiting(nowMillis)) {
         picker
@@ -223,7 +219,7 @@
     for (ItemRun run : work.runs.values()) {
       if (run.phase == ItemRun.Phase.WAITING || run.phase == ItemRun.Phase.GENERATING) {
         stop(run, "too old", actions);
-        finish(run, false, "", actions);
+        outcomes.finish(run, false, "", actions);
       }
     }
   }
@@ -234,18 +230,10 @@
 
   private void begin(
       ItemRun run, ServerEntry server, int priority, long nowMillis, List<JobAction> actions) {
-    run.phase = ItemRun.Phase.GENERATING;
-    run.attempt = nextAttempt++;
-    run.attempts++;
-    run.firstBegunAt = run.attempts == 1 ? nowMillis : run.firstBegunAt;
-    run.server = server.start();
-    run.version = 0;
-    run.startedAt = nowMillis;
-    run.progressAt = nowMillis;
+    run.begin(nextAttempt++, server.start(), nowMillis);
     generating.put(run.attempt, run);
     health.onSent(server.start());
     picker.onSent(run);
-    run.answered = false;
     picker.onBegun(run.item.group(), server.start());
     actions.add(
         new JobAction.Start(
@@ -349,23 +337,10 @@
     run.wholeAt = nowMillis;
     lengths.onWhole(run.item.expectedTokens(), run.text.lastEvent());
     leaveServer(run);
-    scoreOrFinish(run, actions);
+    outcomes.scoreOrFinish(run, actions);
     return actions;
   }
 
-  private void scoreOrFinish(ItemRun run, List<JobAction> actions) {
-    if (run.item.score() == null) {
-      finish(run, true, "", actions);
-    } else {
-      score(run, actions);
-    }
-  }
-
-  private void score(ItemRun run, List<JobAction> actions) {
-    run.phase = ItemRun.Phase.SCORING;
-    actions.add(new JobAction.Score(run.job.job.submission(), run.item));
-  }
-
   /** A generation has ended without its whole text. */
   public List<JobAction> onFailed(long attempt, Failure failure, long nowMillis) {
     List<JobAction> actions = new ArrayList<>();
@@ -380,24 +355,19 @@
       case MISDIRECTED -> health.avoid(run.server, MISDIRECTED_AVOIDED_MILLIS, nowMillis);
       case CUT -> health.onFailure(run.server, nowMillis);
       case SERVER_ERROR -> run.serverErrors++;
-      case IMPOSSIBLE -> finish(run, false, "", actions);
+      case IMPOSSIBLE -> outcomes.finish(run, false, "", actions);
       case SILENT -> run.moves++;
     }
     if (run.serverErrors >= run.job.policy.mostServerErrors()
         && run.phase == ItemRun.Phase.WAITING) {
-      finish(run, false, "", actions);
+      outcomes.finish(run, false, "", actions);
     }
     return actions;
   }
 
   /** The score of an item's text came. */
   public List<JobAction> onScored(String job, String item, String score) {
-    List<JobAction> actions = new ArrayList<>();
-    ItemRun run = scoring(job, item);
-    if (run != null) {
-      finish(run, true, score, actions);
-    }
-    return actions;
+    return outcomes.onScored(job, item, score);
   }
 
   /**
@@ -414,36 +384,8 @@
       int mostServerErrors,
       long pauseMillis,
       long nowMillis) {
-    List<JobAction> actions = new ArrayList<>();
-    ItemRun run = scoring(job, item);
-    if (run == null) {
-      return actions;
-    }
-    run.scoreErrors += serverErrors;
-    if (run.scoreErrors >= mostServerErrors) {
-      finish(run, false, "", actions);
-    } else {
-      run.phase = ItemRun.Phase.WAITING_FOR_SCORE;
-      run.notBefore = nowMillis + Math.max(SCORE_RETRY_MILLIS, pauseMillis);
-    }
-    return actions;
-  }
-
-  private ItemRun scoring(String job, String item) {
-    return jobs.item(job, item).filter(run -> run.phase == ItemRun.Phase.SCORING).orElse(null);
-  }
-
-  private void finish(ItemRun run, boolean completed, String score, List<JobAction> actions) {
-    run.phase = ItemRun.Phase.FINISHING;
-    actions.add(
-        new JobAction.Finish(
-            new ItemResult(
-                run.job.job.id(),
-                run.item.id(),
-                completed,
-                completed ? run.text.data() : "",
-                completed ? run.text.versions() : List.of(),
-                score)));
+    return outcomes.onScoreFailed(
+        job, item, serverErrors, mostServerErrors, pauseMillis, nowMillis);
   }
 
   /** Number of items by phase, for logs and metrics. */
