Admission: standard terms, constants with purpose and unit

What stopped a newcomer: "Order", "Line" and "passed over" of the queue, "who has to go first" for the request to reject, "turn" for both a place becoming free and a queue position, factors and weights without a comment, Long.MIN_VALUE / 2, and comments that only a second reading gave (virtual start times, the square of their number).

Renamed: Order/Line -> RequestClass/ClassQueue, isPassedOver -> isStarving, FLOOR_PART -> STARVING_PART_OF_SHARE, leastEntitled -> firstToReject, lastOfLongest -> lastOfLongestFlow, Flow.start -> virtualStart, turnMillis -> millisPerPlace, FIRST_GUESS_MILLIS -> INITIAL_ANSWER_MILLIS, WEIGHT -> ANSWER_WEIGHT, FULL_DECREASE -> DECREASE_FACTOR, CALM_MILLIS -> RESET_MILLIS, MAX_RANK -> MAX_PRIORITY, most/least -> max/min (house rule). No behaviour changed.

--- a/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
@@ -10,41 +10,46 @@
 import org.passhaven.core.admission.AdmissionRequest.Source;
 
 /**
- * Requests that wait for a place at a service. The first rank goes first, and in it callers before
- * scorings, which have seconds. A rank or source of which a far smaller share than of all was sent
- * lately goes before that, so that none starves, and no further than that, so that a less urgent
- * one is not served more often than a more urgent one. Times in monotonic milliseconds. Not
- * thread-safe.
+ * Requests that wait for a place at a service, in strict order of priority; within one priority
+ * callers go before scorings, which can wait for seconds. Starvation is prevented by a minimum: a
+ * class (priority and source) whose share of sent requests has fallen far below the share of all
+ * requests goes first until it has recovered, and no further, so that a less urgent class is never
+ * served better than a more urgent one. Times in monotonic milliseconds. Not thread-safe.
  */
 final class AdmissionQueue {
-  /** Part of the share that all get; the users' least is a quarter, and half keeps away from it. */
-  private static final double FLOOR_PART = 0.5;
-
-  private record Order(int priority, Source source) implements Comparable<Order> {
-    private static final Comparator<Order> BY_RANK =
-        Comparator.comparingInt(Order::priority).thenComparing(Order::source);
-
-    static Order of(AdmissionRequest request) {
-      return new Order(request.priority(), request.source());
+  /**
+   * A class is starving below this part of the share of all requests. The platform's rules ask for
+   * a quarter; half leaves a margin.
+   */
+  private static final double STARVING_PART_OF_SHARE = 0.5;
+
+  /** Requests of one priority and source; the first one by this order goes first. */
+  private record RequestClass(int priority, Source source) implements Comparable<RequestClass> {
+    private static final Comparator<RequestClass> BY_PRIORITY =
+        Comparator.comparingInt(RequestClass::priority).thenComparing(RequestClass::source);
+
+    static RequestClass of(AdmissionRequest request) {
+      return new RequestClass(request.priority(), request.source());
     }
 
     @Override
-    public int compareTo(Order other) {
-      return BY_RANK.compare(this, other);
+    public int compareTo(RequestClass other) {
+      return BY_PRIORITY.compare(this, other);
     }
   }
 
-  private static final class Line {
+  /** Waiting requests of one class, and how many of its requests were sent lately. */
+  private static final class ClassQueue {
     final FairQueue flows = new FairQueue();
     final ServedShare share;
 
-    Line(long nowMillis) {
+    ClassQueue(long nowMillis) {
       this.share = new ServedShare(nowMillis);
     }
   }
 
-  /** As many as there are ranks; kept when empty, since their shares count on. */
-  private final TreeMap<Order, Line> lines = new TreeMap<>();
+  /** Empty ones are kept, since their shares still count. There are few priorities. */
+  private final TreeMap<RequestClass, ClassQueue> queues = new TreeMap<>();
 
   private final ServedShare shareOfAll;
   private int size;
@@ -53,89 +58,95 @@
     this.shareOfAll = new ServedShare(nowMillis);
   }
 
-  /** A request has come, whether it is to wait or not. */
+  /** A request has arrived; it counts for the shares whether it waits or not. */
   void onCame(AdmissionRequest request, long nowMillis) {
-    lines.computeIfAbsent(Order.of(request), order -> new Line(nowMillis)).share.onCame(nowMillis);
+    queues
+        .computeIfAbsent(RequestClass.of(request), requestClass -> new ClassQueue(nowMillis))
+        .share
+        .onCame(nowMillis);
     shareOfAll.onCame(nowMillis);
   }
 
-  /** A request was sent, whether it waited or not. */
+  /** A request was sent; it counts for the shares whether it waited or not. */
   void onSent(AdmissionRequest request, long nowMillis) {
-    lines.get(Order.of(request)).share.onSent(nowMillis);
+    queues.get(RequestClass.of(request)).share.onSent(nowMillis);
     shareOfAll.onSent(nowMillis);
   }
 
-  /** A request that has come is to wait. */
+  /** Adds a request; {@link #onCame} was called for it before. */
   void add(AdmissionRequest request) {
-    lines.get(Order.of(request)).flows.add(request);
+    queues.get(RequestClass.of(request)).flows.add(request);
     size++;
   }
 
   /** Takes a request out without having served it. */
   void remove(AdmissionRequest request) {
-    FairQueue flows = lines.get(Order.of(request)).flows;
+    FairQueue flows = queues.get(RequestClass.of(request)).flows;
     int before = flows.size();
     flows.remove(request);
     size -= before - flows.size();
   }
 
-  /** Takes out whose turn it is among those of sources that have a place. */
+  /** Removes the next request among those whose source has a place; empty if there is none. */
   Optional<AdmissionRequest> poll(Predicate<Source> hasPlace, long nowMillis) {
-    List<Line> open =
-        lines.entrySet().stream()
+    List<ClassQueue> open =
+        queues.entrySet().stream()
             .filter(each -> hasPlace.test(each.getKey().source()))
             .map(Map.Entry::getValue)
-            .filter(line -> line.flows.size() > 0)
+            .filter(queue -> queue.flows.size() > 0)
             .toList();
-    Optional<Line> turn =
+    Optional<ClassQueue> turn =
         open.stream()
-            .filter(line -> isPassedOver(line, nowMillis))
-            .min(Comparator.comparingDouble(line -> line.share.now(nowMillis)))
+            .filter(queue -> isStarving(queue, nowMillis))
+            .min(Comparator.comparingDouble(queue -> queue.share.now(nowMillis)))
             .or(() -> open.stream().findFirst());
-    turn.ifPresent(line -> size--);
-    return turn.map(line -> line.flows.poll());
+    turn.ifPresent(queue -> size--);
+    return turn.map(queue -> queue.flows.poll());
   }
 
-  private boolean isPassedOver(Line line, long nowMillis) {
-    return line.share.now(nowMillis) < FLOOR_PART * shareOfAll.now(nowMillis);
+  private boolean isStarving(ClassQueue queue, long nowMillis) {
+    return queue.share.now(nowMillis) < STARVING_PART_OF_SHARE * shareOfAll.now(nowMillis);
   }
 
-  /** How many have their turn before this request, which may wait already or not. */
+  /** How many waiting requests go before this one, which need not be in the queue. */
   int ahead(AdmissionRequest request, long nowMillis) {
-    Order order = Order.of(request);
-    Line own = lines.get(order);
-    int inLine = own.flows.ahead(request);
-    if (isPassedOver(own, nowMillis)) {
-      return inLine;
+    RequestClass requestClass = RequestClass.of(request);
+    ClassQueue own = queues.get(requestClass);
+    int aheadInClass = own.flows.ahead(request);
+    if (isStarving(own, nowMillis)) {
+      return aheadInClass;
     }
-    int before = lines.headMap(order).values().stream().mapToInt(e -> e.flows.size()).sum();
-    return inLine + before;
+    int before = queues.headMap(requestClass).values().stream().mapToInt(e -> e.flows.size()).sum();
+    return aheadInClass + before;
   }
 
-  /** All that wait, and how many have their turn before each, as {@link #ahead} tells. */
+  /** All waiting requests, each with the number ahead of it as {@link #ahead} gives it. */
   List<FairQueue.Turn> turns(long nowMillis) {
     List<FairQueue.Turn> turns = new ArrayList<>(size);
     int before = 0;
-    for (Line line : lines.values()) {
-      line.flows.addTurns(isPassedOver(line, nowMillis) ? 0 : before, turns);
-      before += line.flows.size();
+    for (ClassQueue queue : queues.values()) {
+      queue.flows.addTurns(isStarving(queue, nowMillis) ? 0 : before, turns);
+      before += queue.flows.size();
     }
     return turns;
   }
 
-  /** Who has to go first: of the last rank and source, the latest of the flow that has most. */
-  AdmissionRequest leastEntitled() {
-    return lines.descendingMap().values().stream()
-        .filter(line -> line.flows.size() > 0)
+  /**
+   * The request to reject when the queue is full: of the last class, the one with the latest
+   * deadline in the longest flow.
+   */
+  AdmissionRequest firstToReject() {
+    return queues.descendingMap().values().stream()
+        .filter(queue -> queue.flows.size() > 0)
         .findFirst()
         .orElseThrow()
         .flows
-        .lastOfLongest();
+        .lastOfLongestFlow();
   }
 
-  /** All that wait, those that go first before the others. */
+  /** All waiting requests, in the order of their classes. */
   List<AdmissionRequest> all() {
-    return lines.values().stream().flatMap(line -> line.flows.all()).toList();
+    return queues.values().stream().flatMap(queue -> queue.flows.all()).toList();
   }
 
   int size() {
--- a/core/src/main/java/org/passhaven/core/admission/AdmissionRequest.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionRequest.java
@@ -3,14 +3,14 @@
 import java.util.Objects;
 
 /**
- * What the decision on a request's admission rests on.
+ * The properties of a request by which its admission is decided.
  *
  * @param id unique among the requests of this node
  * @param service service whose servers are to run it
  * @param route its route: requests of one route take about as long as each other
  * @param tenant for whom it runs; empty where there are no tenants
- * @param source who asks
- * @param priority rank of the tenant, or else of the route, 0 first
+ * @param source who sends it
+ * @param priority priority of the tenant, or else of the route; 0 goes first
  * @param deadlineMillis when the caller stops waiting, in monotonic milliseconds
  */
 public record AdmissionRequest(
@@ -21,7 +21,7 @@
     Source source,
     int priority,
     long deadlineMillis) {
-  /** Who asks for an answer, the one that is served first before the other. */
+  /** Who sends the request; within one priority the first value goes before the second. */
   public enum Source {
     /** A caller that holds a connection open. */
     CALLER,
--- a/core/src/main/java/org/passhaven/core/admission/AdmissionVerdict.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionVerdict.java
@@ -2,12 +2,12 @@
 
 import java.util.Objects;
 
-/** What becomes of a request that asks for a place at a service. */
+/** Decision on a request that asks for a place at a service. */
 public sealed interface AdmissionVerdict {
   /** It is sent now. */
   record Send() implements AdmissionVerdict {}
 
-  /** It waits; the queue names it when it may be sent, or when it no longer can be in time. */
+  /** It waits; {@link ServiceAdmission#next} returns it when it may be sent or is rejected. */
   record Wait() implements AdmissionVerdict {}
 
   /**
@@ -25,11 +25,11 @@
   enum Reason {
     /** No server of the service takes work. */
     NO_SERVER("no server"),
-    /** The answer would come after the deadline. */
+    /** The answer is expected after the deadline. */
     TOO_LATE("too little time is left to wait"),
-    /** The wait would take the time that the caller needs to come back. */
+    /** The expected wait would leave the caller no time for a retry. */
     TOO_LONG("the queue is too long"),
-    /** Others are entitled to the room that there is for waiting requests. */
+    /** The queue is full, and other requests go before this one. */
     QUEUE_FULL("the queue is full"),
     /** This node ends. */
     STOPPING("the node is stopping");
--- a/core/src/main/java/org/passhaven/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/passhaven/core/admission/ConcurrencyLimit.java
@@ -1,38 +1,42 @@
 package org.passhaven.core.admission;
 
 /**
- * How many requests this node has at a service's servers at most. It begins at all places and one
- * more at each server; the latter are given up while answers show that requests queue there. Only
- * refusals by full servers take it below the places: slow answers may as well mean slow servers,
- * which need all their places. It rises again with each answer. Times in monotonic milliseconds.
- * Not thread-safe.
+ * Most requests that this node has at a service's servers at once, adapted by additive increase and
+ * multiplicative decrease. It starts at all places and one more for each server; the latter are
+ * given up while answers show that requests queue there. Only refusals by full servers take it
+ * below the places: slow answers may as well mean slow servers, which need all their places. It
+ * rises again with each answer. Times in monotonic milliseconds. Not thread-safe.
  */
 final class ConcurrencyLimit {
   /**
-   * An answer that takes less than this many times the shortest waited behind less than one other
-   * of its kind: the places are in use, as they should be, and no queue has formed.
+   * Answers that take more than this many times the shortest one show a queue at the servers: they
+   * have waited for at least one other request.
    */
   private static final double QUEUEING_RATIO = 2.0;
 
+  /** Weight of the newest answer in the moving average of ratios. */
   private static final double RATIO_WEIGHT = 0.3;
 
-  /** What a refusal by a full server takes off. */
-  private static final double FULL_DECREASE = 0.9;
+  /** Factor by which a refusal by a full server lowers the limit. */
+  private static final double DECREASE_FACTOR = 0.9;
 
-  /** Shortest time between two decreases: what was sent before the first says nothing new. */
-  private static final long MIN_ROUND_MILLIS = 20;
+  /** Shortest time between two decreases: refusals of one burst count once. */
+  private static final long MIN_DECREASE_INTERVAL_MILLIS = 20;
 
-  /** Without signs of queueing for so long, all places count as free again. */
-  private static final long CALM_MILLIS = 1_000;
+  /** Time without signs of queueing after which the limit is reset to its maximum. */
+  private static final long RESET_MILLIS = 1_000;
+
+  /** Before any time that is given, with no overflow when subtracted. */
+  private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
 
   private int servers;
   private int places;
   private double limit;
   private double ratio = 1;
-  private long decreasedAtMillis = Long.MIN_VALUE / 2;
-  private long queueingAtMillis = Long.MIN_VALUE / 2;
+  private long decreasedAtMillis = LONG_AGO_MILLIS;
+  private long queueingAtMillis = LONG_AGO_MILLIS;
 
-  /** The service has so many servers now, with so many places in all. */
+  /** The number of servers, or of their places in all, has changed. */
   void onServers(int serverCount, int placeCount) {
     boolean wasOpen = limit >= ceiling();
     servers = serverCount;
@@ -59,15 +63,15 @@
   /** A server refused a request since it is full. */
   void onFull(long nowMillis) {
     queueingAtMillis = nowMillis;
-    if (nowMillis - decreasedAtMillis >= MIN_ROUND_MILLIS) {
+    if (nowMillis - decreasedAtMillis >= MIN_DECREASE_INTERVAL_MILLIS) {
       decreasedAtMillis = nowMillis;
-      limit = clamp(limit * FULL_DECREASE);
+      limit = clamp(limit * DECREASE_FACTOR);
     }
   }
 
   /** Requests that may be at the servers now. */
   int current(long nowMillis) {
-    if (nowMillis - queueingAtMillis >= CALM_MILLIS) {
+    if (nowMillis - queueingAtMillis >= RESET_MILLIS) {
       limit = ceiling();
       ratio = 1;
     }
@@ -80,14 +84,17 @@
   }
 
   /**
-   * Half of the places: a node that has less than that there has no reason of its own to think that
-   * they are taken, and needs no more in calm.
+   * Lower bound of the limit, half of the places: while a node uses less than that, refusals are
+   * due to other nodes' requests.
    */
   int floor() {
     return (places + 1) / 2;
   }
 
-  /** All places, and one more at each server so that none is idle while an answer travels. */
+  /**
+   * Upper bound of the limit: all places, and one more for each server so that none is idle while
+   * an answer travels.
+   */
   private int ceiling() {
     return places + servers;
   }
--- a/core/src/main/java/org/passhaven/core/admission/FairQueue.java
+++ b/core/src/main/java/org/passhaven/core/admission/FairQueue.java
@@ -8,24 +8,24 @@
 import java.util.stream.Stream;
 
 /**
- * Requests of one rank and source that wait, by start-time fair queueing among flows: each turn
- * goes to the flow whose next request could have begun first had each been given its share. A flow
- * is one route's requests of one tenant; in it the earliest deadline goes first. Among routes that
- * would starve those whose callers wait longer. Not thread-safe.
+ * Requests of one rank and source that wait, by start-time fair queueing among flows: the next
+ * request is taken from the flow with the smallest virtual start time. A flow is one route's
+ * requests of one tenant; in it the earliest deadline goes first. Ordering all routes by deadline
+ * would starve those whose callers accept longer waits. Not thread-safe.
  */
 final class FairQueue {
-  private static final Comparator<AdmissionRequest> ORDER =
+  private static final Comparator<AdmissionRequest> BY_DEADLINE =
       Comparator.comparingLong(AdmissionRequest::deadlineMillis)
           .thenComparingLong(AdmissionRequest::id);
-  private static final Comparator<Flow> TURN =
-      Comparator.<Flow>comparingDouble(flow -> flow.start)
-          .thenComparing(flow -> flow.waiting.first(), ORDER);
+  private static final Comparator<Flow> BY_VIRTUAL_START =
+      Comparator.<Flow>comparingDouble(flow -> flow.virtualStart)
+          .thenComparing(flow -> flow.waiting.first(), BY_DEADLINE);
 
   private final Map<FlowId, Flow> flows = new HashMap<>();
   private double virtualTime;
   private int size;
 
-  /** A request that waits, and how many have their turn before it. */
+  /** A waiting request, and how many go before it. */
   record Turn(AdmissionRequest request, int ahead) {}
 
   private record FlowId(String tenant, String route) {
@@ -34,22 +34,23 @@
     }
   }
 
+  /** Waiting requests of one flow, and the virtual start time of the next one. */
   private static final class Flow {
-    final TreeSet<AdmissionRequest> waiting = new TreeSet<>(ORDER);
-    double start;
+    final TreeSet<AdmissionRequest> waiting = new TreeSet<>(BY_DEADLINE);
+    double virtualStart;
   }
 
   void add(AdmissionRequest request) {
     Flow flow = flows.computeIfAbsent(FlowId.of(request), id -> new Flow());
     if (flow.waiting.isEmpty()) {
-      // Who comes back after a pause has no claim on the turns that it did not ask for.
-      flow.start = Math.max(flow.start, virtualTime);
+      // A flow that was idle gains no credit for that time.
+      flow.virtualStart = Math.max(flow.virtualStart, virtualTime);
     }
     flow.waiting.add(request);
     size++;
   }
 
-  /** Takes a request out without having served it. */
+  /** Removes a request that was not served. */
   void remove(AdmissionRequest request) {
     Flow flow = flows.get(FlowId.of(request));
     if (flow != null && flow.waiting.remove(request)) {
@@ -58,24 +59,27 @@
     }
   }
 
-  /** Takes the request out whose turn it is; there must be one. */
+  /** Removes and returns the next request; there must be one. */
   AdmissionRequest poll() {
     Flow flow =
-        flows.values().stream().filter(each -> !each.waiting.isEmpty()).min(TURN).orElseThrow();
-    virtualTime = flow.start;
-    flow.start++;
+        flows.values().stream()
+            .filter(each -> !each.waiting.isEmpty())
+            .min(BY_VIRTUAL_START)
+            .orElseThrow();
+    virtualTime = flow.virtualStart;
+    flow.virtualStart++;
     size--;
     AdmissionRequest request = flow.waiting.pollFirst();
     forgetIdle();
     return request;
   }
 
-  /** Flows that have nothing here and no turn ahead of the others are not kept. */
+  /** Removes empty flows whose virtual start time has passed. */
   private void forgetIdle() {
-    flows.values().removeIf(each -> each.waiting.isEmpty() && each.start <= virtualTime);
+    flows.values().removeIf(each -> each.waiting.isEmpty() && each.virtualStart <= virtualTime);
   }
 
-  /** How many waiting requests have their turn before this one would. */
+  /** How many waiting requests go before this one, which need not be in the queue. */
   int ahead(AdmissionRequest request) {
     FlowId id = FlowId.of(request);
     Flow own = flows.get(id);
@@ -89,11 +93,11 @@
   }
 
   /**
-   * All that wait, and how many have their turn before each, as {@link #ahead} tells: as many as
-   * there are in all flows up to the same place in each, itself not counted. Found for all of them
-   * in one go, since one by one takes as many steps as the square of their number.
+   * Adds all waiting requests, each with the number ahead of it as {@link #ahead} gives it: the
+   * requests of all flows up to the same position, itself not counted. Computed for all in one
+   * pass, since one at a time takes quadratic time.
    *
-   * @param before how many go before all of these
+   * @param before requests of other queues that go before all of these
    */
   void addTurns(int before, List<Turn> turns) {
     int longest = flows.values().stream().mapToInt(flow -> flow.waiting.size()).max().orElse(0);
@@ -114,8 +118,8 @@
     }
   }
 
-  /** The request with the latest deadline of the flow that has most; there must be one. */
-  AdmissionRequest lastOfLongest() {
+  /** The request with the latest deadline in the longest flow; there must be one. */
+  AdmissionRequest lastOfLongestFlow() {
     return flows.values().stream()
         .max(Comparator.comparingInt(flow -> flow.waiting.size()))
         .orElseThrow()
--- a/core/src/main/java/org/passhaven/core/admission/RetryAfter.java
+++ b/core/src/main/java/org/passhaven/core/admission/RetryAfter.java
@@ -3,16 +3,16 @@
 import java.util.Objects;
 import java.util.function.IntUnaryOperator;
 
-/** When the caller of a rejected request may come back. */
+/** Time after which the caller of a rejected request may retry. */
 final class RetryAfter {
-  /** A server's room changes with each answer, so nothing is gained by coming back sooner. */
+  /** Shortest time: servers need it to answer some requests, so a sooner retry gains nothing. */
   static final long MIN_MILLIS = 100;
 
-  /** Callers honour no more than this part of the time that they have left. */
+  /** Longest time, as a part of the time that the caller has left: callers ignore longer ones. */
   private static final int MAX_PART_OF_TIME_LEFT = 3;
 
-  /** Ranks that are told apart: each comes back half a drain time after the one before. */
-  private static final int MAX_RANK = 4;
+  /** Priorities that differ in their time: each retries half a drain time after the one before. */
+  private static final int MAX_PRIORITY = 4;
 
   private final IntUnaryOperator randomBelow;
 
@@ -26,17 +26,19 @@
   }
 
   /**
-   * Spread over half a drain time, so that those who were rejected together don't return together.
+   * The time, with random jitter of half a drain time so that callers that were rejected together
+   * don't retry together.
    *
-   * @param drainMillis time until there is likely to be room
+   * @param drainMillis time until the present queue is likely to be empty
    * @param leftMillis time that the caller has
    */
   long millis(double drainMillis, int priority, long leftMillis) {
-    long most = Math.max(1, leftMillis / MAX_PART_OF_TIME_LEFT);
-    long least = Math.min(most, Math.max(MIN_MILLIS, (long) drainMillis));
-    int rank = Math.max(0, Math.min(MAX_RANK, priority));
-    long spread = Math.max(1, least / 2);
-    long earliest = Math.max(1, Math.min(least + rank * spread, most - spread));
-    return earliest + randomBelow.applyAsInt((int) spread);
+    long maxMillis = Math.max(1, leftMillis / MAX_PART_OF_TIME_LEFT);
+    long minMillis = Math.min(maxMillis, Math.max(MIN_MILLIS, (long) drainMillis));
+    int bounded = Math.max(0, Math.min(MAX_PRIORITY, priority));
+    long jitterMillis = Math.max(1, minMillis / 2);
+    long earliestMillis =
+        Math.max(1, Math.min(minMillis + bounded * jitterMillis, maxMillis - jitterMillis));
+    return earliestMillis + randomBelow.applyAsInt((int) jitterMillis);
   }
 }
--- a/core/src/main/java/org/passhaven/core/admission/RouteLatency.java
+++ b/core/src/main/java/org/passhaven/core/admission/RouteLatency.java
@@ -1,35 +1,41 @@
 package org.passhaven.core.admission;
 
 /**
- * How long answers of one route take now, against the shortest of the last seconds. Times in
+ * Answer times of one route: their moving average, and the shortest of the last seconds. Times in
  * monotonic milliseconds. Not thread-safe.
  */
 final class RouteLatency {
-  /** The shortest answer is forgotten after one to two of these: servers may have become slower. */
+  /** The shortest answer is forgotten after one to two windows: servers may have become slower. */
   private static final long WINDOW_MILLIS = 15_000;
 
-  /** What sending and scheduling add to any answer, so that it does not pass for queueing. */
+  /**
+   * Added to both sides of the ratio, so that jitter of short answers is not taken for queueing.
+   */
   private static final long NOISE_MILLIS = 10;
 
-  private static final double WEIGHT = 0.2;
+  /** Weight of the newest answer in the moving average. */
+  private static final double ANSWER_WEIGHT = 0.2;
+
   private long windowBeganAtMillis = Long.MIN_VALUE / 2;
   private long answeredAtMillis;
-  private long leastMillis = Long.MAX_VALUE;
-  private long formerLeastMillis = Long.MAX_VALUE;
+  private long shortestMillis = Long.MAX_VALUE;
+  private long formerShortestMillis = Long.MAX_VALUE;
   private double smoothedMillis;
 
-  /** An answer took so long. Returns how many times that is of the shortest one. */
+  /** Notes the time of an answer; returns its ratio to the shortest one. */
   double onAnswer(long tookMillis, long nowMillis) {
     if (nowMillis - windowBeganAtMillis >= WINDOW_MILLIS) {
       windowBeganAtMillis = nowMillis;
-      formerLeastMillis = leastMillis;
-      leastMillis = Long.MAX_VALUE;
+      formerShortestMillis = shortestMillis;
+      shortestMillis = Long.MAX_VALUE;
     }
     answeredAtMillis = nowMillis;
-    leastMillis = Math.min(leastMillis, tookMillis);
+    shortestMillis = Math.min(shortestMillis, tookMillis);
     smoothedMillis =
-        smoothedMillis == 0 ? tookMillis : smoothedMillis + WEIGHT * (tookMillis - smoothedMillis);
-    long shortest = Math.min(leastMillis, formerLeastMillis);
+        smoothedMillis == 0
+            ? tookMillis
+            : smoothedMillis + ANSWER_WEIGHT * (tookMillis - smoothedMillis);
+    long shortest = Math.min(shortestMillis, formerShortestMillis);
     return (tookMillis + NOISE_MILLIS) / (double) (shortest + NOISE_MILLIS);
   }
 
--- a/core/src/main/java/org/passhaven/core/admission/ServedShare.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServedShare.java
@@ -3,7 +3,7 @@
 import org.passhaven.core.request.RateMeter;
 
 /**
- * Which share of the requests that lately came was sent. Times in monotonic milliseconds. Not
+ * Share of the recently received requests that were sent. Times in monotonic milliseconds. Not
  * thread-safe.
  */
 final class ServedShare {
@@ -15,15 +15,17 @@
     this.sent = new RateMeter(nowMillis);
   }
 
+  /** A request has arrived. */
   void onCame(long nowMillis) {
     came.mark(nowMillis);
   }
 
+  /** A request was sent. */
   void onSent(long nowMillis) {
     sent.mark(nowMillis);
   }
 
-  /** From zero to one; one where nothing came. */
+  /** The present share, from zero to one; one if no request has arrived lately. */
   double now(long nowMillis) {
     double perSecond = came.perSecond(nowMillis);
     return perSecond > 0 ? Math.min(1, sent.perSecond(nowMillis) / perSecond) : 1;
--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -17,7 +17,9 @@
  * monotonic milliseconds. Not thread-safe.
  */
 public final class ServiceAdmission {
-  /** Bounds what a node holds for those that wait; far more than are served within a deadline. */
+  /**
+   * Most waiting requests: bounds the memory they take, and is far more than can be served in time.
+   */
   private static final int MAX_WAITING = 256;
 
   /**
@@ -29,21 +31,30 @@
   /** A node that stops ends after some seconds; what waits for longer is better off elsewhere. */
   private static final long MAX_WAIT_STOPPING_MILLIS = 1_000;
 
-  /** The longest outage that is told as it is: servers are restarted within seconds. */
-  private static final long MAX_OUTAGE_TOLD_MILLIS = 2_000;
+  /**
+   * Longest time told to callers while there is no server: servers are restarted within seconds.
+   */
+  private static final long MAX_OUTAGE_RETRY_MILLIS = 2_000;
 
-  /** How often those that wait are looked at: far less than an answer takes. */
+  /** Time between two checks of the waiting requests; short against the time of an answer. */
   public static final long SWEEP_MILLIS = 10;
 
-  private static final double FIRST_GUESS_MILLIS = 30;
-  private static final double WEIGHT = 0.1;
+  /** Assumed time of an answer until the first one has come. */
+  private static final double INITIAL_ANSWER_MILLIS = 30;
+
+  /** Weight of the newest answer in the moving average of answer times. */
+  private static final double ANSWER_WEIGHT = 0.1;
 
-  /** A request that waits was let go, or can't be served in time any more. */
+  /**
+   * A waiting request that may be sent now, or that is rejected since it can't be served in time.
+   */
   public record Change(AdmissionRequest request, AdmissionVerdict verdict) {}
 
   /**
    * Figures for logs and metrics.
    *
+   * @param inProgress requests that were sent and have not ended
+   * @param waiting requests in the queue
    * @param limit requests that may be at the servers
    */
   public record Load(int inProgress, int waiting, int limit) {}
@@ -55,7 +66,7 @@
   private final Map<Long, AdmissionRequest> started = new HashMap<>();
   private final Map<Long, Long> waitUntilMillis = new HashMap<>();
   private int callersStarted;
-  private double answerMillis = FIRST_GUESS_MILLIS;
+  private double answerMillis = INITIAL_ANSWER_MILLIS;
   private long lastServerAtMillis;
   private long stopWaitUntilMillis = Long.MAX_VALUE;
   private long sweepAtMillis = Long.MIN_VALUE;
@@ -100,7 +111,7 @@
       return reject(request, hopeless.get(), nowMillis);
     }
     queue.add(request);
-    if (queue.size() > MAX_WAITING && queue.leastEntitled().equals(request)) {
+    if (queue.size() > MAX_WAITING && queue.firstToReject().equals(request)) {
       queue.remove(request);
       return reject(request, Reason.QUEUE_FULL, nowMillis);
     }
@@ -109,7 +120,7 @@
   }
 
   private static long waitUntilMillis(AdmissionRequest request, long nowMillis) {
-    // Nobody who waits for a scoring would come back for it sooner than this node itself.
+    // A scoring is retried by this node itself, so rejecting it early gains nothing.
     return request.source() == Source.SCORING
         ? request.deadlineMillis()
         : nowMillis + (request.deadlineMillis() - nowMillis) / WAIT_PART_OF_TIME_LEFT;
@@ -119,7 +130,9 @@
     return queue.size() > 0 && queue.all().stream().anyMatch(each -> each.source() == source);
   }
 
-  /** Scorings that hold all places, for however long, leave callers half of them beside. */
+  /**
+   * Callers may always use half of the places in addition, even while scorings hold all of them.
+   */
   private boolean hasPlace(Source source, long nowMillis) {
     return started.size() < limit.current(nowMillis)
         || (source == Source.CALLER && callersStarted < limit.floor());
@@ -142,7 +155,7 @@
     if (limit.places() == 0) {
       return Optional.of(Reason.NO_SERVER);
     }
-    double startAt = nowMillis + (ahead + 1) * turnMillis(nowMillis);
+    double startAt = nowMillis + (ahead + 1) * millisPerPlace(nowMillis);
     if (startAt + expectedWorkMillis(request, nowMillis) > request.deadlineMillis()) {
       return Optional.of(Reason.TOO_LATE);
     }
@@ -151,13 +164,13 @@
         : Optional.empty();
   }
 
-  /** How long a request that waits, or would wait, has to until it is sent. */
+  /** Expected time until a request is sent that waits or would wait. */
   public double expectedWaitMillis(AdmissionRequest request, long nowMillis) {
-    return (queue.ahead(request, nowMillis) + 1) * turnMillis(nowMillis);
+    return (queue.ahead(request, nowMillis) + 1) * millisPerPlace(nowMillis);
   }
 
-  /** Time in which one place becomes free while all that the limit allows are in use. */
-  private double turnMillis(long nowMillis) {
+  /** Mean time between two places becoming free while the limit is used up. */
+  private double millisPerPlace(long nowMillis) {
     return answerMillis / Math.max(1, limit.current(nowMillis));
   }
 
@@ -174,14 +187,14 @@
   public long retryAfterMillis(AdmissionRequest request, long nowMillis) {
     long left = request.deadlineMillis() - nowMillis;
     if (request.source() == Source.SCORING) {
-      // This node itself comes back, and a step waits for its last scoring.
+      // This node itself retries, and a training step waits for its last scoring.
       return retryAfter.millis(0, 0, left);
     }
     // An outage is likely to last about as long again as it has lasted.
     double drainMillis =
         limit.places() == 0
-            ? Math.min(MAX_OUTAGE_TOLD_MILLIS, nowMillis - lastServerAtMillis)
-            : queue.size() * turnMillis(nowMillis);
+            ? Math.min(MAX_OUTAGE_RETRY_MILLIS, nowMillis - lastServerAtMillis)
+            : queue.size() * millisPerPlace(nowMillis);
     return retryAfter.millis(drainMillis, request.priority(), left);
   }
 
@@ -192,7 +205,7 @@
         latencies
             .computeIfAbsent(request.route(), route -> new RouteLatency())
             .onAnswer(tookMillis, nowMillis);
-    answerMillis += WEIGHT * (tookMillis - answerMillis);
+    answerMillis += ANSWER_WEIGHT * (tookMillis - answerMillis);
     boolean isInUse = started.size() >= limit.current(nowMillis);
     limit.onAnswer(ratio, isInUse, nowMillis);
   }
@@ -212,8 +225,8 @@
   }
 
   /**
-   * Who of those that wait is sent now, and who is rejected. Call it when a request has ended, when
-   * servers have changed, and some times a second while any wait.
+   * Decides which waiting requests are sent now and which are rejected. Call it when a request has
+   * ended, when servers have changed, and every {@link #SWEEP_MILLIS} while any wait.
    */
   public List<Change> next(long nowMillis) {
     List<Change> changes = new ArrayList<>();
@@ -237,7 +250,7 @@
 
   private void rejectHopeless(List<Change> changes, long nowMillis) {
     while (queue.size() > MAX_WAITING) {
-      takeOut(queue.leastEntitled(), Reason.QUEUE_FULL, changes, nowMillis);
+      takeOut(queue.firstToReject(), Reason.QUEUE_FULL, changes, nowMillis);
     }
     if (nowMillis < sweepAtMillis) {
       return;
@@ -246,7 +259,7 @@
     for (Turn turn : queue.turns(nowMillis)) {
       AdmissionRequest request = turn.request();
       long waitUntil = waitUntilMillis.get(request.id());
-      // Those taken out before it shorten its wait: who seems to be late is looked at once more.
+      // Rejections earlier in this loop shorten the wait of later requests: check again.
       if (hopeless(request, turn.ahead(), waitUntil, nowMillis).isPresent()) {
         hopeless(request, waitUntil, nowMillis)
             .ifPresent(reason -> takeOut(request, reason, changes, nowMillis));
@@ -262,19 +275,19 @@
     changes.add(new Change(request, verdict));
   }
 
-  /** The node stops: nobody waits for long from now on. */
+  /** The node begins to stop: from now on requests wait for a short time only. */
   public void stop(long nowMillis) {
     stopWaitUntilMillis = nowMillis + MAX_WAIT_STOPPING_MILLIS;
   }
 
-  /** The node ends: nobody waits any more. */
+  /** The node ends: all waiting requests are rejected. */
   public List<Change> end(long nowMillis) {
     List<Change> changes = new ArrayList<>();
     queue.all().forEach(request -> takeOut(request, Reason.STOPPING, changes, nowMillis));
     return changes;
   }
 
-  /** What is under way and waits. */
+  /** Present figures for logs and metrics. */
   public Load load(long nowMillis) {
     return new Load(started.size(), queue.size(), limit.current(nowMillis));
   }
