Subsets, reports of server use, refusals, fleet loss, byte budget: plain names and comments

Tests: only the renamed calls. The queue's RequestClass is AdmissionClass, since the name was taken in ServiceSettings. No behaviour changed.

--- a/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/passhaven/core/admission/AdmissionQueue.java
@@ -24,16 +24,16 @@
   private static final double STARVING_PART_OF_SHARE = 0.5;
 
   /** Requests of one priority and source; the first one by this order goes first. */
-  private record RequestClass(int priority, Source source) implements Comparable<RequestClass> {
-    private static final Comparator<RequestClass> BY_PRIORITY =
-        Comparator.comparingInt(RequestClass::priority).thenComparing(RequestClass::source);
+  private record AdmissionClass(int priority, Source source) implements Comparable<AdmissionClass> {
+    private static final Comparator<AdmissionClass> BY_PRIORITY =
+        Comparator.comparingInt(AdmissionClass::priority).thenComparing(AdmissionClass::source);
 
-    static RequestClass of(AdmissionRequest request) {
-      return new RequestClass(request.priority(), request.source());
+    static AdmissionClass of(AdmissionRequest request) {
+      return new AdmissionClass(request.priority(), request.source());
     }
 
     @Override
-    public int compareTo(RequestClass other) {
+    public int compareTo(AdmissionClass other) {
       return BY_PRIORITY.compare(this, other);
     }
   }
@@ -49,7 +49,7 @@
   }
 
   /** Empty ones are kept, since their shares still count. There are few priorities. */
-  private final TreeMap<RequestClass, ClassQueue> queues = new TreeMap<>();
+  private final TreeMap<AdmissionClass, ClassQueue> queues = new TreeMap<>();
 
   private final ServedShare shareOfAll;
   private int size;
@@ -61,7 +61,7 @@
   /** A request has arrived; it counts for the shares whether it waits or not. */
   void onCame(AdmissionRequest request, long nowMillis) {
     queues
-        .computeIfAbsent(RequestClass.of(request), requestClass -> new ClassQueue(nowMillis))
+        .computeIfAbsent(AdmissionClass.of(request), admissionClass -> new ClassQueue(nowMillis))
         .share
         .onCame(nowMillis);
     shareOfAll.onCame(nowMillis);
@@ -69,19 +69,19 @@
 
   /** A request was sent; it counts for the shares whether it waited or not. */
   void onSent(AdmissionRequest request, long nowMillis) {
-    queues.get(RequestClass.of(request)).share.onSent(nowMillis);
+    queues.get(AdmissionClass.of(request)).share.onSent(nowMillis);
     shareOfAll.onSent(nowMillis);
   }
 
   /** Adds a request; {@link #onCame} was called for it before. */
   void add(AdmissionRequest request) {
-    queues.get(RequestClass.of(request)).flows.add(request);
+    queues.get(AdmissionClass.of(request)).flows.add(request);
     size++;
   }
 
   /** Takes a request out without having served it. */
   void remove(AdmissionRequest request) {
-    FairQueue flows = queues.get(RequestClass.of(request)).flows;
+    FairQueue flows = queues.get(AdmissionClass.of(request)).flows;
     int before = flows.size();
     flows.remove(request);
     size -= before - flows.size();
@@ -110,13 +110,14 @@
 
   /** How many waiting requests go before this one, which need not be in the queue. */
   int ahead(AdmissionRequest request, long nowMillis) {
-    RequestClass requestClass = RequestClass.of(request);
-    ClassQueue own = queues.get(requestClass);
+    AdmissionClass admissionClass = AdmissionClass.of(request);
+    ClassQueue own = queues.get(admissionClass);
     int aheadInClass = own.flows.ahead(request);
     if (isStarving(own, nowMillis)) {
       return aheadInClass;
     }
-    int before = queues.headMap(requestClass).values().stream().mapToInt(e -> e.flows.size()).sum();
+    int before =
+        queues.headMap(admissionClass).values().stream().mapToInt(e -> e.flows.size()).sum();
     return aheadInClass + before;
   }
 
--- a/core/src/main/java/org/passhaven/core/backend/PeakUse.java
+++ b/core/src/main/java/org/passhaven/core/backend/PeakUse.java
@@ -1,17 +1,23 @@
 package org.passhaven.core.backend;
 
-/** Most requests that lately were in progress together. Times in monotonic milliseconds. */
+/**
+ * Largest number of requests that were in progress at once within the last seconds. Times in
+ * monotonic milliseconds. Not thread-safe.
+ */
 public final class PeakUse {
   /**
-   * Runs send their requests in bursts some seconds apart. A peak that was forgotten between two of
-   * them would give up connections that the next one needs.
+   * Time for which a peak is kept. Runs send their requests in bursts some seconds apart; a peak
+   * that was forgotten between two bursts would give up connections that the next one needs.
    */
   static final long HELD_MILLIS = 10_000;
 
+  /** Before any time that is given, with no overflow when subtracted. */
+  private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
+
   private int peak;
-  private long peakAtMillis = Long.MIN_VALUE / 2;
+  private long peakAtMillis = LONG_AGO_MILLIS;
 
-  /** So many are in progress now; tells the peak. */
+  /** Notes the present number of requests in progress and returns the peak. */
   public int mark(int inProgress, long nowMillis) {
     if (inProgress >= peak || nowMillis - peakAtMillis > HELD_MILLIS) {
       peak = inProgress;
--- a/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
@@ -50,8 +50,8 @@
   }
 
   /**
-   * Whether nothing speaks against a server now: it did not fail lately, has a place that this node
-   * does not use, and is not slow against its peers.
+   * Whether a server is good now: it did not fail lately, has a place that this node does not use,
+   * and is not slow compared with its peers.
    */
   public boolean isGood(ServerEntry server, Collection<ServerEntry> peers, long nowMillis) {
     return !health.isAvoided(server.start(), nowMillis)
--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -14,26 +14,27 @@
 import org.passhaven.core.placement.Rendezvous;
 
 /**
- * Which servers of a service a node sends to. Each node has a few, so that its connections stay in
- * use and a server holds few of them; each server has about as many nodes as its peers. Whoever
- * sees the same nodes and servers finds the same subsets.
+ * The servers of a service that a node sends to. Each node uses a few, so that its connections stay
+ * in use and each server has few connections; each server is used by about as many nodes as any
+ * other. The subsets are a function of the nodes and servers: all nodes that see the same ones
+ * compute the same subsets.
  *
  * @param byPreference all servers: those of the subset, the preferred one first, then those outside
  *     it, near ones first
  * @param size how many of them are in the subset
  */
 public record ServerSubset(List<ServerEntry> byPreference, int size) {
-  /** With three to choose from, one slow and one lost leave one. */
+  /** Smallest subset: of three servers one remains good if one is slow and one is lost. */
   static final int MIN_SERVERS = 3;
 
   /**
-   * Nodes that a server is to be shared by. Callers use some nodes more than others; where fewer
-   * share a server, those few decide how busy it is.
+   * Fewest nodes that share a server. Callers use some nodes more than others, which evens out only
+   * among several nodes.
    */
-  static final int MIN_NODES_A_SERVER = 8;
+  static final int MIN_NODES_PER_SERVER = 8;
 
-  /** Of the places in its subset a node fills at most one in so many: others send there too. */
-  static final int PLACES_A_REQUEST = 4;
+  /** Places that a subset has for each request in progress: other nodes send to its servers too. */
+  static final int PLACES_PER_REQUEST = 4;
 
   public ServerSubset {
     byPreference = List.copyOf(byPreference);
@@ -66,19 +67,19 @@
     return new ServerSubset(ordered, size);
   }
 
-  /** Whether two lists of servers, each in the order of their ids, give the same subsets. */
-  public static boolean areAlike(List<ServerEntry> servers, List<ServerEntry> others) {
+  /** Whether two lists of servers, each ordered by id, result in the same subsets. */
+  public static boolean giveSameSubsets(List<ServerEntry> servers, List<ServerEntry> others) {
     if (servers.size() != others.size()) {
       return false;
     }
     for (int i = 0; i < servers.size(); i++) {
       ServerEntry server = servers.get(i);
       ServerEntry other = others.get(i);
-      boolean isAlike =
+      boolean isSame =
           server.start().equals(other.start())
               && server.zone().equals(other.zone())
               && server.slots() == other.slots();
-      if (!isAlike) {
+      if (!isSame) {
         return false;
       }
     }
@@ -94,9 +95,9 @@
         size);
   }
 
-  /** Servers that each of some nodes sends to. */
+  /** Size of each node's subset, given the numbers of nodes and servers. */
   static int sizeFor(int nodes, int servers) {
-    int shared = (servers * MIN_NODES_A_SERVER + nodes - 1) / Math.max(1, nodes);
+    int shared = (servers * MIN_NODES_PER_SERVER + nodes - 1) / Math.max(1, nodes);
     return Math.min(servers, Math.max(MIN_SERVERS, shared));
   }
 
@@ -109,8 +110,8 @@
   }
 
   /**
-   * The same with the first choice of an earlier one while it is still in the subset: where only
-   * nodes have come or gone, a node's connection stays in use.
+   * This subset with the first choice of an earlier one if that is still in it: when only nodes
+   * have changed, the connection to the first choice stays in use.
    */
   public ServerSubset keepingFirstOf(ServerSubset earlier) {
     if (earlier.byPreference.isEmpty()) {
@@ -127,15 +128,15 @@
   }
 
   /**
-   * The same for a node that lately had so many requests in progress at once: with as many servers
-   * as it needs, since it would fill its few if it sends requests by the dozen, and in turn, since
-   * the first ones would then get most. A node with few requests keeps to its first choice, whose
-   * connection then stays in use.
+   * This subset for a node with a given load: with as many servers as its requests need, and
+   * rotated so that they are used evenly. A node with few requests keeps its first choice, so that
+   * one connection stays in use.
    *
-   * @param turn requests that the node has sent so far
+   * @param inProgress most requests that the node lately had in progress at once
+   * @param turn requests that the node has sent so far; selects the rotation
    */
   public ServerSubset forUse(int inProgress, int turn) {
-    long needed = (long) inProgress * PLACES_A_REQUEST;
+    long needed = (long) inProgress * PLACES_PER_REQUEST;
     int enough = serversWith(needed);
     if (enough <= MIN_SERVERS) {
       return this;
@@ -146,7 +147,9 @@
     return new ServerSubset(inTurn, used);
   }
 
-  /** How many of the servers together have so many places; all of them if they have fewer. */
+  /**
+   * Fewest servers, in order of preference, that together have the needed places; all if too few.
+   */
   private int serversWith(long needed) {
     long places = 0;
     int servers = 0;
@@ -161,14 +164,14 @@
    * Servers to choose from: those of the subset while any of them is good, else all. A request is
    * never refused or sent to a worse place because of the subset.
    *
-   * @param isGood whether a server is known of nothing that speaks against it now
+   * @param isGood whether a server is healthy and has a place, as far as is known now
    */
   public List<ServerEntry> candidates(Predicate<ServerEntry> isGood) {
     List<ServerEntry> servers = byPreference.subList(0, size);
     return servers.stream().anyMatch(isGood) ? servers : byPreference;
   }
 
-  /** Whether it leaves servers out. */
+  /** Whether some servers are outside the subset. */
   public boolean isNarrowed() {
     return size < byPreference.size();
   }
--- a/core/src/main/java/org/passhaven/core/backend/ServerUseTable.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerUseTable.java
@@ -7,27 +7,27 @@
 import org.passhaven.protocol.member.ServerUse;
 
 /**
- * What other nodes last told of their generations at servers. A figure counts in full until its
- * node's next one is due, and then less and less: the generations that it counted end. Times in
- * monotonic milliseconds of the reader. Not thread-safe.
+ * Other nodes' last reports of their generations at servers. A report counts in full until the
+ * node's next one is due; then its weight falls linearly to zero, since the reported generations
+ * end. Times in monotonic milliseconds of the reader. Not thread-safe.
  */
 public final class ServerUseTable {
-  /** Time in which a node that generates tells anew, and its beat is read. */
+  /** Time within which the next report of a node that generates is read. */
   private static final long FRESH_MILLIS = 1_000;
 
-  /** By then most generations that were under way have ended. */
-  private static final long FORGOTTEN_MILLIS = 4_000;
+  /** Age from which a report counts no more: most reported generations have ended by then. */
+  private static final long EXPIRED_MILLIS = 4_000;
 
-  private final Map<String, Told> byNode = new HashMap<>();
+  private final Map<String, Report> byNode = new HashMap<>();
 
-  private record Told(long incarnation, Map<ServerStart, ServerUse> uses, long atMillis) {}
+  private record Report(long incarnation, Map<ServerStart, ServerUse> uses, long atMillis) {}
 
-  /** Another node told what it does at servers: all that it does there. */
-  public void onTold(String node, long incarnation, List<ServerUse> uses, long nowMillis) {
+  /** Takes in a report of another node; it replaces the node's former one. */
+  public void onReport(String node, long incarnation, List<ServerUse> uses, long nowMillis) {
     Objects.requireNonNull(node, "node");
-    // A node that runs no jobs begins no rounds, but is told all the same.
-    forgetOld(nowMillis);
-    Told before = byNode.get(node);
+    // Done here too, since a node without jobs begins no rounds but receives reports.
+    forgetExpired(nowMillis);
+    Report before = byNode.get(node);
     if (before != null && incarnation < before.incarnation()) {
       return;
     }
@@ -37,51 +37,51 @@
     }
     Map<ServerStart, ServerUse> byStart = new HashMap<>();
     uses.forEach(use -> byStart.put(new ServerStart(use.server(), use.bornMillis()), use));
-    byNode.put(node, new Told(incarnation, byStart, nowMillis));
+    byNode.put(node, new Report(incarnation, byStart, nowMillis));
   }
 
-  /** Forgets what was told too long ago to say anything. */
-  public void forgetOld(long nowMillis) {
-    byNode.values().removeIf(told -> nowMillis - told.atMillis() >= FORGOTTEN_MILLIS);
+  /** Forgets reports that count no more. */
+  public void forgetExpired(long nowMillis) {
+    byNode.values().removeIf(report -> nowMillis - report.atMillis() >= EXPIRED_MILLIS);
   }
 
-  /** Number of nodes that have told something lately. */
-  public int tellers() {
+  /** Number of nodes with a report that still counts. */
+  public int reportingNodes() {
     return byNode.size();
   }
 
-  /** Generations that other nodes are expected to have at a server now. */
+  /** Expected number of generations of other nodes at a server now. */
   public double placesTaken(ServerStart start, long nowMillis) {
     double places = 0;
-    for (Told told : byNode.values()) {
-      ServerUse use = told.uses().get(start);
+    for (Report report : byNode.values()) {
+      ServerUse use = report.uses().get(start);
       if (use != null) {
-        places += use.inProgress() * weightAt(nowMillis - told.atMillis());
+        places += use.inProgress() * weightAt(nowMillis - report.atMillis());
       }
     }
     return places;
   }
 
-  /** Lasting pause between events at a server by the newest word of it; zero if there is none. */
+  /** Lasting pause between events at a server by the newest report of it; zero if there is none. */
   public double pauseMillis(ServerStart start, long nowMillis) {
     long newest = Long.MIN_VALUE;
     double pause = 0;
-    for (Told told : byNode.values()) {
-      ServerUse use = told.uses().get(start);
+    for (Report report : byNode.values()) {
+      ServerUse use = report.uses().get(start);
       boolean isKnown = use != null && use.pauseMillis() > 0;
-      if (isKnown && told.atMillis() > newest && weightAt(nowMillis - told.atMillis()) > 0) {
-        newest = told.atMillis();
+      if (isKnown && report.atMillis() > newest && weightAt(nowMillis - report.atMillis()) > 0) {
+        newest = report.atMillis();
         pause = use.pauseMillis();
       }
     }
     return pause;
   }
 
-  /** Age of the oldest figure that counts for a server; the largest number if none does. */
+  /** Age of the oldest report that counts for a server; {@link Long#MAX_VALUE} if none does. */
   public long ageMillis(ServerStart start, long nowMillis) {
     return byNode.values().stream()
-        .filter(told -> told.uses().containsKey(start))
-        .mapToLong(told -> nowMillis - told.atMillis())
+        .filter(report -> report.uses().containsKey(start))
+        .mapToLong(report -> nowMillis - report.atMillis())
         .filter(age -> weightAt(age) > 0)
         .max()
         .orElse(Long.MAX_VALUE);
@@ -91,7 +91,7 @@
     if (ageMillis <= FRESH_MILLIS) {
       return 1;
     }
-    double left = FORGOTTEN_MILLIS - ageMillis;
-    return Math.max(0, left / (FORGOTTEN_MILLIS - FRESH_MILLIS));
+    double left = EXPIRED_MILLIS - ageMillis;
+    return Math.max(0, left / (EXPIRED_MILLIS - FRESH_MILLIS));
   }
 }
--- a/core/src/main/java/org/passhaven/core/backend/SubsetRounds.java
+++ b/core/src/main/java/org/passhaven/core/backend/SubsetRounds.java
@@ -8,39 +8,40 @@
 
 /**
  * Subsets of all nodes by rendezvous hashing with bounded loads, in rounds: in each round every
- * node chooses one more server, near ones first, then the heaviest, among those that have not had
- * their share of nodes yet. So the first choices are spread as evenly as whole subsets are, a node
- * that leaves frees places for few others, and a server that leaves moves those that had it.
+ * node chooses one more server among those below their share of nodes, near ones first, then the
+ * one with the highest rendezvous weight. So first choices are spread as evenly as whole subsets,
+ * and a node or server that leaves changes few other nodes' subsets.
  */
 final class SubsetRounds {
-  /** Order in which nodes choose: that of their names would put neighbours in a rack in a row. */
-  private static final String ORDER_KEY = "subset";
+  /** Key of the order in which nodes choose; by name, nodes of one rack would follow each other. */
+  private static final String NODE_ORDER_KEY = "subset";
 
   private final List<Member> nodes;
   private final List<ServerEntry> servers;
   private final long[][] weights;
   private final boolean[][] chosen;
   private final int[] nodesOfServer;
-  private final int[] mostOfServer;
+  private final int[] maxNodesOfServer;
   private final long allPlaces;
 
   SubsetRounds(Collection<Member> nodes, Collection<ServerEntry> servers) {
     this.nodes =
         nodes.stream()
             .sorted(
-                Comparator.comparingLong((Member node) -> Rendezvous.weight(ORDER_KEY, node.name()))
+                Comparator.comparingLong(
+                        (Member node) -> Rendezvous.weight(NODE_ORDER_KEY, node.name()))
                     .thenComparing(Member::name))
             .toList();
     this.servers = servers.stream().sorted(Comparator.comparing(ServerEntry::start)).toList();
     this.weights = new long[this.nodes.size()][servers.size()];
     this.chosen = new boolean[this.nodes.size()][servers.size()];
     this.nodesOfServer = new int[servers.size()];
-    this.mostOfServer = new int[servers.size()];
+    this.maxNodesOfServer = new int[servers.size()];
     this.allPlaces = servers.stream().mapToLong(SubsetRounds::places).sum();
-    weigh();
+    computeWeights();
   }
 
-  private void weigh() {
+  private void computeWeights() {
     List<String> names = servers.stream().map(server -> server.start().toString()).toList();
     for (int node = 0; node < nodes.size(); node++) {
       for (int server = 0; server < names.size(); server++) {
@@ -53,13 +54,13 @@
     return Math.max(1, server.slots());
   }
 
-  /** Servers of one node, the first choice first. */
+  /** The subset of one node, in the order of its choices. */
   List<ServerEntry> choose(String self, int size) {
     ServerEntry[] own = new ServerEntry[size];
     for (int round = 0; round < size; round++) {
       setShares(round + 1);
       for (int turn = 0; turn < nodes.size(); turn++) {
-        // Who chose late in one round chooses early in the next.
+        // The order is reversed in every other round, so that no node always chooses last.
         int node = round % 2 == 0 ? turn : nodes.size() - 1 - turn;
         int server = chooseFor(node);
         if (nodes.get(node).name().equals(self)) {
@@ -70,12 +71,12 @@
     return List.of(own);
   }
 
-  /** Servers with more places have more nodes. */
+  /** Sets the most nodes of each server after some rounds, in proportion to its places. */
   private void setShares(int rounds) {
     long choices = (long) rounds * nodes.size();
-    for (int server = 0; server < mostOfServer.length; server++) {
+    for (int server = 0; server < maxNodesOfServer.length; server++) {
       long share = choices * places(servers.get(server));
-      mostOfServer[server] = (int) ((share + allPlaces - 1) / allPlaces);
+      maxNodesOfServer[server] = (int) ((share + allPlaces - 1) / allPlaces);
     }
   }
 
@@ -103,7 +104,7 @@
 
   /** By how much one more node would exceed a server's share. */
   private int excess(int server) {
-    return Math.max(0, nodesOfServer[server] + 1 - mostOfServer[server]);
+    return Math.max(0, nodesOfServer[server] + 1 - maxNodesOfServer[server]);
   }
 
   private boolean isNear(int node, int server) {
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -25,13 +25,13 @@
   /** What the last free slot of a server is worth to a longer text that may come. */
   private static final double FULL_MILLIS = 600;
 
-  /** Time until a slot of a server becomes free whose slots are all taken. */
+  /** Expected wait for a slot of a full server, for each generation that waits there. */
   private static final double QUEUED_MILLIS = 200;
 
-  /** Servers that differ less may change places by chance. */
+  /** Smallest ratio of two servers' pauses for a move: smaller ones may be chance. */
   private static final double MIN_MOVE_RATIO = 1.4;
 
-  /** A move costs a connection, a slot and the prompt read again, and what is saved is a guess. */
+  /** Smallest expected gain of a move, which costs a connection, a slot and a second prefill. */
   private static final double MIN_MOVE_GAIN_MILLIS = 800;
 
   private static final int MAX_GROUPS = 4_096;
@@ -67,7 +67,7 @@
                 .thenComparing(ServerEntry::start));
   }
 
-  /** Nodes that see the same servers free at the same time each prefer others of them. */
+  /** Differs by node, so that nodes that see the same free servers choose different ones. */
   private long tieBreak(ServerEntry server) {
     return view.isShared() ? Rendezvous.weight(node, server.start().id()) : 0;
   }
@@ -91,7 +91,7 @@
     refusals.onTaken(run.server, modelOf(run), servers.newestOf(modelOf(run)));
   }
 
-  /** The server of a generation does not take it: it is full, or loads weights. */
+  /** The server of a generation refused it: it is full, or loads weights. */
   void onRefused(ItemRun run, long nowMillis) {
     String model = modelOf(run);
     ServerEntry server = servers.get(run.server);
@@ -163,7 +163,10 @@
     return cost;
   }
 
-  /** The fuller a server is, by all nodes' generations, the dearer are its last slots. */
+  /**
+   * Cost of a server's load by all nodes' generations: grows with its use, and more beyond its
+   * slots.
+   */
   private double loadCost(ServerEntry server) {
     int slots = Math.max(1, server.slots());
     int taken = view.placesTaken(server.start());
--- a/core/src/main/java/org/passhaven/core/job/Refusals.java
+++ b/core/src/main/java/org/passhaven/core/job/Refusals.java
@@ -9,19 +9,22 @@
 import org.passhaven.core.backend.ServerStart;
 
 /**
- * Which servers do not take generations of a model now, as far as their answers tell. A server that
- * loads weights of a model refuses that model only, until it has them; so many generations that
- * begin at once are not all sent to servers that are about to load, or have just started: one goes
- * first. Times in monotonic milliseconds. Not thread-safe.
+ * Which servers refuse generations of a model now, by their answers. A server that loads weights of
+ * a model refuses that model until it has them. A server that may refuse, since it is about to load
+ * or has just started, gets one generation first and more as it takes them, rather than a burst.
+ * Times in monotonic milliseconds. Not thread-safe.
  */
 final class Refusals {
-  /** A full server has room again when one of its generations ends. */
+  /** Pause after the refusal of a full server, which has room when one of its generations ends. */
   private static final long FULL_PAUSE_MILLIS = 80;
 
-  /** News of a load's end may be later than an answer, so that a loading server is asked too. */
+  /**
+   * Longest pause after refusals of a loading server, doubled at each one. It is asked again since
+   * the news that it has loaded may be late.
+   */
   private static final long MAX_LOADING_PAUSE_MILLIS = 320;
 
-  /** Time from the naming of a version until a server that loaded it at once has it. */
+  /** Time from the announcement of a version until a server that loads it at once holds it. */
   private static final long LOAD_MILLIS = 1_000;
 
   private final Map<Key, Refused> refused = new HashMap<>();
@@ -37,10 +40,13 @@
 
   private Set<ServerStart> listed = Set.of();
 
+  /** One model at one start of a server. */
   private record Key(ServerStart start, String model) {}
 
+  /** Generations taken while a version was the newest one. */
   private record Taken(long newest, int generations) {}
 
+  /** The last refusal: the version held then, and when the server may be asked again. */
   private record Refused(long heldVersion, long pauseMillis, long untilMillis) {}
 
   /** Forgets servers that are not listed any more, and notes those that are new. */
@@ -58,11 +64,12 @@
     taken.keySet().removeIf(key -> !starts.contains(key.start()));
   }
 
+  /** A generation was sent to a server. */
   void onSent(ServerStart start, String model) {
     unanswered.merge(new Key(start, model), 1, Integer::sum);
   }
 
-  /** A generation that was sent waits for its server no longer, whatever came of it. */
+  /** A generation that was sent was begun, refused or has failed. */
   void onAnswered(ServerStart start, String model) {
     unanswered.computeIfPresent(
         new Key(start, model), (key, count) -> count > 1 ? count - 1 : null);
@@ -87,7 +94,7 @@
   }
 
   /**
-   * A server does not take a generation: it is full, or loads weights.
+   * A server refused a generation: it is full, or loads weights.
    *
    * @param heldVersion version of the model that it is known to hold
    * @param newest newest weight version of the model, if the server does not hold it
@@ -103,7 +110,7 @@
     Refused last = refused.get(key);
     boolean isAgain = last != null && last.heldVersion() == heldVersion;
     if (isAgain && nowMillis < last.untilMillis()) {
-      // Sent before the first answer came: it says the same.
+      // Sent before the first refusal was known: it tells nothing new.
       return;
     }
     long pause = FULL_PAUSE_MILLIS;
@@ -115,15 +122,15 @@
     refused.put(key, new Refused(heldVersion, pause, until));
   }
 
-  /** Whether a server's last word to a generation of a model was that it does not take it. */
+  /** Whether a server refused the last generation of a model that it answered. */
   boolean isRefusing(ServerEntry server, String model) {
     Refused last = refused.get(new Key(server.start(), model));
     return last != null && last.heldVersion() == server.versionOf(model);
   }
 
   /**
-   * Whether a generation of a model may be sent to a server now. Where it may be refused, each one
-   * that was taken lets one more go at once.
+   * Whether a generation of a model may be sent to a server now. While refusals are likely, each
+   * generation that was taken raises the number of unanswered ones by one.
    *
    * @param newest newest weight version of the model, if the server is about to load it
    */
--- a/core/src/main/java/org/passhaven/core/job/ServerPace.java
+++ b/core/src/main/java/org/passhaven/core/job/ServerPace.java
@@ -6,9 +6,9 @@
 import org.passhaven.core.backend.ServerStart;
 
 /**
- * How fast servers generate, by the pauses between events as this node sees them, on two time
- * scales: a server that shares its machine is slow for moments, which end before a generation that
- * was moved has made up for it; a slow server stays slow. Times in monotonic milliseconds. Not
+ * Speed of servers, by the pauses between events as this node sees them, on two time scales. A
+ * server that shares its machine may be slow for a moment, and moving a generation does not pay off
+ * then; a server that is slow on the longer scale stays slow. Times in monotonic milliseconds. Not
  * thread-safe.
  */
 final class ServerPace {
@@ -18,14 +18,20 @@
   private static final long TRUSTED_MILLIS = 4_000;
   private static final int SAMPLES_NEEDED = 8;
 
-  /** Together the spans are longer than a moment, so that one of them lies outside of it. */
+  /**
+   * Number of spans: together they are longer than a momentary slowness, so that one is free of it.
+   */
   private static final int SPANS = 5;
 
+  /** Length of a span. */
   private static final long SPAN_MILLIS = 300;
+
+  /** Samples that a span needs to count. */
   private static final int SPAN_SAMPLES_NEEDED = 3;
+
   private final Map<ServerStart, Seen> seen = new HashMap<>();
 
-  /** Pauses in a span of time. */
+  /** Sum and number of the pauses in one span of time. */
   private static final class Span {
     long number = Long.MIN_VALUE;
     double sumMillis;
@@ -58,7 +64,7 @@
       }
     }
 
-    /** The least mean of the last spans; {@code orElse} if none holds enough. */
+    /** The smallest mean of the last spans; {@code orElse} if none has enough samples. */
     double lastingMillis(double orElse) {
       long newest = at / SPAN_MILLIS;
       double least = Double.MAX_VALUE;
--- a/core/src/main/java/org/passhaven/core/job/ServerView.java
+++ b/core/src/main/java/org/passhaven/core/job/ServerView.java
@@ -14,16 +14,17 @@
 import org.passhaven.protocol.member.ServerUse;
 
 /**
- * What the node that runs jobs knows of the servers that generate: from its own generations, and
- * from what other nodes that run jobs told. Times in monotonic milliseconds. Not thread-safe.
+ * Load and speed of the servers that generate, from the generations of this node and from the
+ * reports of other nodes that run jobs. Times in monotonic milliseconds. Not thread-safe.
  */
 public final class ServerView {
+  /** Assumed pause between events while nothing is known of any server of a service. */
   private static final double UNKNOWN_PAUSE_MILLIS = 40;
 
-  /** How long a server that is slower than its lasting pause is expected to stay so. */
+  /** Expected time for which a server stays slower than its lasting pause. */
   private static final double MOMENT_MILLIS = 600;
 
-  /** A server that takes so much longer than the middle one is named slow in the log. */
+  /** A server whose lasting pause exceeds the median one by this factor is logged as slow. */
   private static final double SLOW_RATIO = 1.4;
 
   private final ServerHealth health = new ServerHealth();
@@ -33,23 +34,26 @@
   private final Map<ServerStart, Integer> othersPlaces = new HashMap<>();
   private final Set<ServerStart> slow = new HashSet<>();
 
-  /** Pauses between events: the one that lasts, that of the moment, and the middle server's. */
-  private record Pauses(double lasting, double moment, double middle) {}
+  /**
+   * Pauses between events in milliseconds: lasting and momentary of a server, median of its
+   * service.
+   */
+  private record Pauses(double lastingMillis, double momentMillis, double medianMillis) {}
 
-  /** Another node told what it does at servers. */
-  public void onTold(String node, long incarnation, List<ServerUse> uses, long nowMillis) {
-    others.onTold(node, incarnation, uses, nowMillis);
+  /** Takes in another node's report of its generations at servers. */
+  public void onReport(String node, long incarnation, List<ServerUse> uses, long nowMillis) {
+    others.onReport(node, incarnation, uses, nowMillis);
   }
 
   /**
-   * What this node does at servers, for other nodes: the servers with most of its generations
-   * first. Each node may tell of fewer, the more nodes tell.
+   * This node's report for other nodes: the servers with most of its generations first. The more
+   * nodes report, the fewer servers each may report.
    *
-   * @param maxOfAll servers that all nodes together may tell of
-   * @param max servers that this one may tell of
+   * @param maxOfAll most servers in the reports of all nodes together
+   * @param max most servers in this report
    */
   public List<ServerUse> use(int maxOfAll, int max, long nowMillis) {
-    long limit = Math.max(1, Math.min(max, maxOfAll / (others.tellers() + 1)));
+    long limit = Math.max(1, Math.min(max, maxOfAll / (others.reportingNodes() + 1)));
     return health.starts().stream()
         .filter(start -> health.inProgress(start) > 0)
         .sorted(
@@ -65,30 +69,30 @@
     return new ServerUse(start.id(), start.bornMillis(), health.inProgress(start), pauseMillis);
   }
 
-  /** Whether other nodes generate at the servers too. */
+  /** Whether other nodes report generations at servers. */
   boolean isShared() {
-    return others.tellers() > 0;
+    return others.reportingNodes() > 0;
   }
 
-  /** Servers whose events lately took much longer than at the middle one of their service. */
+  /** Servers whose lasting pause is much longer than the median one of their service. */
   public Set<ServerStart> slowServers() {
     return Set.copyOf(slow);
   }
 
-  /** Begins a round of decisions: how fast the servers are stays the same in it. */
+  /** Begins a round of decisions, in which the pauses stay the same. */
   void beginRound(ReadyServers servers, long nowMillis) {
     pace.retain(servers.starts());
     health.retain(servers.starts());
-    others.forgetOld(nowMillis);
+    others.forgetExpired(nowMillis);
     pauses.clear();
     othersPlaces.clear();
     slow.clear();
     for (String service : servers.services()) {
-      findPauses(servers.startsOf(service), nowMillis);
+      computePauses(servers.startsOf(service), nowMillis);
     }
   }
 
-  private void findPauses(List<ServerStart> starts, long nowMillis) {
+  private void computePauses(List<ServerStart> starts, long nowMillis) {
     Map<ServerStart, Double> lasting = new HashMap<>();
     for (ServerStart start : starts) {
       double own = pace.lastingMillis(start, nowMillis);
@@ -96,23 +100,23 @@
     }
     double[] known = lasting.values().stream().mapToDouble(p -> p).filter(p -> p > 0).toArray();
     Arrays.sort(known);
-    double middle = known.length == 0 ? UNKNOWN_PAUSE_MILLIS : known[(known.length - 1) / 2];
+    double median = known.length == 0 ? UNKNOWN_PAUSE_MILLIS : known[(known.length - 1) / 2];
     for (ServerStart start : starts) {
       othersPlaces.put(start, (int) Math.round(others.placesTaken(start, nowMillis)));
-      double told = lasting.get(start);
-      double lasts = told > 0 ? told : middle;
+      double reported = lasting.get(start);
+      double lasts = reported > 0 ? reported : median;
       double moment = Math.max(lasts, pace.momentMillis(start, nowMillis));
-      pauses.put(start, new Pauses(lasts, moment, middle));
-      if (lasts > SLOW_RATIO * middle) {
+      pauses.put(start, new Pauses(lasts, moment, median));
+      if (lasts > SLOW_RATIO * median) {
         slow.add(start);
       }
     }
   }
 
-  /** What all nodes together are known to do at a server, and how fast it is. */
+  /** The present estimate of a server, for logs. */
   public ServerEstimate estimate(ServerStart start, long nowMillis) {
     Pauses known = pauses.get(start);
-    double relative = known == null ? 1 : known.lasting() / known.middle();
+    double relative = known == null ? 1 : known.lastingMillis() / known.medianMillis();
     return new ServerEstimate(placesTaken(start), relative, others.ageMillis(start, nowMillis));
   }
 
@@ -121,21 +125,21 @@
     return health.inProgress(start) + othersPlaces.getOrDefault(start, 0);
   }
 
-  /** Pause between events at a server that lasts; zero if the server is not listed. */
+  /** Lasting pause between events at a server; zero if the server is not listed. */
   double lastingPauseMillis(ServerStart start) {
     Pauses known = pauses.get(start);
-    return known == null ? 0 : known.lasting();
+    return known == null ? 0 : known.lastingMillis();
   }
 
-  /** Expected time of some events at a server that may be slow for a moment. */
+  /** Expected time of some events at a server, which may be slow at present. */
   double millisFor(double events, ServerStart start) {
     Pauses known = pauses.get(start);
     if (known == null) {
       return 0;
     }
-    double lost = MOMENT_MILLIS * (1 - known.lasting() / known.moment());
-    double mostLost = events * (known.moment() - known.lasting());
-    return events * known.lasting() + Math.min(lost, mostLost);
+    double lost = MOMENT_MILLIS * (1 - known.lastingMillis() / known.momentMillis());
+    double mostLost = events * (known.momentMillis() - known.lastingMillis());
+    return events * known.lastingMillis() + Math.min(lost, mostLost);
   }
 
   ServerHealth health() {
--- a/core/src/main/java/org/passhaven/core/member/BeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/BeatTable.java
@@ -32,7 +32,7 @@
    */
   private static final int FIRST_BACK = 8;
 
-  /** Time for which a start counts as fresh: within it a fleet that was lost is back. */
+  /** Time for which a start counts as fresh, longer than a lost fleet takes to restart. */
   private static final long FRESH_MILLIS = 5_000;
 
   /** A fleet counts as just started while this share of its nodes is fresh. */
@@ -87,7 +87,7 @@
     }
   }
 
-  /** Beats were passed over: who has beaten again is unknown. */
+  /** Beats were skipped, so it is unknown which nodes have beaten again. */
   public void onGap() {
     loss.forget();
   }
@@ -100,9 +100,9 @@
     return loss.lostBefore().isPresent();
   }
 
-  /** Whether the nodes that are thought alive are enough for their loss to show. */
-  public boolean couldLossShow() {
-    return taking().size() > FleetLoss.MANY_NODES;
+  /** Whether enough nodes are believed alive for the loss of the fleet to be detected. */
+  public boolean isLossDetectable() {
+    return taking().size() > FleetLoss.MIN_DUE_NODES;
   }
 
   /** The fleet was lost: forgets the nodes that have not beaten since. */
--- a/core/src/main/java/org/passhaven/core/member/FleetLoss.java
+++ b/core/src/main/java/org/passhaven/core/member/FleetLoss.java
@@ -7,18 +7,21 @@
 import org.passhaven.protocol.member.MemberBeat;
 
 /**
- * Tells from the order of beats in the log whether a fleet was lost. Each start tells for how long
- * it has been in the log, so that the part of the log between its first beat and a later one is
- * known to span that time at least, however slow the log is and whenever it is read: a node that
- * lives has beaten within it if its period is no longer. So whoever starts late in a lost fleet
- * knows of the loss from its first read. Not thread-safe.
+ * Detects from the order of beats in the log that nearly all nodes of a fleet were lost at once.
+ * Each beat states how long its start has been in the log. So the part of the log between a start's
+ * first beat and a later one spans at least that time, however slow the log is and whenever it is
+ * read, and every live node with a shorter period has a beat in it. A node that starts late in a
+ * lost fleet thus detects the loss at its first read. Not thread-safe.
  */
 final class FleetLoss {
-  /** Fewer nodes that are silent may be chance. */
-  static final int MANY_NODES = 4;
+  /** Fewest nodes whose beats are due for a loss to be detected: fewer may be silent by chance. */
+  static final int MIN_DUE_NODES = 4;
 
-  /** Of live nodes all have beaten again by then but those that a store turns away, a third. */
-  private static final int FEW_ONE_IN = 4;
+  /**
+   * The fleet was lost if less than one in so many of the due nodes has beaten again. In a live
+   * fleet most have, even while the log refuses some writes.
+   */
+  private static final int LOST_BELOW_ONE_IN = 4;
 
   private final Map<MemberBeat.Start, Track> tracks = new LinkedHashMap<>();
 
@@ -53,7 +56,7 @@
     track.place = place;
   }
 
-  /** Beats were passed over: begins anew. */
+  /** Beats were skipped: forgets all that was read. */
   void forget() {
     tracks.clear();
   }
@@ -66,19 +69,19 @@
         .findFirst();
   }
 
-  /** Whether nearly nobody of those who were there before a start has gone on since. */
+  /** Whether nearly none of the nodes that were there before a start has beaten since. */
   private boolean isLostBefore(Track since) {
     int due = 0;
     int again = 0;
     for (Track track : newestBefore(since).values()) {
       boolean isAgain = track.place > since.firstPlace;
-      // Who need not have beaten yet but has is a sign of life all the same.
+      // A beat that was not due yet shows a live node too.
       if (isAgain || track.isDueWithin(since.spanMillis())) {
         due++;
         again += isAgain ? 1 : 0;
       }
     }
-    return due >= MANY_NODES && again * FEW_ONE_IN < due;
+    return due >= MIN_DUE_NODES && again * LOST_BELOW_ONE_IN < due;
   }
 
   /** The newest start of each node that was in the log before another start, by node. */
--- a/core/src/main/java/org/passhaven/core/memory/ByteBudget.java
+++ b/core/src/main/java/org/passhaven/core/memory/ByteBudget.java
@@ -5,30 +5,36 @@
 import java.util.Objects;
 
 /**
- * Bytes of others' bodies that a node may hold at once, and what it holds. A large body is refused
- * while the rest would have to come from another use's share or from the reserve of small bodies,
- * so that a few large ones keep nobody else out. Not thread-safe.
+ * Bound on the bytes of callers' and servers' bodies that a node holds at once. A large body is
+ * refused if it would take room reserved for another use or for small bodies, so that a few large
+ * bodies do not shut out other requests. Not thread-safe.
  */
 public final class ByteBudget {
-  /** Bodies up to this size may take the last byte: ordinary requests have some hundred bytes. */
+  /**
+   * Bodies up to this size may use the whole budget, reserved shares included: ordinary requests
+   * are much smaller.
+   */
   public static final int SMALL_BODY_BYTES = 16_384;
 
   /**
-   * Part of a body that exists twice while it is written: what waits in the write queue and in the
-   * socket's send buffer, which the system counts double.
+   * Most bytes of a body that are in memory twice while it is written: in the write queue and in
+   * the socket's send buffer, for which the system uses twice its size.
    */
   public static final int COPY_BYTES = 98_304;
 
-  /** Memory of a machine whose settings name none: less than the smallest known ones have. */
+  /** Memory assumed if the settings name none: no more than the smallest machines have. */
   public static final long DEFAULT_MEMORY_BYTES = 256L << 20;
 
-  /** Beside the bodies the heap holds the node's tables and texts, and one body being joined. */
+  /**
+   * Part of the heap for bodies; the rest is for the node's tables and texts, and for one body that
+   * is copied to join its parts.
+   */
   private static final double HEAP_SHARE = 3.0 / 8;
 
-  /** The rest is for the program, the node's own heap, its threads and its sockets. */
+  /** Part of the memory for bodies; the rest is for the program, its heap, threads and sockets. */
   private static final double MEMORY_SHARE = 1.0 / 6;
 
-  /** Part that only small bodies may take. */
+  /** Part of the budget reserved for small bodies. */
   private static final double SMALL_SHARE = 1.0 / 16;
 
   private final long totalBytes;
@@ -92,8 +98,8 @@
 
   /** The largest body that fits while nothing else is held. */
   public long largestBodyBytes(BodyUse use) {
-    long mostBytes = totalBytes - smallReserveBytes - unusedOfOthers(use, false);
-    return Math.max(SMALL_BODY_BYTES, Math.max(mostBytes / 2, mostBytes - COPY_BYTES));
+    long maxBytes = totalBytes - smallReserveBytes - unusedOfOthers(use, false);
+    return Math.max(SMALL_BODY_BYTES, Math.max(maxBytes / 2, maxBytes - COPY_BYTES));
   }
 
   private boolean hasRoom(BodyUse use, long bodyBytes, long moreBytes) {
@@ -125,7 +131,7 @@
     return bodyBytes + Math.min(bodyBytes, COPY_BYTES);
   }
 
-  /** What one use may keep for itself, and what it holds. */
+  /** The share reserved for one use, and the bytes held for it. */
   private static final class Part {
     final long ownBytes;
     long heldBytes;
@@ -145,7 +151,9 @@
       this.use = Objects.requireNonNull(use, "use");
     }
 
-    /** Holds so many more bytes of the body; false if there is no room, and then holds no more. */
+    /**
+     * Reserves more bytes for the body; if there is no room, reserves nothing and returns false.
+     */
     public boolean grow(long bytes) {
       if (bytes < 0) {
         throw new IllegalArgumentException("a body can't grow by " + bytes + " bytes");
@@ -159,8 +167,8 @@
     }
 
     /**
-     * Holds a body that is in memory already, having been counted elsewhere until now, or being too
-     * small to be refused.
+     * Reserves bytes in any case: for a body that is in memory already, since it was counted
+     * elsewhere until now or is too small to be refused.
      */
     public void take(long bytes) {
       if (!released) {
--- a/core/src/main/java/org/passhaven/core/memory/InFlightBytes.java
+++ b/core/src/main/java/org/passhaven/core/memory/InFlightBytes.java
@@ -4,25 +4,28 @@
 import java.util.Map;
 
 /**
- * Bytes of large bodies that were sent to each server and have no answer yet. A server that holds
- * more requests than its memory bears falls over, and takes those of all callers with it. Small
- * bodies are not counted: the server's places bound them. Not thread-safe.
+ * Bounds the bytes of large bodies that were sent to each server and have no answer yet: a server
+ * that runs out of memory fails the requests of all callers. Small bodies are not counted, since
+ * the server's places bound them. Not thread-safe.
  */
 public final class InFlightBytes {
   /**
-   * Most bytes under way to one server while more than one body is: a server has a few places, and
-   * usual bodies of models have less than 1 MB. Dozens of nodes may send to it at the same time.
+   * Most bytes in flight from this node to one server, unless a single body is larger. Allows for a
+   * few bodies of the usual size; many nodes may send to a server at the same time.
    */
   public static final long MAX_BYTES_PER_SERVER = 4L << 20;
 
   private final Map<String, Long> bytesByServer = new HashMap<>();
 
-  /** Whether a body of this size counts. */
-  public static boolean counts(long bytes) {
+  /** Whether a body of this size is counted. */
+  public static boolean isCounted(long bytes) {
     return bytes > ByteBudget.SMALL_BODY_BYTES;
   }
 
-  /** Counts a body that is sent now; false if it has to wait. One that is alone always goes. */
+  /**
+   * Counts a body that is sent now; false if it has to wait. A body always goes if no other is in
+   * flight.
+   */
   public boolean take(String server, long bytes) {
     long underWay = bytesByServer.getOrDefault(server, 0L);
     if (underWay > 0 && underWay + bytes > MAX_BYTES_PER_SERVER) {
@@ -38,7 +41,7 @@
         server, (key, underWay) -> underWay > bytes ? underWay - bytes : null);
   }
 
-  /** Bytes under way to all servers. */
+  /** Bytes in flight to all servers. */
   public long allBytes() {
     return bytesByServer.values().stream().mapToLong(Long::longValue).sum();
   }
--- a/core/src/test/java/org/passhaven/core/backend/ServerUseTableTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/ServerUseTableTest.java
@@ -13,7 +13,7 @@
   private final ServerUseTable table = new ServerUseTable();
 
   private void tell(String node, long incarnation, int inProgress, int pauseMillis, long now) {
-    table.onTold(node, incarnation, List.of(new ServerUse("s", 0, inProgress, pauseMillis)), now);
+    table.onReport(node, incarnation, List.of(new ServerUse("s", 0, inProgress, pauseMillis)), now);
   }
 
   @Test
@@ -33,21 +33,21 @@
     assertThat(table.placesTaken(S, 2_500), closeTo(3.0, 0.01));
     assertThat(table.placesTaken(S, 4_000), equalTo(0.0));
     assertThat(table.ageMillis(S, 4_000), equalTo(Long.MAX_VALUE));
-    table.forgetOld(4_000);
-    assertThat(table.tellers(), equalTo(0));
+    table.forgetExpired(4_000);
+    assertThat(table.reportingNodes(), equalTo(0));
   }
 
   @Test
   void aNodeThatIsGoneIsForgottenWhereNoJobsAreRun() {
     tell("gone", 1, 6, 40, 0);
     tell("a", 1, 1, 40, 4_000);
-    assertThat(table.tellers(), equalTo(1));
+    assertThat(table.reportingNodes(), equalTo(1));
   }
 
   @Test
   void aNodeThatTellsNothingMoreHasNothingThere() {
     tell("a", 1, 6, 40, 0);
-    table.onTold("a", 1, List.of(), 500);
+    table.onReport("a", 1, List.of(), 500);
     assertThat(table.placesTaken(S, 500), equalTo(0.0));
   }
 
@@ -60,7 +60,7 @@
 
   @Test
   void whatWasToldOfAnEarlierStartOfAServerSaysNothingOfTheNext() {
-    table.onTold("a", 1, List.of(new ServerUse("s", 5, 6, 40)), 0);
+    table.onReport("a", 1, List.of(new ServerUse("s", 5, 6, 40)), 0);
     assertThat(table.placesTaken(new ServerStart("s", 5), 0), equalTo(6.0));
     assertThat(table.placesTaken(new ServerStart("s", 9), 0), equalTo(0.0));
   }
--- a/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
@@ -131,7 +131,7 @@
   @Test
   void aServerWhoseSlotsOthersHaveTakenIsLeftToThem() {
     assertThat(choose(1_000), equalTo("fast"));
-    view.onTold("other", 1, List.of(new ServerUse("fast", 0, 12, 40)), 20);
+    view.onReport("other", 1, List.of(new ServerUse("fast", 0, 12, 40)), 20);
     picker.beginRound(servers, 20);
     assertThat(choose(100), equalTo("slow"));
     assertThat(view.estimate(ServerStart.of("fast"), 20).placesTaken(), equalTo(12));
@@ -140,7 +140,7 @@
   @Test
   void whatOthersToldOfAServersPaceCountsUntilThisNodeKnowsIt() {
     ServerView newcomer = new ServerView();
-    newcomer.onTold(
+    newcomer.onReport(
         "other", 1, List.of(new ServerUse("fast", 0, 1, 40), new ServerUse("slow", 0, 1, 80)), 20);
     newcomer.beginRound(servers, 20);
     assertThat(newcomer.estimate(ServerStart.of("slow"), 20).relativePace(), equalTo(2.0));
--- a/core/src/test/java/org/passhaven/core/job/Runner.java
+++ b/core/src/test/java/org/passhaven/core/job/Runner.java
@@ -105,7 +105,7 @@
       if (other != this) {
         world.after(
             readAfterMillis,
-            () -> other.scheduler.serverView().onTold(model, 1, uses, world.now()));
+            () -> other.scheduler.serverView().onReport(model, 1, uses, world.now()));
       }
     }
   }
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -109,9 +109,9 @@
   @Test
   void ofFewNodesNoLossCanShow() {
     hearBusy(4);
-    assertThat(table.couldLossShow(), is(false));
+    assertThat(table.isLossDetectable(), is(false));
     table.onBeat(freshBeat("self", 9, 1), 1_000);
-    assertThat(table.couldLossShow(), is(true));
+    assertThat(table.isLossDetectable(), is(true));
   }
 
   @Test
--- a/core/src/test/java/org/passhaven/core/memory/InFlightBytesTest.java
+++ b/core/src/test/java/org/passhaven/core/memory/InFlightBytesTest.java
@@ -36,8 +36,8 @@
 
   @Test
   void ordinaryBodiesAreNotCounted() {
-    assertThat(InFlightBytes.counts(800), is(false));
-    assertThat(InFlightBytes.counts(ByteBudget.SMALL_BODY_BYTES), is(false));
-    assertThat(InFlightBytes.counts(ByteBudget.SMALL_BODY_BYTES + 1L), is(true));
+    assertThat(InFlightBytes.isCounted(800), is(false));
+    assertThat(InFlightBytes.isCounted(ByteBudget.SMALL_BODY_BYTES), is(false));
+    assertThat(InFlightBytes.isCounted(ByteBudget.SMALL_BODY_BYTES + 1L), is(true));
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -160,7 +160,7 @@
         && !isFleetLost
         && ownBeatsRead < 2
         && context.now() - startedAt < SETTLE_MILLIS
-        && beats.couldLossShow();
+        && beats.isLossDetectable();
   }
 
   /** Tells everybody that this node takes no new work. */
