--- a/node/src/main/java/org/passhaven/node/gateway/AdmissionLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/AdmissionLog.java
@@ -8,29 +8,34 @@
 import org.slf4j.event.Level;
 import org.slf4j.spi.LoggingEventBuilder;
 
-/** Tells in the log of requests that wait for a place or get none. Not thread-safe. */
+/** Logs requests that wait for a place or are rejected. Not thread-safe. */
 final class AdmissionLog {
   private static final Logger LOG = LoggerFactory.getLogger(RequestAdmission.class);
   private static final long SECOND_MILLIS = 1_000;
 
-  /** So that a flood of rejections does not fill the log; the metrics count them all. */
-  private static final int MAX_LINES_PER_SECOND = 20;
+  /** Most rejections logged in one second; the metrics count all of them. */
+  private static final int MAX_REJECTIONS_PER_SECOND = 20;
 
-  private long secondBeganAtMillis = Long.MIN_VALUE / 2;
+  /** Before any time that is given, with no overflow when subtracted. */
+  private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
+
+  private long secondBeganAtMillis = LONG_AGO_MILLIS;
   private int linesInSecond;
 
+  /** A request waits for a place. */
   void onWaits(String id, AdmissionRequest request, Load load, double expectedWaitMillis) {
     line(Level.DEBUG, id, request, load)
         .addKeyValue("expectedWaitMillis", (long) expectedWaitMillis)
         .log("admission: waits");
   }
 
+  /** A request was rejected before it was sent. */
   void onRejected(String id, AdmissionRequest request, Load load, Reject verdict, long nowMillis) {
     if (nowMillis - secondBeganAtMillis >= SECOND_MILLIS) {
       secondBeganAtMillis = nowMillis;
       linesInSecond = 0;
     }
-    if (linesInSecond++ < MAX_LINES_PER_SECOND) {
+    if (linesInSecond++ < MAX_REJECTIONS_PER_SECOND) {
       line(Level.INFO, id, request, load)
           .addKeyValue("leftMillis", request.deadlineMillis() - nowMillis)
           .addKeyValue("retryAfterMillis", verdict.retryAfterMillis())
--- a/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
@@ -16,19 +16,19 @@
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.Timers;
 
-/** One request's attempts at servers that are under way. */
+/** The attempts of one request that are in progress, and the timers of its hedges. */
 final class ForwardAttempts {
   private final GatewayContext context;
   private final ServerHealth health;
   private final Call call;
   private final ForwardPlan plan;
   private final Listener listener;
-  private final Map<Integer, Cancellable> underWay = new HashMap<>();
+  private final Map<Integer, Cancellable> inProgress = new HashMap<>();
   private final List<Timers.Timer> hedges = new ArrayList<>(2);
   private int begun;
   private boolean isOver;
 
-  /** Hears what comes of attempts, each sent at a moment of the steady clock. */
+  /** Is told the result of each attempt. Times of sending are monotonic milliseconds. */
   interface Listener {
     /** A server has answered. */
     void onAnswer(ServerEntry server, Answer answer, long sentAtMillis);
@@ -36,7 +36,7 @@
     /** An attempt has ended without an answer. */
     void onFailure(ServerEntry server, PlatformException failure, long sentAtMillis);
 
-    /** A server has said nothing for so long that another one is to be asked beside it. */
+    /** A server has not answered within the hedge delay: a second attempt may be made elsewhere. */
     void onSilent(ServerEntry server);
   }
 
@@ -50,33 +50,35 @@
   }
 
   /**
-   * Sends the request. An attempt beside another one that is silent goes over a new connection:
-   * where kept ones have gone silent, both would else share their fate.
+   * Sends the request to a server. A hedge goes over a new connection, since kept connections may
+   * have gone silent together.
+   *
+   * @param isHedge whether another attempt is in progress
    */
-  void send(ServerEntry server, boolean isBeside) {
+  void send(ServerEntry server, boolean isHedge) {
     int attempt = begun++;
     long sentAt = context.now();
     health.onSent(server.start());
-    underWay.put(attempt, () -> {});
+    inProgress.put(attempt, () -> {});
     Call left = withTimeLeft(sentAt);
     Target target = ServerTargets.of(server);
     BackEndService backEnds = context.backEnds();
     Cancellable sending =
-        (isBeside ? backEnds.callAnew(target, left) : backEnds.call(target, left))
+        (isHedge ? backEnds.callAnew(target, left) : backEnds.call(target, left))
             .onTermination()
             .invoke(() -> health.onEnded(server.start()))
             .subscribe()
             .with(
                 answer -> {
-                  underWay.remove(attempt);
+                  inProgress.remove(attempt);
                   listener.onAnswer(server, answer, sentAt);
                 },
                 failure -> {
-                  underWay.remove(attempt);
+                  inProgress.remove(attempt);
                   listener.onFailure(server, PlatformException.from(failure), sentAt);
                 });
-    // An attempt may end within the call that sends it, and then nothing is left to wait for.
-    if (underWay.replace(attempt, sending) == null) {
+    // An attempt may have ended within the call that sent it.
+    if (inProgress.replace(attempt, sending) == null) {
       return;
     }
     plan.hedgeAfterMillis()
@@ -97,28 +99,28 @@
   }
 
   private void hedge(int attempt, ServerEntry server) {
-    if (!isOver && underWay.containsKey(attempt)) {
+    if (!isOver && inProgress.containsKey(attempt)) {
       listener.onSilent(server);
     }
   }
 
-  /** Whether any is under way. */
+  /** Whether any attempt is in progress. */
   boolean isRunning() {
-    return !underWay.isEmpty();
+    return !inProgress.isEmpty();
   }
 
-  /** How many were begun. */
+  /** Number of attempts begun so far. */
   int begun() {
     return begun;
   }
 
-  /** The request is over: what is under way is cancelled, and nothing begins any more. */
+  /** The request is over: cancels its attempts and hedges. */
   void cancel() {
     isOver = true;
-    // A timer that waits on would keep the request's body in memory.
+    // A pending timer would keep the request's body in memory.
     hedges.forEach(Timers.Timer::cancel);
-    List<Cancellable> running = List.copyOf(underWay.values());
-    underWay.clear();
+    List<Cancellable> running = List.copyOf(inProgress.values());
+    inProgress.clear();
     running.forEach(Cancellable::cancel);
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/ForwardLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardLog.java
@@ -9,7 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 
-/** Tells in the log what becomes of one request's attempts, and why it is given up. */
+/** Logs failed attempts of one request, and why it was given up. */
 final class ForwardLog {
   private static final Logger LOG = LoggerFactory.getLogger(RequestForwarder.class);
   private final GatewayContext context;
@@ -35,7 +35,7 @@
     this.beganAtMillis = beganAtMillis;
   }
 
-  /** A server has said nothing for so long that another one is asked beside it. */
+  /** A server has not answered within the hedge delay, and another one is asked. */
   void onSilent(ServerEntry server) {
     LOG.atDebug()
         .addKeyValue("request", call.id())
@@ -43,11 +43,11 @@
         .log("request: silent server, another one is asked");
   }
 
-  /** An attempt has come to nothing. */
+  /** An attempt has failed. */
   void onAttemptFailed(ServerEntry server, Outcome outcome, String reason) {
     context.metrics().attemptsFailed.increment();
     lastReason = reason;
-    // While no server of a service is up, refused connections come by the hundred a second.
+    // Refused connections are frequent while no server of a service is up.
     LOG.atLevel(outcome == Outcome.NOT_RUN ? Level.DEBUG : Level.INFO)
         .addKeyValue("request", call.id())
         .addKeyValue("route", route.name())
@@ -59,13 +59,13 @@
         .log("request: attempt failed");
   }
 
-  /** Path without its query, by which repeats of one request are told in the log. */
+  /** Path without its query, by which repeats of one request are recognised in the log. */
   private String path() {
     int query = call.uri().indexOf('?');
     return query < 0 ? call.uri() : call.uri().substring(0, query);
   }
 
-  /** The request is given up after so many attempts. */
+  /** The request is given up. */
   void onGivenUp(ForwardOutcome outcome, int attempts, String reason) {
     LOG.atInfo()
         .addKeyValue("request", call.id())
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -155,11 +155,11 @@
 
   /**
    * Addresses that a caller in {@code zone} is to use; none if another node is to be asked. Callers
-   * keep an answer for seconds, so a node names nobody before it knows who lives.
+   * cache the answer for seconds, so a node returns no address before it knows which nodes live.
    */
   public List<String> addressesFor(String zone) {
     askedAtMillis = context.now();
-    if (members.isUnsureWhoLives()) {
+    if (members.isLivenessUnknown()) {
       return List.of();
     }
     List<String> known = namedFor(zone);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -41,7 +41,7 @@
   /** Attempts at servers that came to nothing. */
   public final Counter attemptsFailed;
 
-  /** Attempts for which no server of this node's subset was good, so that all were asked. */
+  /** Attempts for which all servers were candidates, since none of this node's subset was good. */
   public final Counter subsetsWidened;
 
   /** Generations begun or continued. */
@@ -50,7 +50,7 @@
   /** Generations that failed at a server. */
   public final Counter generationsFailed;
 
-  /** Generations that a server did not take, being full or loading weights. */
+  /** Generations that a server refused since it was full or loading weights. */
   public final Counter generationsRefused;
 
   /** Generations that this node stopped. */
@@ -80,7 +80,7 @@
   /** Times that this node came to hold the lease of the duties, or lost it. */
   public final Counter leaseChanges;
 
-  /** Losses of the whole fleet that this node found at its start. */
+  /** Losses of the whole fleet that this node detected at its start. */
   public final Counter fleetLosses;
 
   /** Windows of usage that this node reported. */
@@ -147,9 +147,9 @@
   }
 
   /**
-   * Shows how many requests wait for a service here, and how many may be at its servers.
+   * Registers gauges of a service's waiting requests and of its concurrency limit.
    *
-   * @param state what {@code load} reads; shown for as long as it is kept
+   * @param state what {@code load} reads; the gauges last as long as it is referenced
    */
   <T> void showAdmission(String service, T state, Function<T, ServiceAdmission.Load> load) {
     Tags tags = Tags.of("service", service);
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -189,7 +189,7 @@
         .filter(job -> log.isCaughtUp(job.submission().run()))
         .forEach(this::takeOrDrop);
     claims.claimIdle();
-    // What a former runner left is read before the run's next job comes, which may go on with it.
+    // Texts of a former runner are read before the run's next job arrives, which may continue them.
     log.owners().ownRuns().forEach(run -> texts.leftOf(run, log.owners().epochOf(run)));
     if (scheduler.hasJobs()) {
       apply(scheduler.decide(directory.servers().all(), directory.named(), context.now()));
--- a/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MemberAgent.java
@@ -97,10 +97,10 @@
   }
 
   /**
-   * Lets nodes that run jobs know of each other's generations.
+   * Connects the reports of server use, which nodes that run jobs send each other in their beats.
    *
-   * @param own what this node does at servers, asked for each of its beats
-   * @param others told of each beat of another node that was just written
+   * @param own this node's report, called for each of its beats
+   * @param others called with each new beat of another node
    */
   void shareServerUse(Supplier<List<ServerUse>> own, Consumer<MemberBeat> others) {
     serverUse = Objects.requireNonNull(own, "own");
@@ -152,10 +152,11 @@
   }
 
   /**
-   * Whether those who beat before this node's start may all be gone: until its next beat is back,
-   * by which the others' are there too, or as long as that takes where the log is sound.
+   * Whether the nodes that beat before this node's start may all be gone. Ends when this node's
+   * second beat is read back, since the beats of live nodes are read by then, or after the time
+   * that this takes while the log works.
    */
-  boolean isUnsureWhoLives() {
+  boolean isLivenessUnknown() {
     return tailing
         && !isFleetLost
         && ownBeatsRead < 2
@@ -174,7 +175,7 @@
    */
   private void beat() {
     long period = periodMillis();
-    // What the newest beat has promised is kept: others may wait for it.
+    // A shorter period announced by the newest beat is kept, since others rely on it.
     boolean isDue =
         now() - beatAt >= Math.min(period, beatPeriodMillis) || period < beatPeriodMillis;
     if (!beating && (isDue || !tailing)) {
@@ -213,7 +214,7 @@
         .with(this::onAppended, this::onBeatFailed);
   }
 
-  /** Counted from the answer, since the beat may have been under way for long. */
+  /** Counted from the log's answer to the first beat, which may have taken long. */
   private long inLogMillis() {
     return MemberBeat.FIRST_IN_LOG_MILLIS + (tailing ? context.now() - startedAt : 0);
   }
@@ -228,7 +229,7 @@
     if (!tailing) {
       tailing = true;
       startedAt = context.now();
-      // Counted from now: when this node's next beat is read back, each live node's is there too.
+      // The period counts from now: when the next beat is read back, each live node's beat is too.
       context.timers().every(context.settings().beat().toMillis(), this::beat);
       // Beats of the last moments tell at once who else is there.
       tail.start(Math.max(0, offset - HISTORY_RECORDS));
--- a/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
@@ -38,8 +38,11 @@
     directory.addListener(this::onServersChanged);
   }
 
-  /** Who asks for a place; exactly one of the two is called, unless the place is released. */
-  interface Asker {
+  /**
+   * Is told whether a request has its place. One method is called, once, unless the place is
+   * released before.
+   */
+  interface PlaceListener {
     /** The request may be sent. */
     void onSend();
 
@@ -47,7 +50,7 @@
     void onReject(Reject verdict);
   }
 
-  /** A place for a request that is to be brought to a service. */
+  /** Creates the place of a request, for which {@link Place#ask} then asks. */
   Place place(Route route, Call call, String service, Source source, long deadlineMillis) {
     int priority = directory.routes().tenants().priorityOf(call.tenant()).orElse(route.priority());
     AdmissionRequest request =
@@ -60,28 +63,28 @@
     known().forEach(Service::onServers);
   }
 
-  /** A copy: who is told something may ask for a service that nobody has asked for so far. */
+  /** A copy, since a listener may ask for a service that is not known yet. */
   private List<Service> known() {
     return List.copyOf(services.values());
   }
 
-  /** This node stops: what waits is sent or rejected soon. */
+  /** This node begins to stop: waiting requests are sent or rejected soon. */
   void stop() {
     stopping = true;
     services.values().forEach(service -> service.admission.stop(context.now()));
   }
 
-  /** This node ends: what still waits is rejected. */
+  /** This node ends: requests that still wait are rejected. */
   void end() {
     known().forEach(service -> service.apply(service.admission.end(context.now())));
   }
 
-  /** One request's place; released when the request is over. */
+  /** One request's place at a service; to be released when the request is over. */
   final class Place {
     private final Service service;
     private final AdmissionRequest request;
     private final String id;
-    private Asker asker;
+    private PlaceListener listener;
     private Reject rejected;
 
     private Place(Service service, AdmissionRequest request, String id) {
@@ -91,8 +94,8 @@
     }
 
     /** Asks whether the request may be sent, now or soon. */
-    void ask(Asker asking) {
-      asker = asking;
+    void ask(PlaceListener placeListener) {
+      listener = placeListener;
       service.places.put(request.id(), this);
       AdmissionVerdict verdict = service.admission.offer(request, context.now());
       if (verdict instanceof AdmissionVerdict.Wait) {
@@ -107,7 +110,7 @@
       context.metrics().requestsWaited.increment();
       double waitMillis = service.admission.expectedWaitMillis(request, now);
       log.onWaits(id, request, service.admission.load(now), waitMillis);
-      service.pump();
+      service.dispatch();
       service.sweepLater();
     }
 
@@ -117,9 +120,9 @@
         long now = context.now();
         context.metrics().onRejected(reject.reason());
         log.onRejected(id, request, service.admission.load(now), reject, now);
-        asker.onReject(reject);
+        listener.onReject(reject);
       } else {
-        asker.onSend();
+        listener.onSend();
       }
     }
 
@@ -133,7 +136,7 @@
       service.admission.onFull(context.now());
     }
 
-    /** When the caller may come back if the request was not run. */
+    /** Time after which the caller may retry if the request was not run. */
     long retryAfterMillis() {
       return rejected != null
           ? rejected.retryAfterMillis()
@@ -144,20 +147,20 @@
     void release() {
       if (service.places.remove(request.id()) != null) {
         service.admission.onEnded(request);
-        service.pump();
+        service.dispatch();
       }
     }
   }
 
-  /** One service, and who waits for it or is at its servers. */
+  /** The admission to one service, and the places of requests that wait or were sent. */
   private final class Service {
     private final String name;
     private final ServiceAdmission admission =
         new ServiceAdmission(context.randomBelow(), context.now());
     private final Map<Long, Place> places = new HashMap<>();
     private boolean isSweeping;
-    private boolean isPumping;
-    private boolean isPumpDue;
+    private boolean isDispatching;
+    private boolean isDispatchDue;
 
     Service(String name) {
       this.name = name;
@@ -172,23 +175,26 @@
       List<ServerEntry> servers = candidates.apply(name);
       int slots = servers.stream().mapToInt(ServerEntry::slots).sum();
       admission.onServers(servers.size(), slots, context.now());
-      pump();
+      dispatch();
     }
 
-    /** A request that is let go may end at once and let go another: one after the other. */
-    void pump() {
-      isPumpDue = true;
-      if (isPumping) {
+    /**
+     * Applies the admission's decisions. A request that is sent may end at once and cause further
+     * ones; these are applied by the loop that runs already.
+     */
+    void dispatch() {
+      isDispatchDue = true;
+      if (isDispatching) {
         return;
       }
-      isPumping = true;
+      isDispatching = true;
       try {
-        while (isPumpDue) {
-          isPumpDue = false;
+        while (isDispatchDue) {
+          isDispatchDue = false;
           apply(admission.next(context.now()));
         }
       } finally {
-        isPumping = false;
+        isDispatching = false;
       }
     }
 
@@ -210,7 +216,7 @@
                 ServiceAdmission.SWEEP_MILLIS,
                 () -> {
                   isSweeping = false;
-                  pump();
+                  dispatch();
                   sweepLater();
                 });
       }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -24,11 +24,18 @@
 
 /** Brings requests to servers as their {@link ForwardPlan} decides. */
 public final class RequestForwarder {
+  /** Pause between an attempt that was not run and the next one. */
   private static final long RETRY_PAUSE_MILLIS = 10;
+
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int MISDIRECTED = 421;
+
+  /** Time for which a server is avoided that refused a request as misdirected. */
   private static final long MISDIRECTED_AVOIDED_MILLIS = 1_000;
+
+  /** Time for which a full server is avoided. */
   private static final long FULL_AVOIDED_MILLIS = 50;
+
   private static final String HELD_BACK = "servers have ended under it";
   private final GatewayContext context;
   private final Directory directory;
@@ -50,7 +57,7 @@
   /**
    * Creates a forwarder to the servers of the directory.
    *
-   * @param liveNodes nodes among which servers are shared out
+   * @param liveNodes live nodes, by which subsets of servers are formed
    */
   RequestForwarder(
       GatewayContext context,
@@ -74,7 +81,7 @@
                     .collect(Collectors.toSet())));
   }
 
-  /** Requests that lately came, a second. */
+  /** Rate of the requests received lately, per second. */
   public double requestsPerSecond() {
     return rate.perSecond(context.now());
   }
@@ -92,7 +99,7 @@
     return forward(route, call, Source.CALLER);
   }
 
-  /** Forwards a request of a source. */
+  /** Forwards a request of a given source. */
   Uni<ForwardOutcome> forward(Route route, Call call, Source source) {
     return Uni.createFrom()
         .emitter(
@@ -103,12 +110,12 @@
             });
   }
 
-  /** Whether requests are sent, wait or are rejected. */
+  /** Decides whether requests are sent, wait or are rejected. */
   RequestAdmission admission() {
     return admission;
   }
 
-  private final class Forward implements RequestAdmission.Asker, ForwardAttempts.Listener {
+  private final class Forward implements RequestAdmission.PlaceListener, ForwardAttempts.Listener {
     private final Call call;
     private final UniEmitter<? super ForwardOutcome> emitter;
     private final ForwardPlan plan;
@@ -241,8 +248,8 @@
     }
 
     /**
-     * A server ran it, and there was no room for the answer. Another attempt would run it once more
-     * for an answer that has no room either.
+     * A server ran the request, and there was no room for the answer. It is not retried: the next
+     * answer would find no room either.
      */
     private void onAnswerDropped(ServerEntry server, PlatformException failure, long sentAt) {
       log.onAttemptFailed(server, Outcome.UNKNOWN, failure.getMessage());
--- a/node/src/main/java/org/passhaven/node/gateway/RunClaims.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RunClaims.java
@@ -27,10 +27,11 @@
   }
 
   /**
-   * Claims runs that have lost their runner while none of their jobs is open: the next job then
-   * waits neither for a claim nor for the texts that the former runner left. Only by those who
-   * follow the run's partition closely, since others would not see that it was taken. A run whose
-   * jobs are all forgotten is likely over: its claim would be renewed in the log for ever.
+   * Claims runs that have lost their runner while none of their jobs is open, so that their next
+   * job waits neither for a claim nor for the texts that the former runner left. Only nodes that
+   * follow a run's partition closely do so, since others might not see that it was taken. A run
+   * whose jobs are all forgotten is not claimed: it is likely over, and its claim would be renewed
+   * for ever.
    */
   void claimIdle() {
     log.owners().runs().stream()
@@ -61,7 +62,7 @@
     log.append(log.streamOf(claim.run()), List.of(Codec.encode(record)))
         .subscribe()
         .with(
-            // Followers read with pauses; who has claimed is to know at once.
+            // Read back at once, since followers read with pauses.
             offset -> log.refresh(claim.run()).subscribe().with(isSure -> {}),
             failure ->
                 LOG.atInfo()
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCalls.java
@@ -22,7 +22,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(ScoreCalls.class);
   private static final long SCORE_MILLIS = 2_500;
 
-  /** Bounds the bodies held; how many are at servers is for the admission to say. */
+  /** Bounds the bodies held in memory; the admission bounds the calls at servers. */
   private static final int SCORES_AT_ONCE = 48;
 
   private static final String POST = "POST";
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -17,8 +17,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Servers that a request may go to: those of this node's {@link ServerSubset}, or all while none of
- * them is good. A subset is formed anew only when nodes or servers have changed.
+ * Servers that a request may be sent to: those of this node's {@link ServerSubset}, or all of the
+ * service while none of them is good. A subset is recomputed only when nodes or servers have
+ * changed.
  */
 final class ServerCandidates {
   private static final Logger LOG = LoggerFactory.getLogger(ServerCandidates.class);
@@ -32,7 +33,7 @@
   private List<MemberBeat> beatsSeen = List.of();
   private List<Member> nodes = List.of();
 
-  /** What a service's subset was formed from, and what this node asks of the service. */
+  /** A service's subset, the nodes and servers it was computed from, and this node's use of it. */
   private static final class Service {
     final PeakUse use = new PeakUse();
     int turn;
@@ -87,11 +88,11 @@
     service.ready = ready;
     service.nodes = live;
     if (isSameFleet && isSameServers) {
-      // Servers tell of new weights many times a minute: who goes where does not depend on them.
+      // Entries change often, with each new version of weights; subsets do not depend on that.
       service.formed = service.formed.withEntries(ready);
       return;
     }
-    // A server that comes is to become some nodes' first choice; a node that comes brings its own.
+    // Kept only while servers are the same, so that a new server becomes the first choice of some.
     ServerSubset formed = ServerSubset.of(self, live, ready);
     service.formed = isSameServers ? formed.keepingFirstOf(service.formed) : formed;
     LOG.atDebug()
@@ -102,7 +103,7 @@
         .log("subset: formed");
   }
 
-  /** A beat brings a new list, though seldom other nodes. */
+  /** Computed once per list of beats; each beat brings a new list. */
   private List<Member> liveMembers() {
     List<MemberBeat> beats = liveNodes.get();
     if (beats != beatsSeen) {
@@ -116,7 +117,7 @@
     return service.ready.stream().mapToInt(server -> health.inProgress(server.start())).sum();
   }
 
-  /** Servers of a subset have been spread by zone already: among them only their use counts. */
+  /** All servers of a subset count as near: the subset has been chosen by zone already. */
   private boolean isNear(ServerEntry server) {
     Service service = services.get(server.service());
     return server.zone().equals(self.zone())
--- a/node/src/test/java/org/passhaven/node/gateway/AdmissionServicesTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/AdmissionServicesTest.java
@@ -65,7 +65,7 @@
     admission
         .place(ROUTE, call, service, Source.SCORING, DEADLINE_MILLIS)
         .ask(
-            new RequestAdmission.Asker() {
+            new RequestAdmission.PlaceListener() {
               @Override
               public void onSend() {
                 told.add(id + " sent");
--- a/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/MemberAgentTest.java
@@ -97,13 +97,13 @@
   @Test
   void whoLivesIsKnownOnceThisNodesNextBeatIsBack() {
     timers.advance(400);
-    assertThat(agent.isUnsureWhoLives(), is(true));
+    assertThat(agent.isLivenessUnknown(), is(true));
     for (int i = 0; i < 20; i++) {
       MemberBeat beat = new MemberBeat("old" + i, "o:1", "z", 1, true, 0, 500, 0, 0);
       log.stream(STREAM).add(Codec.encode(beat));
     }
     timers.advance(300);
-    assertThat(agent.isUnsureWhoLives(), is(false));
+    assertThat(agent.isLivenessUnknown(), is(false));
     assertThat(agent.beats().isTaking("old3"), is(true));
   }
 
@@ -112,9 +112,9 @@
     timers.advance(10);
     log.appends = MemoryLog.Manner.SILENT;
     timers.advance(1_080);
-    assertThat(agent.isUnsureWhoLives(), is(true));
+    assertThat(agent.isLivenessUnknown(), is(true));
     timers.advance(20);
-    assertThat(agent.isUnsureWhoLives(), is(false));
+    assertThat(agent.isLivenessUnknown(), is(false));
   }
 
   private int beatsWithin(long millis) {
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -13,10 +13,10 @@
  * @param requestsPerSecond requests that it lately forwarded
  * @param periodMillis time in which its next beat is to come; zero if it does not say
  * @param cores processor of its machine, in cores; zero if it does not say
- * @param inLogMillis time since the first beat of this start was known to be in the log, and one;
- *     one in beats that were written before that, zero if the node does not say
- * @param serverUse what it does at servers that generate, if it shares them with others; left out
- *     of the encoding where there is none, and ignored by nodes that do not know it
+ * @param inLogMillis milliseconds since the first beat of this start was acknowledged by the log,
+ *     plus one; one before that, zero if the node does not report it
+ * @param serverUse its use of servers that generate, if it shares them with other nodes; omitted
+ *     from the encoding if empty, and ignored by nodes that do not know it
  */
 public record MemberBeat(
     String node,
@@ -42,7 +42,7 @@
     serverUse = serverUse == null ? List.of() : List.copyOf(serverUse);
   }
 
-  /** A beat of a node that tells nothing of servers. */
+  /** A beat without a report of server use. */
   public MemberBeat(
       String node,
       String address,
--- a/protocol/src/main/java/org/passhaven/protocol/member/ServerUse.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/ServerUse.java
@@ -4,13 +4,12 @@
 import java.util.Objects;
 
 /**
- * What a node that runs jobs does at one server and sees of it, for the other nodes that run jobs.
- * Encoded without names of fields, since many of them ride on beats that every node reads: a new
- * field may only follow the last one.
+ * Report of a node that runs jobs on its use of one server, for other nodes that run jobs. Encoded
+ * as an array, since a beat carries many of them: new fields may only be appended.
  *
  * @param server id of the server
- * @param bornMillis when it started, as it tells; zero if it tells nothing
- * @param inProgress generations that the node has there
+ * @param bornMillis start time that the server reports; zero if it reports none
+ * @param inProgress the node's generations in progress there
  * @param pauseMillis lasting pause between two events of a text there; zero if it is not known
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/FleetLosses.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/FleetLosses.java
@@ -6,7 +6,10 @@
 import java.util.function.Consumer;
 import org.passhaven.simulator.time.VirtualTime;
 
-/** Losses of all nodes at a given moment of a trainer's step, and what callers are told then. */
+/**
+ * Plans the loss of all nodes at a moment of a trainer's step, and records what callers are told
+ * then.
+ */
 public final class FleetLosses {
   private static final long NEVER = Long.MAX_VALUE;
   private final VirtualTime time;
@@ -15,7 +18,7 @@
   private final Consumer<GatewayHost> killAndRestart;
   private final List<String> addressesNamed = new ArrayList<>();
   private long lostAtMillis = NEVER;
-  private int quickNodes;
+  private int fastNodes;
   private int slowerByMillis;
 
   FleetLosses(
@@ -29,26 +32,26 @@
     this.killAndRestart = Objects.requireNonNull(killAndRestart, "killAndRestart");
   }
 
-  /** All but the first so many nodes need longer to start again. */
-  public void setSlowMachines(int quick, int slowerBy) {
-    quickNodes = quick;
+  /** Makes restarts of all but the first nodes slower. */
+  public void setSlowMachines(int fast, int slowerBy) {
+    fastNodes = fast;
     slowerByMillis = slowerBy;
   }
 
-  /** How much longer a node needs to start again. */
+  /** Additional time that a node's restart takes. */
   int slowerByMillis(GatewayHost host) {
-    return hosts.indexOf(host) < quickNodes ? 0 : slowerByMillis;
+    return hosts.indexOf(host) < fastNodes ? 0 : slowerByMillis;
   }
 
-  /** All nodes are lost soon after the first job that is accepted after a moment. */
+  /** Kills all nodes a while after the first job that is accepted from a given time on. */
   public void loseAllWithAnOpenJob(long fromMillis, long afterMillis) {
     trainer.whenAccepted(() -> loseAll(fromMillis, afterMillis));
   }
 
   /**
-   * All nodes are lost soon after the first step that ends after a moment.
+   * Kills all nodes a while after the first step that ends from a given time on.
    *
-   * @param retryMillis after what time the next job is handed in again that finds no node
+   * @param retryMillis time after which a job that found no node is submitted again
    */
   public void loseAllBetweenSteps(long fromMillis, long afterMillis, long retryMillis) {
     trainer.setNoNodeRetryMillis(retryMillis);
@@ -66,12 +69,12 @@
     time.after(millis * VirtualTime.MICROS_PER_MILLI, task);
   }
 
-  /** When all nodes were lost. */
+  /** Time at which all nodes were killed. */
   public long lostAtMillis() {
     return lostAtMillis;
   }
 
-  /** When the first job was accepted after the loss. */
+  /** Time at which the first job was accepted after the loss. */
   public long nextAcceptedAtMillis() {
     return trainer.acceptedAtMillis().stream()
         .filter(atMillis -> atMillis > lostAtMillis)
@@ -79,7 +82,10 @@
         .orElse(NEVER);
   }
 
-  /** Looks at a moment which addresses running nodes name to callers; before the run is played. */
+  /**
+   * Plans to record the addresses that running nodes return to callers at a given time. To be
+   * called before the run is played.
+   */
   public void lookAtAddresses(long atMillis) {
     after(
         atMillis,
@@ -93,7 +99,7 @@
     return host.gateway().addressesFor(host.process().zone());
   }
 
-  /** Addresses that were named at the moments looked at, once for each node that named them. */
+  /** The recorded addresses, once for each node that returned them. */
   public List<String> addressesNamed() {
     return List.copyOf(addressesNamed);
   }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -181,7 +181,7 @@
     return servers.begunAtMillis();
   }
 
-  /** Losses of all nodes at a moment of a step, and what callers are told then. */
+  /** Plans the loss of all nodes, and records what callers are told then. */
   public FleetLosses losses() {
     return losses;
   }
--- a/soak/src/main/java/org/passhaven/soak/check/MemoryCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/MemoryCheck.java
@@ -2,20 +2,24 @@
 
 import org.passhaven.platform.standin.history.NodeObservation.MemorySeen;
 
-/** {@link Promise#WITHIN_MEMORY}: what a process holds, each time that it was asked. */
+/** {@link Promise#WITHIN_MEMORY}: the memory of each process, at each {@link MemorySeen}. */
 final class MemoryCheck {
-  /** Memory that a node takes its machine to have, as it is told nothing of it. */
-  private static final long MOST_RESIDENT_BYTES = 256_000_000;
+  /**
+   * Bound of a process's resident memory: what a node assumes of its machine if its settings state
+   * none.
+   */
+  private static final long MAX_RESIDENT_BYTES = 256_000_000;
 
   private MemoryCheck() {}
 
+  /** Checks all observations. */
   static void judge(Evidence evidence, Tally tally) {
     evidence
         .all(MemorySeen.class)
         .forEach(
             seen ->
                 tally.check(
-                    seen.residentBytes() <= MOST_RESIDENT_BYTES
+                    seen.residentBytes() <= MAX_RESIDENT_BYTES
                         && seen.heldBytes() <= seen.budgetBytes(),
                     seen.atMillis(),
                     seen.node(),
@@ -24,7 +28,7 @@
                         "%d bytes resident, %d at most; bodies of %d bytes held, %d at most"
                             .formatted(
                                 seen.residentBytes(),
-                                MOST_RESIDENT_BYTES,
+                                MAX_RESIDENT_BYTES,
                                 seen.heldBytes(),
                                 seen.budgetBytes())));
   }
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -38,13 +38,18 @@
   TENANT_TRUE,
   /** While open connections are silent, what may be repeated is served over new ones. */
   SERVED_OVER_NEW_CONNECTIONS,
-  /** While some callers read slowly, others are served as at other times. */
+  /** While some callers read slowly, others are served about as well as at other times. */
   SERVED_BESIDE_SLOW_READERS,
-  /** Of callers that read slowly only those are dropped that take nothing for long. */
+  /** Of slow readers only those are dropped that read nothing for a long time. */
   ONLY_STALLED_DROPPED,
-  /** A process stays within its memory, and the bodies that it holds within their budget. */
+  /**
+   * The memory of a process stays within its bound, and the bodies that it holds within their
+   * budget.
+   */
   WITHIN_MEMORY,
-  /** While one tenant floods, no other is served much less often than all. */
+  /**
+   * While one tenant floods, no other tenant's served share falls far below that of all requests.
+   */
   NO_TENANT_STARVED,
   /** No process ends by itself. */
   PROCESS_STAYS
--- a/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
@@ -115,7 +115,9 @@
             answered + " of " + sent.size() + " requests were served while connections are silent");
   }
 
-  /** A flood is refused in part, whatever the connections do. */
+  /**
+   * Whether a flood overlaps a span of time: its requests are refused in part for reasons of load.
+   */
   private boolean isFlooded(long fromMillis, long untilMillis) {
     return evidence
         .all(FloodBegun.class)
--- a/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
@@ -15,33 +15,40 @@
 import org.passhaven.platform.standin.history.RequestObservation.SlowReadEnded;
 import org.passhaven.platform.standin.history.ServerObservation.ServerEnded;
 
-/** Checks of what callers that read slowly mean for others and for themselves. */
+/** Checks that slow readers neither harm other callers nor are dropped while they make progress. */
 final class SlowReaderChecks {
-  /** Fewer requests say nothing of a share. */
-  private static final int FEW_REQUESTS = 20;
+  /** Fewest requests of which a share is compared. */
+  private static final int MIN_REQUESTS = 20;
 
-  /** Some requests are meant to fail at their back ends, and few differ by chance. */
-  private static final double LEAST_OF_OTHER_SHARE = 0.9;
+  /**
+   * Smallest ratio of the served shares beside slow readers and at other times. Below one, since
+   * some requests fail at their back ends by intention, by chance more in one window.
+   */
+  private static final double MIN_RATIO_OF_SHARES = 0.9;
 
-  /** The median may be so many times the one of other times, and so much longer. */
-  private static final double MOST_TIMES = 2;
+  /** Largest ratio of the median times, to which {@link #SLACK_MILLIS} are added. */
+  private static final double MAX_RATIO_OF_MEDIANS = 2;
 
-  // The longest work of an uneven server, which may fall into a window and not into the rest.
+  /** Longest work at an uneven server, which may occur in one window only. */
   private static final long SLACK_MILLIS = 100;
 
-  /** Ordinary answers that are this late were still under way when the window ended. */
+  /**
+   * Time after a disturbance during which requests are not judged: answers may be late because of
+   * it.
+   */
   private static final long SETTLE_MILLIS = 2_000;
 
-  /** A caller that takes nothing for so long may be dropped. */
-  private static final long STALLED_MILLIS = 8_000;
+  /** Stall after which a node may drop a caller. */
+  private static final long DROPPED_STALL_MILLIS = 8_000;
 
   private static final int OK = 200;
 
   private final Evidence evidence;
   private final Map<String, RequestAnswered> served;
   private final List<Window> windows;
-  private final List<Window> amiss;
+  private final List<Window> disturbances;
 
+  /** A span of time, both ends included. */
   private record Window(long fromMillis, long untilMillis) {
     boolean holds(long millis) {
       return millis >= fromMillis && millis <= untilMillis;
@@ -61,7 +68,7 @@
             .collect(
                 Collectors.toMap(RequestAnswered::id, answer -> answer, (first, second) -> first));
     this.windows = windows(evidence);
-    this.amiss = amiss(evidence);
+    this.disturbances = disturbances(evidence);
   }
 
   /** Ids of requests whose callers read slowly. */
@@ -69,7 +76,7 @@
     return evidence.all(SlowReadBegun.class).map(SlowReadBegun::id).collect(Collectors.toSet());
   }
 
-  /** Times in which some caller read slowly, apart from each other. */
+  /** Times in which some caller read slowly, overlapping ones merged. */
   private static List<Window> windows(Evidence evidence) {
     Map<String, Long> endMillis = new HashMap<>();
     evidence.all(SlowReadEnded.class).forEach(ended -> endMillis.put(ended.id(), ended.atMillis()));
@@ -88,9 +95,9 @@
     return windows;
   }
 
-  /** Times in which a back end was harmed or gone, or one tenant sent what others can't. */
-  private static List<Window> amiss(Evidence evidence) {
-    List<Window> amiss = new ArrayList<>();
+  /** Times in which requests may fail for other reasons: faults or ends of servers, and floods. */
+  private static List<Window> disturbances(Evidence evidence) {
+    List<Window> disturbances = new ArrayList<>();
     Map<Integer, Long> harmedMillis = new HashMap<>();
     evidence
         .all(ServerHarmSet.class)
@@ -99,21 +106,22 @@
               if (!set.fault().isEmpty()) {
                 harmedMillis.putIfAbsent(set.server(), set.atMillis());
               } else if (harmedMillis.containsKey(set.server())) {
-                amiss.add(new Window(harmedMillis.remove(set.server()), set.atMillis()));
+                disturbances.add(new Window(harmedMillis.remove(set.server()), set.atMillis()));
               }
             });
-    harmedMillis.values().forEach(millis -> amiss.add(new Window(millis, Long.MAX_VALUE)));
+    harmedMillis.values().forEach(millis -> disturbances.add(new Window(millis, Long.MAX_VALUE)));
     evidence
         .all(ServerEnded.class)
-        .forEach(end -> amiss.add(new Window(end.atMillis(), end.atMillis() + SETTLE_MILLIS)));
+        .forEach(
+            end -> disturbances.add(new Window(end.atMillis(), end.atMillis() + SETTLE_MILLIS)));
     evidence
         .all(FloodBegun.class)
         .forEach(
             flood ->
-                amiss.add(
+                disturbances.add(
                     new Window(
                         flood.atMillis(), flood.atMillis() + flood.forMillis() + SETTLE_MILLIS)));
-    return amiss;
+    return disturbances;
   }
 
   /** {@link Promise#SERVED_BESIDE_SLOW_READERS}. */
@@ -137,7 +145,7 @@
     for (Window window : windows) {
       List<RequestSent> beside =
           ordinary.stream().filter(sent -> window.holds(sent.atMillis())).toList();
-      if (beside.size() >= FEW_REQUESTS && others.size() >= FEW_REQUESTS) {
+      if (beside.size() >= MIN_REQUESTS && others.size() >= MIN_REQUESTS) {
         check(window, beside, others, tally);
       }
     }
@@ -146,7 +154,7 @@
   private boolean isBound(RequestSent sent) {
     long untilMillis = sent.atMillis() + sent.deadlineMillis();
     return evidence.touch().isInTouch(sent.node(), sent.atMillis(), untilMillis)
-        && amiss.stream().noneMatch(each -> each.touches(sent.atMillis(), untilMillis));
+        && disturbances.stream().noneMatch(each -> each.touches(sent.atMillis(), untilMillis));
   }
 
   private void check(
@@ -156,8 +164,8 @@
     long median = medianMillis(beside);
     long otherMedian = medianMillis(others);
     tally.check(
-        share >= LEAST_OF_OTHER_SHARE * otherShare
-            && median <= MOST_TIMES * otherMedian + SLACK_MILLIS,
+        share >= MIN_RATIO_OF_SHARES * otherShare
+            && median <= MAX_RATIO_OF_MEDIANS * otherMedian + SLACK_MILLIS,
         window.fromMillis(),
         "",
         "slow readers from " + window.fromMillis(),
@@ -193,7 +201,7 @@
         .forEach(
             ended ->
                 tally.check(
-                    ended.whole() || ended.longestStillMillis() >= STALLED_MILLIS,
+                    ended.whole() || ended.longestStillMillis() >= DROPPED_STALL_MILLIS,
                     ended.atMillis(),
                     ended.node(),
                     ended.id(),
--- a/soak/src/main/java/org/passhaven/soak/check/TenantShareCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/TenantShareCheck.java
@@ -10,15 +10,17 @@
 import org.passhaven.platform.standin.net.Tenants;
 
 /**
- * {@link Promise#NO_TENANT_STARVED}: while one tenant sends many times what the others send. An
- * attempt that is refused and sent again counts as two.
+ * {@link Promise#NO_TENANT_STARVED}: no other tenant is starved during a flood. Each attempt counts
+ * as a request of its own.
  */
 final class TenantShareCheck {
-  /** The users' rules call a kind of request starved below this share of the share of all. */
-  private static final double LEAST_OF_SHARE = 0.25;
+  /**
+   * A tenant is starved, by the users' rules, below this part of the served share of all requests.
+   */
+  private static final double STARVED_PART_OF_SHARE = 0.25;
 
-  /** Fewer requests say nothing of a share. */
-  private static final int FEW_REQUESTS = 10;
+  /** Fewest requests of which a share is compared. */
+  private static final int MIN_REQUESTS = 10;
 
   private static final int OK = 200;
 
@@ -37,6 +39,7 @@
             .collect(Collectors.toSet());
   }
 
+  /** Checks all floods. */
   static void judge(Evidence evidence, Tally tally) {
     TenantShareCheck check = new TenantShareCheck(evidence);
     evidence.all(FloodBegun.class).forEach(flood -> check.check(flood, tally));
@@ -62,10 +65,10 @@
     double shareOfAll = share(sent);
     byTenant.forEach(
         (tenant, own) -> {
-          if (!tenant.equals(flood.tenant()) && own.size() >= FEW_REQUESTS) {
+          if (!tenant.equals(flood.tenant()) && own.size() >= MIN_REQUESTS) {
             double share = share(own);
             tally.check(
-                share >= LEAST_OF_SHARE * shareOfAll,
+                share >= STARVED_PART_OF_SHARE * shareOfAll,
                 flood.atMillis(),
                 "",
                 tenant,
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -50,10 +50,10 @@
   /** A back end's harm is over. */
   void healBackEnd(int backEnd, BackEndHarm harm);
 
-  /** A back end takes so many times as long as usual; 1 for as usual. */
+  /** Multiplies the time of all work at a back end; 1 is as usual. */
   void pace(int backEnd, double factor);
 
-  /** Callers begin to make it hard for the nodes, for the given time. */
+  /** Starts a hard load by callers for the given time. */
   void harmCallers(CallerHarm harm, long forMillis);
 
   /** The next request of a kind becomes one that crashes servers. */
--- a/soak/src/main/java/org/passhaven/soak/plan/CallerHarm.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/CallerHarm.java
@@ -1,9 +1,9 @@
 package org.passhaven.soak.plan;
 
-/** What callers do that makes it hard for the nodes. */
+/** Kinds of hard load that callers put on the nodes. */
 public enum CallerHarm {
-  /** Some ask for large answers and take them slowly, or nothing for a while. */
+  /** Some request large answers and read them slowly or stall. */
   SLOW_READERS,
-  /** One tenant sends many times what the others send. */
+  /** One tenant sends many times as many requests as the others. */
   TENANT_FLOOD
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -110,9 +110,9 @@
   }
 
   /**
-   * A back end takes so many times as long as others.
+   * A back end takes longer than others for the same work.
    *
-   * @param factor how many times
+   * @param factor multiple of the usual time
    */
   record UnevenBackEnd(long atMillis, long forMillis, int backEnd, double factor) implements Fault {
     /** Checks. */
@@ -131,7 +131,7 @@
     }
   }
 
-  /** Callers make it hard for the nodes. */
+  /** Callers put a hard load on the nodes. */
   record OnCallers(long atMillis, long forMillis, CallerHarm harm) implements Fault {
     /** Checks. */
     public OnCallers {
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -11,7 +11,7 @@
  *     added to what the seed gives without them
  * @param hasSilentConnections whether open connections to the store and to back ends go silent for
  *     good, added to what the seed gives without
- * @param hasHardLoad whether callers that read slowly and floods by one tenant are added
+ * @param hasHardLoad whether slow readers and floods by one tenant are added
  */
 public record PlanSettings(
     int nodeCount,
--- a/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
+++ b/soak/src/main/java/org/passhaven/soak/process/NodeProcess.java
@@ -93,7 +93,7 @@
     return life != null && life.isAlive();
   }
 
-  /** The present life's process id; 0 before the first. */
+  /** Process id of the present process; zero before the first one is started. */
   public synchronized long pid() {
     return life == null ? 0 : life.pid();
   }
--- a/soak/src/main/java/org/passhaven/soak/run/MemoryWatch.java
+++ b/soak/src/main/java/org/passhaven/soak/run/MemoryWatch.java
@@ -25,11 +25,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Asks each node now and then what it holds, on a thread of its own. */
+/** Records the memory of each node at regular intervals, on a thread of its own. */
 final class MemoryWatch implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(MemoryWatch.class);
-  private static final long EVERY_MILLIS = 1_000;
-  private static final Duration PATIENCE = Duration.ofMillis(500);
+  private static final long INTERVAL_MILLIS = 1_000;
+  private static final Duration TIMEOUT = Duration.ofMillis(500);
   private static final long BYTES_PER_KIB = 1_024;
   private static final Pattern HELD =
       Pattern.compile("^passhaven_gateway_bodies_held_bytes\\S* (\\S+)$", Pattern.MULTILINE);
@@ -42,7 +42,7 @@
   private final Path folder;
   private final LongSupplier nowMillis;
   private final Consumer<Observation> history;
-  private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "memory-watch"));
 
@@ -59,16 +59,17 @@
     this.history = history;
   }
 
+  /** Begins to record; ends with {@link #close}. */
   void begin() {
     var unused =
         executor.scheduleWithFixedDelay(
-            this::look, EVERY_MILLIS, EVERY_MILLIS, TimeUnit.MILLISECONDS);
+            this::observe, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void look() {
+  private void observe() {
     for (int i = 0; i < places.size() && !executor.isShutdown(); i++) {
       try {
-        look(places.get(i), nodes.process(i));
+        observe(places.get(i), nodes.process(i));
       } catch (IOException e) {
         LOG.atDebug().addKeyValue("node", places.get(i).name()).setCause(e).log("soak: not seen");
       } catch (InterruptedException e) {
@@ -78,11 +79,12 @@
     }
   }
 
-  /** A node that is stopped or gone can't be asked. */
-  private void look(NodePlace place, NodeProcess process) throws IOException, InterruptedException {
+  /** Fails if the node is stopped or gone. */
+  private void observe(NodePlace place, NodeProcess process)
+      throws IOException, InterruptedException {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://" + place.ready() + "/metrics"))
-            .timeout(PATIENCE)
+            .timeout(TIMEOUT)
             .build();
     String page = client.send(request, HttpResponse.BodyHandlers.ofString()).body();
     OptionalLong budget = budgetBytes(place.name());
@@ -98,7 +100,7 @@
     }
   }
 
-  /** All bodies that a page of metrics tells, whatever their use. */
+  /** Bytes of bodies of all uses on a page of metrics. */
   static long heldBytes(String page) {
     return Math.round(
         HELD.matcher(page)
@@ -107,7 +109,7 @@
             .sum());
   }
 
-  /** The newest budget that lines of a node's log tell. */
+  /** The newest budget in the lines of a node's log. */
   static OptionalLong budgetBytes(Stream<String> lines) {
     return lines
         .filter(line -> line.contains(BUDGET_LINE))
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -170,7 +170,7 @@
     applyPace(backEnd);
   }
 
-  /** A back end that is slow and uneven at once is as slow as the worse of both. */
+  /** If a back end is slow and uneven at once, the larger factor applies. */
   private void applyPace(int backEnd) {
     double slowness = slow.contains(backEnd) ? SLOW_FACTOR : 1;
     server(backEnd).slow(Math.max(slowness, paces.getOrDefault(backEnd, 1.0)));
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -89,7 +89,7 @@
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
-  /** The same plan with nothing but what is asked for by its own option. */
+  /** The plan reduced to faults that are enabled by an option of their own. */
   private static FaultPlan calm(SoakSettings settings, FaultPlan plan) {
     List<Fault> asked =
         plan.faults().stream().filter(fault -> isAskedFor(settings, fault)).toList();
