Tests: comments say what a test or fixture shows

What stopped a newcomer: class comments that list figures of the load (which stand in constants below them), "the load:" and "a node's door" without a subject, before/now as names of the compared variants, test comments that tell how things were earlier.

Renamed: whatAllAreToldAtOnceIsWhatEachIsTold -> turnsAgreeWithAheadOfEachRequest; before -> unlimited (ContentionTest), before/now -> byName/subset (BlindPlacementTest); MOST -> MAX, MAX_REFUSED_A_LOAD -> MAX_REFUSED_PER_LOAD. Checks and bounds are unchanged.

--- a/core/src/test/java/org/passhaven/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/passhaven/core/admission/AdmissionQueueTest.java
@@ -9,7 +9,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.passhaven.core.admission.AdmissionRequest.Source;
 
-/** A queue of requests of some ranks, sources, tenants and routes, of which some were served. */
+/**
+ * The two ways to compute how many requests go before each, on a random queue of mixed requests.
+ */
 class AdmissionQueueTest {
   private static final int REQUESTS = 300;
 
@@ -26,7 +28,7 @@
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
-  void whatAllAreToldAtOnceIsWhatEachIsTold(long seed) {
+  void turnsAgreeWithAheadOfEachRequest(long seed) {
     Random random = new Random(seed);
     AdmissionQueue queue = new AdmissionQueue(0);
     long now = 0;
--- a/core/src/test/java/org/passhaven/core/admission/ContentionTest.java
+++ b/core/src/test/java/org/passhaven/core/admission/ContentionTest.java
@@ -14,9 +14,9 @@
 import org.passhaven.core.admission.SharedServers.Work;
 
 /**
- * The load of a site whose scorings and callers share a few plain servers: 8.4 callers a second
- * over all nodes, and runners that each score a group that has ended, blind to each other. Compared
- * with sending all at once, up to 48.
+ * Admission against sending all at once, where scorings and callers share a few servers. Callers
+ * arrive at random at many nodes; runners score the groups that have ended, each without knowledge
+ * of the others.
  */
 class ContentionTest {
   private static final double CALLERS_PER_SECOND = 8.4;
@@ -32,60 +32,62 @@
   }
 
   /**
-   * Calm, as at all sites with three plain servers of 6 places: groups of 8 and 16, of one runner,
-   * or of three that end within 100 ms of each other.
+   * Usual load: groups of one or more runners that end at about the same time and fit into the
+   * servers' places.
    */
   @ParameterizedTest
   @CsvSource({"1, 8", "1, 16", "2, 8", "2, 16", "3, 8", "3, 16"})
   void groupsThatFitIntoThePlacesNeitherWaitNorAreRejected(int runners, int size) {
     for (Work work : new Work[] {FEW, MANY}) {
       for (long seed = 1; seed <= 3; seed++) {
-        Seen before = play(work, runners, size, false, seed);
+        Seen unlimited = play(work, runners, size, false, seed);
         Seen limited = play(work, runners, size, true, seed);
         assertThat(limited.waits, equalTo(0));
         assertThat(limited.rejects, equalTo(0));
-        assertThat(limited.callers, equalTo(before.callers));
-        assertThat(limited.bursts, equalTo(before.bursts));
+        assertThat(limited.callers, equalTo(unlimited.callers));
+        assertThat(limited.bursts, equalTo(unlimited.bursts));
       }
     }
   }
 
-  /** Several groups that end at once, as after an outage: more than 18 places take. */
+  /** Bursts of more scorings than the servers have places, as after an outage. */
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 3})
   void behindLongBurstsCallersWaitLessAndTheLastScoringIsNoLater(int runners) {
     for (long seed = 1; seed <= 3; seed++) {
-      Seen before = play(FEW, runners, 48, false, seed);
+      Seen unlimited = play(FEW, runners, 48, false, seed);
       Seen limited = play(FEW, runners, 48, true, seed);
       assertThat(
-          limited.callerPart(0.99), lessThanOrEqualTo((long) (0.75 * before.callerPart(0.99))));
+          limited.callerPart(0.99), lessThanOrEqualTo((long) (0.75 * unlimited.callerPart(0.99))));
       assertThat(limited.callersRefused, equalTo(0));
-      assertThat(limited.burstPart(0.99), lessThanOrEqualTo(before.burstPart(0.99)));
+      assertThat(limited.burstPart(0.99), lessThanOrEqualTo(unlimited.burstPart(0.99)));
       assertThat(limited.serverRefusals, equalTo(0));
       assertThat(limited.waits, greaterThan(0));
     }
   }
 
-  /** 72 places: what runners hand over at a time is less than one may have there. */
+  /** The bursts of one runner are smaller than the concurrency limit at twelve servers. */
   @Test
   void atManyServersNothingIsPaced() {
-    Seen before = play(MANY, 3, 48, false, 1);
+    Seen unlimited = play(MANY, 3, 48, false, 1);
     Seen limited = play(MANY, 3, 48, true, 1);
     assertThat(limited.waits, equalTo(0));
-    assertThat(limited.callers, equalTo(before.callers));
+    assertThat(limited.callers, equalTo(unlimited.callers));
   }
 
-  /** One or all of the servers take three times as long: their places are needed all the more. */
+  /**
+   * Slow servers, whose places are needed all the more: the limit must not fall because of them.
+   */
   @ParameterizedTest
   @CsvSource({"1, 16, 1", "1, 16, 3", "3, 16, 1", "3, 16, 3", "1, 48, 1", "1, 48, 3"})
   void serversThatTurnSlowMakeNoStepLater(int runners, int size, int slowServers) {
     for (long seed = 1; seed <= 3; seed++) {
-      Seen before = playSlow(runners, size, slowServers, false, seed);
+      Seen unlimited = playSlow(runners, size, slowServers, false, seed);
       Seen limited = playSlow(runners, size, slowServers, true, seed);
-      String seen = before + " / " + limited;
-      assertThat(seen, limited.burstPart(0.5), lessThan(before.burstPart(0.5) + 10));
-      assertThat(seen, limited.burstPart(0.99), lessThan(before.burstPart(0.99) + 10));
-      assertThat(seen, limited.callerPart(0.99), lessThanOrEqualTo(before.callerPart(0.99)));
+      String seen = unlimited + " / " + limited;
+      assertThat(seen, limited.burstPart(0.5), lessThan(unlimited.burstPart(0.5) + 10));
+      assertThat(seen, limited.burstPart(0.99), lessThan(unlimited.burstPart(0.99) + 10));
+      assertThat(seen, limited.callerPart(0.99), lessThanOrEqualTo(unlimited.callerPart(0.99)));
     }
   }
 
--- a/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
+++ b/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
@@ -30,7 +30,9 @@
 import org.passhaven.core.admission.AdmissionVerdict.Wait;
 import org.passhaven.core.admission.ServiceAdmission.Change;
 
-/** Two servers of 4 places whose answers take 40 ms; 10 may be there, 4 whatever others do. */
+/**
+ * Two servers of four places each: the limit is one more for each server, and its floor is half.
+ */
 class ServiceAdmissionTest {
   private static final int SERVERS = 2;
   private static final int PLACES = 8;
@@ -87,7 +89,7 @@
     return changes;
   }
 
-  /** The request that was sent first ends. */
+  /** Ends the request that was sent first; returns what this changes. */
   private List<Change> endOne() {
     AdmissionRequest first = running.poll();
     admission.onAnswer(first, WORK_MILLIS, now);
@@ -105,7 +107,7 @@
     return served.getOrDefault(kind, 0);
   }
 
-  /** Places end in turn for so long, while {@code arrive} sends what comes in each millisecond. */
+  /** Ends requests at the rate of the servers for a while; {@code arrive} runs each millisecond. */
   private void play(long lengthMillis, Runnable arrive) {
     double due = 0;
     for (long end = now + lengthMillis; now < end; now++) {
@@ -151,7 +153,7 @@
     assertThat(order.subList(7, 14).stream().distinct().toList(), is(List.of(Source.SCORING)));
   }
 
-  /** One tenant sends 400 a second where 200 can be served, another one a second. */
+  /** One tenant sends twice as many requests as can be served, another one a request a second. */
   @Test
   void aTenantThatFloodsStarvesNoOther() {
     play(
@@ -168,7 +170,10 @@
     assertThat(served("floodCALLER2"), greaterThan(3_700));
   }
 
-  /** Two routes of one rank, whose callers wait 800 ms and 10 s, each more than can be served. */
+  /**
+   * Two routes of one priority with different deadlines, each with more requests than can be
+   * served.
+   */
   @Test
   void aRouteWhoseCallersWaitLongerIsNotStarvedByOneWhoseWaitLess() {
     play(
@@ -185,7 +190,7 @@
     assertThat(served("long"), greaterThan(1_500));
   }
 
-  /** The more urgent ones alone, 250 a second, are more than the 200 that can be served. */
+  /** The more urgent requests alone are more than can be served. */
   @Test
   void anUrgentFloodIsServedMoreOftenAndTheOthersAQuarterAsOftenAsAllAtLeast() {
     play(
@@ -219,7 +224,7 @@
     assertThat(rejected.getOrDefault("urgentCALLER0", 0), equalTo(0));
   }
 
-  /** Callers, 1,000 a second, fill places and queue; a runner scores 20 texts a second. */
+  /** Callers fill all places and the queue, while a runner sends a few scorings. */
   @Test
   void scoringsOfALaterRankAreServedAQuarterAsOftenAsAllAtLeastAndNoMoreThanCallers() {
     play(
@@ -243,7 +248,7 @@
     assertThat(((Reject) verdict).reason(), is(Reason.TOO_LATE));
   }
 
-  /** Servers were slow minutes ago; what was learnt then rejects nobody now. */
+  /** Answer times of minutes ago, when servers were slow, must not cause rejections now. */
   @Test
   void howLongARouteOnceTookIsForgotten() {
     AdmissionRequest slow = request("a", Source.CALLER, 2, DEADLINE_MILLIS);
@@ -366,7 +371,7 @@
     assertThat(admission.load(now).inProgress(), equalTo(LIMIT));
   }
 
-  /** A flood of one tenant meets the bound of the queue; another tenant still gets in. */
+  /** A flood of one tenant fills the queue; another tenant's request replaces one of the flood. */
   @Test
   void aFullQueueMakesRoomForWhoHasLess() {
     for (int i = 0; i < 1_000; i++) {
--- a/core/src/test/java/org/passhaven/core/admission/SharedServers.java
+++ b/core/src/test/java/org/passhaven/core/admission/SharedServers.java
@@ -15,25 +15,25 @@
 import org.passhaven.core.admission.ServiceAdmission.Change;
 
 /**
- * A few servers of one service, runners that send them bursts of scorings, and callers at other
- * nodes: all that each sees of the others is how long its answers take. Time is virtual, draws are
- * seeded.
+ * Simulation of a few servers of one service, runners that send them bursts of scorings, and
+ * callers at other nodes. Nodes notice each other only by the times of their answers. Time is
+ * virtual, draws are seeded.
  */
 final class SharedServers {
   static final int SLOTS = 6;
   private static final int SERVER_QUEUE = 24;
   private static final long LINK_MILLIS = 1;
   private static final long PAUSE_MILLIS = 10;
-  private static final int MOST_REFUSALS = 6;
+  private static final int MAX_REFUSALS = 6;
   private static final long FIXED_RETRY_MILLIS = 100;
   private static final int FIXED_AT_ONCE = 48;
   private static final long SCORE_DEADLINE_MILLIS = 2_500;
   private static final long CALLER_DEADLINE_MILLIS = 2_000;
 
-  /** How long work takes. */
+  /** Number of servers, and the times of a scoring's and a caller's work. */
   record Work(int servers, long scoringMillis, long callerMillis) {}
 
-  /** What was seen of callers and of bursts; times in milliseconds. */
+  /** Results: times of callers and bursts in milliseconds, and counts. */
   static final class Seen {
     final List<Long> callers = new ArrayList<>();
     final List<Long> bursts = new ArrayList<>();
@@ -87,7 +87,7 @@
     this.work = work;
     this.isLimited = isLimited;
     this.random = new Random(seed);
-    // Every third server is half as slow again: machines differ.
+    // Machines differ: every third server takes longer.
     this.servers =
         IntStream.range(0, work.servers()).mapToObj(i -> new Server(i % 3 == 2 ? 1.5 : 1)).toList();
   }
@@ -96,7 +96,7 @@
     events.add(new Event(now + millis, ids++, run));
   }
 
-  /** Plays until nothing is left to happen. */
+  /** Runs until no event is left. */
   Seen play() {
     while (!events.isEmpty()) {
       Event next = events.poll();
@@ -106,12 +106,12 @@
     return seen;
   }
 
-  /** Servers turn slow, the first {@code count} of them. */
+  /** Makes the first {@code count} servers slower from a time on. */
   void slow(long atMillis, int count, double factor) {
     after(atMillis, () -> servers.subList(0, count).forEach(server -> server.slowness *= factor));
   }
 
-  /** Callers at other nodes, so many a second. */
+  /** Adds callers at random times, each at a node of its own. */
   void callers(double perSecond, long lengthMillis) {
     double at = 0;
     while (at < lengthMillis) {
@@ -135,7 +135,7 @@
         });
   }
 
-  /** Runners that each send a burst in every second, up to 100 ms apart. */
+  /** Adds runners that each send one burst every second, at slightly different times. */
   void bursts(int runners, int size, long lengthMillis) {
     for (int i = 0; i < runners; i++) {
       Node node = new Node();
@@ -145,7 +145,7 @@
     }
   }
 
-  /** Scorings of one node; at most {@link #FIXED_AT_ONCE} are handed over at a time. */
+  /** Scorings of one node, of which at most {@link #FIXED_AT_ONCE} ask for a place at once. */
   private final class Burst {
     private final Node node;
     private final long beganAt = now;
@@ -187,7 +187,7 @@
 
   private record Waiting(Item item, Runnable onServed, Consumer<Long> onRefused) {}
 
-  /** One node: sends to the server where it has least itself. */
+  /** A node, which sends to the server with the fewest requests of its own. */
   private final class Node {
     private final Map<Server, Integer> own = new HashMap<>();
     private final Map<Long, Waiting> waiting = new HashMap<>();
@@ -264,7 +264,7 @@
       }
       seen.serverRefusals++;
       admission.onFull(now);
-      if (++asked.item().refusals()[0] < MOST_REFUSALS) {
+      if (++asked.item().refusals()[0] < MAX_REFUSALS) {
         after(PAUSE_MILLIS, () -> send(asked));
         return;
       }
--- a/core/src/test/java/org/passhaven/core/backend/BlindPlacement.java
+++ b/core/src/test/java/org/passhaven/core/backend/BlindPlacement.java
@@ -14,9 +14,9 @@
 import org.passhaven.core.placement.Member;
 
 /**
- * A minute of a service of 12 servers with 6 places, used by nodes that know nothing of each other:
- * a runner sends 8 to 16 scorings of 202 ms at a time, callers send 8 requests of 25 ms a second,
- * and checks of the configuration go through each node every 1.6 s.
+ * Simulation of one minute of a service whose servers are chosen by nodes without knowledge of each
+ * other: a runner sends bursts of scorings, callers send requests at regular intervals, and checks
+ * of the configuration go through each node.
  */
 final class BlindPlacement {
   private static final int SERVERS = 12;
@@ -28,19 +28,19 @@
   private static final long CALL_WORK_MILLIS = 25;
   private static final long IDLE_CLOSED_MILLIS = 5_000;
 
-  /** How a node chooses. */
+  /** How a node chooses a server. */
   enum Way {
-    /** Among all servers by their names, the least used and near one first. */
+    /** The least used and nearest of all servers; ties by name. */
     BY_NAME,
     /** The less costly of two servers drawn at random among all. */
     TWO_OF_ALL,
-    /** The same among the node's subset. */
+    /** The less costly of two servers drawn at random from the node's subset. */
     TWO_OF_SUBSET,
-    /** In the node's own order among its subset. */
+    /** The best server of the node's subset; ties in the node's own order. The way in use. */
     SUBSET
   }
 
-  /** What a minute came to. */
+  /** Results of one minute. */
   record Figures(
       double maxOverMean,
       long callsP50Millis,
@@ -133,7 +133,7 @@
             });
   }
 
-  /** Serves as many requests at once as it has places; the others wait in turn. */
+  /** A server: works on as many requests as it has places; further ones wait in turn. */
   private final class Server {
     private final double slowness;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
--- a/core/src/test/java/org/passhaven/core/backend/BlindPlacementTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/BlindPlacementTest.java
@@ -10,7 +10,7 @@
 import org.passhaven.core.backend.BlindPlacement.Figures;
 import org.passhaven.core.backend.BlindPlacement.Way;
 
-/** Ways to choose a server against each other, at nodes that know nothing of each other. */
+/** Compares ways to choose a server at nodes without knowledge of each other. */
 class BlindPlacementTest {
   private static final int SEEDS = 10;
 
@@ -51,15 +51,15 @@
       for (Way way : Way.values()) {
         ways.put(way, mean(way, fleet));
       }
-      Figures before = ways.get(Way.BY_NAME);
-      Figures now = ways.get(Way.SUBSET);
+      Figures byName = ways.get(Way.BY_NAME);
+      Figures subset = ways.get(Way.SUBSET);
       Figures twoChoices = ways.get(Way.TWO_OF_ALL);
-      assertThat(now.maxOverMean(), lessThan(0.8 * before.maxOverMean()));
-      assertThat((double) now.connections(), lessThan(1.2 * before.connections()));
-      assertThat(now.connections(), lessThan(twoChoices.connections()));
-      // Slower servers get their part of the calls now; what may not grow is the wait for a place.
-      assertThat(now.callsP99Millis(), lessThan(before.callsP99Millis() + 5));
-      assertThat((double) now.scoringsP99Millis(), lessThan(1.05 * before.scoringsP99Millis()));
+      assertThat(subset.maxOverMean(), lessThan(0.8 * byName.maxOverMean()));
+      assertThat((double) subset.connections(), lessThan(1.2 * byName.connections()));
+      assertThat(subset.connections(), lessThan(twoChoices.connections()));
+      // Subsets also send calls to slower servers; only the wait for a place must not grow.
+      assertThat(subset.callsP99Millis(), lessThan(byName.callsP99Millis() + 5));
+      assertThat((double) subset.scoringsP99Millis(), lessThan(1.05 * byName.scoringsP99Millis()));
     }
   }
 }
--- a/core/src/test/java/org/passhaven/core/backend/ServerSubsetTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/ServerSubsetTest.java
@@ -108,7 +108,7 @@
     }
   }
 
-  /** 80 nodes, half of them restarted one after another. */
+  /** A rolling restart of half of a fleet. */
   @Test
   void firstChoicesMostlyStayWhileNodesComeAndGoAndRemainSpread() {
     for (int seed = 0; seed < 5; seed++) {
@@ -129,7 +129,7 @@
     }
   }
 
-  /** Each node forms its subset anew; tells how many first choices changed. */
+  /** Recomputes the subset of each node; returns the number of first choices that changed. */
   private static int reform(
       Map<Member, ServerSubset> subsets, List<Member> nodes, List<ServerEntry> servers) {
     int changes = 0;
--- a/core/src/test/java/org/passhaven/core/backend/SubsetFixture.java
+++ b/core/src/test/java/org/passhaven/core/backend/SubsetFixture.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.passhaven.core.placement.Member;
 
-/** Fleets and services of a seed, and what is measured of their subsets. */
+/** Fleets and services drawn from a seed, and measures of their subsets. */
 final class SubsetFixture {
   private static final int PLACES = 6;
 
@@ -45,7 +45,10 @@
     return at < 0.5 ? "z0" : at < 0.84 ? "z1" : "z2";
   }
 
-  /** Most nodes of a server against the mean, over the first servers of each subset. */
+  /**
+   * Largest number of nodes of a server relative to the mean, over the first servers of each
+   * subset.
+   */
   static double maxOverMean(
       Map<String, List<ServerEntry>> subsets, List<ServerEntry> servers, int first) {
     Map<ServerStart, Integer> nodesOf = new HashMap<>();
@@ -60,7 +63,7 @@
     return most * (double) servers.size() / choices;
   }
 
-  /** Part of the choices of nodes in both that are others after a change. */
+  /** Share of the choices that differ after a change, of nodes present before and after. */
   static double changed(
       Map<String, List<ServerEntry>> before, Map<String, List<ServerEntry>> after) {
     int choices = 0;
@@ -76,7 +79,7 @@
     return changed / (double) Math.max(1, choices);
   }
 
-  /** Part of the choices in the node's own zone. */
+  /** Share of the choices in the node's own zone. */
   static double near(List<Member> nodes, Map<String, List<ServerEntry>> subsets) {
     long near = 0;
     long all = 0;
--- a/core/src/test/java/org/passhaven/core/backend/SubsetWays.java
+++ b/core/src/test/java/org/passhaven/core/backend/SubsetWays.java
@@ -10,18 +10,21 @@
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
 
-/** Published ways to give each node a subset of servers, beside the one in use. */
+/** Algorithms that give each node a subset of servers: published ones, and the one in use. */
 enum SubsetWays {
-  /** Rendezvous hashing by each node for itself. */
+  /** Rendezvous hashing, without bounded loads. */
   RENDEZVOUS,
-  /** Rounds of nodes, each over the servers in a shuffled order of its own. */
+  /**
+   * Deterministic subsetting: rounds of nodes, each over the servers in a shuffled order of its
+   * own.
+   */
   SHUFFLED_ROUNDS,
-  /** A ring that nodes stand on at equal distances, each with the servers from its place on. */
+  /** Nodes at equal distances on a ring of servers, each with the servers that follow. */
   RING,
-  /** Rendezvous hashing with bounded loads, in rounds: the way in use. */
+  /** Rendezvous hashing with bounded loads, in rounds: the algorithm in use. */
   BOUNDED;
 
-  /** Subsets by node. */
+  /** The subset of each node, by its name. */
   Map<String, List<ServerEntry>> subsets(List<Member> nodes, List<ServerEntry> servers) {
     Map<String, List<ServerEntry>> subsets = new HashMap<>();
     int size = ServerSubset.sizeFor(nodes.size(), servers.size());
--- a/core/src/test/java/org/passhaven/core/backend/SubsetWaysTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/SubsetWaysTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.placement.Member;
 
-/** The ways to form subsets against each other: fleets of 5 to 370 nodes before 12 servers. */
+/** Compares algorithms of subsetting for fleets of different sizes. */
 class SubsetWaysTest {
   private static final int[] FLEETS = {5, 12, 30, 80, 370};
   private static final int SERVERS = 12;
--- a/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
@@ -70,7 +70,7 @@
     assertThat(choose(50), equalTo("slow"));
   }
 
-  /** From now on the slow server takes half as long again for each event. */
+  /** Makes each event of the slow server take half as long again. */
   private void slowDown() {
     for (int i = 0; i < 100; i++) {
       view.pace().onPause(ServerStart.of("fast"), 40, 2_000 + i);
@@ -107,7 +107,7 @@
     assertThat(chooseFaster(longerThanExpected(30), "slow"), equalTo(Optional.empty()));
   }
 
-  /** A quarter more is within what servers differ by as they get fuller. */
+  /** Servers differ by about a quarter in any case, depending on their load. */
   @Test
   void aTextStaysAtAServerThatIsHardlySlower() {
     ItemRun run = item(1_000);
--- a/core/src/test/java/org/passhaven/core/job/PlacementTest.java
+++ b/core/src/test/java/org/passhaven/core/job/PlacementTest.java
@@ -10,15 +10,15 @@
 import org.passhaven.core.job.PlacementWorld.Report;
 
 /**
- * Three trainers' runs on 27 servers with six slots each, every run decided by another node. All
- * items of a step, 64 to 128, begin at once, just as a weight version is named that a few servers
- * at a time load; a step ends with the longest item of the groups that its trainer waits for.
+ * Three trainers' runs on shared servers, each run scheduled by another node. All items of a step
+ * begin at once, just as a weight version is named, which a few servers at a time load; a step ends
+ * with the longest item of the groups that its trainer waits for.
  */
 class PlacementTest {
   private static final int SEEDS = 4;
   private static final int SERVERS = 27;
   private static final long PLAY_MILLIS = 30_000;
-  private static final int MAX_REFUSED_A_LOAD = 3;
+  private static final int MAX_REFUSED_PER_LOAD = 3;
   private static final double STEP_DUE_MILLIS = 7_500;
   private static final double[] EVEN = {1};
   private static final double[] UNEVEN = {0.7, 0.7, 1.7};
@@ -36,7 +36,7 @@
     return reports;
   }
 
-  /** A load of weights shows by one refusal, and two more may come before its end is known. */
+  /** Each load of weights may cause one refusal, and two more until its end is known. */
   @Test
   void aLoadRefusesFewGenerationsAndNotABurst() {
     for (double[] slowness : List.of(EVEN, UNEVEN)) {
@@ -44,12 +44,12 @@
         assertThat(
             report.toString(),
             report.refused(),
-            lessThanOrEqualTo(MAX_REFUSED_A_LOAD * report.loads()));
+            lessThanOrEqualTo(MAX_REFUSED_PER_LOAD * report.loads()));
       }
     }
   }
 
-  /** Where no server is slow for longer than a moment, no cut is worth its cost. */
+  /** If servers are slow for moments only, moving a generation does not pay off. */
   @Test
   void aMomentCutsNoGenerations() {
     for (Report report : play(EVEN, true)) {
@@ -57,7 +57,9 @@
     }
   }
 
-  /** Trainers want a step within 7.5 s; those who wait for slow servers get it later. */
+  /**
+   * Trainers need a step within {@link #STEP_DUE_MILLIS}, for which slow servers must be avoided.
+   */
   @Test
   void stepsEndInTimeThoughServersAreUneven() {
     for (Report report : play(UNEVEN, true)) {
--- a/core/src/test/java/org/passhaven/core/job/PlacementWorld.java
+++ b/core/src/test/java/org/passhaven/core/job/PlacementWorld.java
@@ -15,9 +15,9 @@
 import org.passhaven.core.order.WeightDemand;
 
 /**
- * Trainers' runs on one set of model servers in virtual time, each run decided by a scheduler of
- * its own. A step's items begin together; each step names a weight version, which a few servers
- * load at a time.
+ * Simulation of trainers' runs on one set of model servers in virtual time. Each run has a
+ * scheduler of its own. A step's items begin together; each step names a weight version, which a
+ * few servers load at a time.
  */
 final class PlacementWorld {
   private static final long STEP_MILLIS = 4_000;
@@ -31,7 +31,7 @@
   private static final int MAX_EVENTS = 159;
   private static final long BEAT_MILLIS = 500;
 
-  /** What a play came to. */
+  /** Results of one simulation. */
   record Report(
       int sent,
       int refused,
@@ -91,7 +91,7 @@
     runners.add(new Runner(this, model, groups, itemsOfGroup, wantedGroups));
   }
 
-  /** Plays for a time; steps that were not whole by its end do not count. */
+  /** Runs for a time; steps that have not ended by then do not count. */
   Report play(long millis) {
     for (Runner runner : runners) {
       after(random.nextInt(300), () -> runner.beginStep(1));
@@ -141,7 +141,7 @@
         });
   }
 
-  /** Moments lie apart: two in a row would be a longer one. */
+  /** Momentary slownesses are kept apart: two in a row would be a longer one. */
   private void planMoment(FakeModelServer server) {
     long mean = Math.round(MOMENT_MILLIS * (1 - MOMENT_SHARE) / MOMENT_SHARE);
     after(
@@ -188,12 +188,12 @@
     return versionsMatter ? Math.max(1, step - 1) : 1;
   }
 
-  /** Events of a text: mostly few, at times very many. */
+  /** Number of events of a text: usually few, sometimes very many. */
   int drawEvents() {
     return (int) Math.max(2, Math.min(MAX_EVENTS, 14 * Math.exp(random.nextGaussian())));
   }
 
-  /** The caller's hint: right in the middle, often far off. */
+  /** The caller's length hint: correct on average, often far off. */
   long drawHint(int events) {
     return Math.max(1, Math.round(10 * events * Math.exp(0.5 * random.nextGaussian())));
   }
@@ -239,7 +239,7 @@
     to100.add(tookMillis);
   }
 
-  /** When the next step may be asked: a step each few seconds, and not before its weights. */
+  /** Earliest start of the next step: at intervals, and not before its weights are named. */
   void planStep(Runner runner, long step, long readyMillis) {
     long at = Math.max(step * STEP_MILLIS - STEP_MILLIS, readyMillis + TRAINING_MILLIS);
     after(Math.max(0, at - now), () -> runner.beginStep(step));
--- a/core/src/test/java/org/passhaven/core/job/Runner.java
+++ b/core/src/test/java/org/passhaven/core/job/Runner.java
@@ -51,7 +51,7 @@
     return open.size();
   }
 
-  /** A step is asked for, and its weight version is named. */
+  /** Begins a step and names its weight version. */
   void beginStep(long step) {
     world.name(model, step);
     List<JobItem> items = new ArrayList<>();
@@ -98,7 +98,7 @@
     world.after(1, this::decide);
   }
 
-  /** Tells the other runners what this one does at servers; they read it after a while. */
+  /** Reports this runner's use of servers to the others, which read it after a delay. */
   void share(long readAfterMillis, List<Runner> runners) {
     List<ServerUse> uses = scheduler.serverView().use(MAX_USES_OF_ALL, MAX_USES, world.now());
     for (Runner other : runners) {
--- a/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
+++ b/core/src/test/java/org/passhaven/core/member/BeatTableTest.java
@@ -118,7 +118,7 @@
   void timeThatTheLogNeedsForABeatIsNoSilence() {
     hearBusy(20);
     table.onBeat(freshBeat("self", 9, 1), 1_000);
-    // It was under way for long: the next one was written right after it.
+    // Its write took long, so the next one was written right after it.
     table.onBeat(freshBeat("self", 9, 20), 4_000);
     assertThat(table.isFleetLost(), is(false));
   }
@@ -202,7 +202,7 @@
     for (int i = 0; i < 20; i++) {
       table.onBeat(freshBeat("late" + i, 2, 1), 1_600 + i);
     }
-    // Who of the old ones is still thought alive changes nothing while they are few.
+    // Old nodes that are still believed alive change nothing while they are few.
     table.onBeat(busyBeat("old", 1), 1_700);
     for (int key = 0; key < 20; key++) {
       assertThat(table.rankOf("key" + key, "self") < 8, is(true));
--- a/core/src/test/java/org/passhaven/core/member/StrongNodesTest.java
+++ b/core/src/test/java/org/passhaven/core/member/StrongNodesTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.protocol.member.MemberBeat;
 
-/** A fleet of 20 machines with 1.5 cores and 60 with 0.36: work of one node goes to the former. */
+/** A fleet of a few large and many small machines: work that one node does goes to large ones. */
 class StrongNodesTest {
   private static final int STRONG = 20;
   private static final int WEAK = 60;
--- a/core/src/test/java/org/passhaven/core/memory/ByteBudgetTest.java
+++ b/core/src/test/java/org/passhaven/core/memory/ByteBudgetTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.memory.ByteBudget.Reservation;
 
-/** The load: callers and servers that read slowly, beside ordinary callers. */
+/** The budget under bodies of slow callers and servers, beside ordinary requests. */
 class ByteBudgetTest {
   private static final long MB = 1L << 20;
   private static final int ORDINARY_BYTES = 800;
--- a/core/src/test/java/org/passhaven/core/memory/InFlightBytesTest.java
+++ b/core/src/test/java/org/passhaven/core/memory/InFlightBytesTest.java
@@ -6,7 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** The load: large bodies for a server that does not read them. */
+/** Bounds of large bodies to a server that does not read them. */
 class InFlightBytesTest {
   private static final long HALF = InFlightBytes.MAX_BYTES_PER_SERVER / 2;
   private final InFlightBytes inFlight = new InFlightBytes();
--- a/node/src/test/java/org/passhaven/node/gateway/AdmissionServicesTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/AdmissionServicesTest.java
@@ -19,7 +19,9 @@
 import org.passhaven.spi.BackEndService.Call;
 import org.passhaven.spi.DutyService;
 
-/** Services with one server of one place each: two requests may be there, others wait. */
+/**
+ * Several services at one node, each with one server of one place, so with a limit of two requests.
+ */
 class AdmissionServicesTest {
   private static final long DEADLINE_MILLIS = 1_500;
   private static final Route ROUTE =
--- a/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
@@ -47,10 +47,7 @@
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService.Entry;
 
-/**
- * A runner's burst of 48 scorings at three servers of 6 places that the test answers for: 21 may be
- * there at a time.
- */
+/** A runner's bursts at three servers of six places, answered by the test. */
 class RequestAdmissionTest {
   private static final long DEADLINE_MILLIS = 1_500;
   private static final int BURST = 48;
@@ -83,7 +80,7 @@
     }
   }
 
-  /** One tenant has a rank of its own. */
+  /** One tenant has a priority of its own. */
   private static final class Documents extends GatewayFixture.NoDocuments {
     @Override
     public boolean isConfiguration(String key) {
@@ -250,7 +247,7 @@
     assertThat(sent, hasSize(LIMIT + 1));
   }
 
-  /** Servers are full and silent: who waits is told so while there is time to come back. */
+  /** Servers don't answer: waiting callers are rejected while they have time for a retry. */
   @Test
   void behindSilentServersCallersAreRefusedAfterAThirdOfTheirTime() {
     burst();
@@ -301,7 +298,7 @@
     assertThat(sent.get(sent.size() - 1), equalTo("other"));
   }
 
-  /** Callers come and leave, servers refuse, crash, go and come back, by seed. */
+  /** Random arrivals and departures of callers, and refusals, crashes and restarts of servers. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void nothingThatAServerMayHaveRunIsToldAsNotRun(long seed) {
--- a/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/SubsetForwardTest.java
@@ -43,9 +43,11 @@
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.TableService.Entry;
 
-/** One of 80 nodes before a service of 12 servers; the test answers for them. */
+/**
+ * Forwarding by one node of a large fleet to its subset of a service; the test answers for servers.
+ */
 class SubsetForwardTest {
-  /** One that chooses late, so that others change its choices. */
+  /** A node that chooses late in each round, so that other nodes' choices affect its own. */
   private static final String SELF = "n3";
 
   private static final int NODES = 80;
--- a/protocol/src/test/java/org/passhaven/protocol/member/MemberBeatTest.java
+++ b/protocol/src/test/java/org/passhaven/protocol/member/MemberBeatTest.java
@@ -10,14 +10,14 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.protocol.Codec;
 
-/** Beats of nodes of both versions, side by side as during an upgrade. */
+/** Beats with and without server use, as nodes of two versions write them during an upgrade. */
 class MemberBeatTest {
-  /** Room that what is told of servers may take on a beat. */
+  /** Most bytes that reports of server use may add to a beat. */
   private static final int MAX_USE_BYTES = 1_024;
 
   private static final int MAX_USES = 32;
 
-  /** A beat as nodes write it that know nothing of servers' use. */
+  /** A beat as written by nodes that don't know server use. */
   record OldBeat(
       String node,
       String address,
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetRecoveryTest.java
@@ -56,12 +56,12 @@
   private static final int SLOWER_BY_MILLIS = 1_200;
   private static final int QUICK_SPREAD_MILLIS = 150;
 
-  /** The last of the quick nodes is back, one beat of the first, and its way to all others. */
+  /** Restart of the last fast node, one beat period of the first one, and the time to read it. */
   private static final long KNOWN_AFTER_MILLIS = RESTART_MILLIS + QUICK_SPREAD_MILLIS + 850;
 
   private static final long LOOK_MILLIS = 100;
 
-  /** Most machines need longer to start again than the others. */
+  /** Most machines restart more slowly than the others. */
   private static GatewayWorld unevenWorld(long seed) {
     GatewayWorld world = new GatewayWorld(seed, UNEVEN_NODES);
     world.setRestartSpread(QUICK_SPREAD_MILLIS);
@@ -69,10 +69,13 @@
     return world;
   }
 
-  /** A beat that is missed, one read of the jobs, and one claim. */
+  /** One missed beat, one read of the jobs, and one claim. */
   private static final long OPEN_JOB_LIMIT_MILLIS = 800;
 
-  /** Less than a claim needs to be written and read: the run was taken before the job came. */
+  /**
+   * Less than the time to write and read a claim: shows that the run was claimed before the job
+   * came.
+   */
   private static final long NEW_JOB_LIMIT_MILLIS = 8;
 
   private static final long READ_BYTES_PER_MILLI = 5_000;
--- a/soak/src/test/java/org/passhaven/soak/check/HardLoadChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/HardLoadChecksTest.java
@@ -48,7 +48,10 @@
                 endMillis, BEGIN_MILLIS, Story.FIRST, id, status, stillMillis, 9, isWhole));
   }
 
-  /** All are served at other times. */
+  /**
+   * A slow reader, ordinary requests beside it of which some are served, and later ones, all
+   * served.
+   */
   private static Story besideSlowReader(int served, long eachMillis) {
     Story story = slowRead("slow", 200, 10_000, false);
     requests(story, BEGIN_MILLIS + 100, served, eachMillis);
@@ -109,7 +112,9 @@
         .toArray(String[]::new);
   }
 
-  /** Half of the flood's requests and so many of another tenant's twenty are served. */
+  /**
+   * A flood of which half is served, and 20 requests of another tenant of which some are served.
+   */
   private static Story flood(int served) {
     String flooding = Tenants.ofRequest("x");
     String other = Tenants.ofRequest("a").equals(flooding) ? Tenants.ofRequest("b") : "";
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -22,7 +22,7 @@
       new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true, false, false);
   private static final int SEEDS = 60;
 
-  /** Of the plan that seed 7 gave before uneven back ends were drawn. */
+  /** Faults of seed 7 other than uneven back ends, which must not change them. */
   private static final int REST_COUNT = 33;
 
   private static final int REST_HASH = 1498160959;
