The configuration's age stands beside what the node answers by it

To tell a node that was not told of a change from one that lost it, three kinds of log line had to be joined.

No logic is changed.

--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.passhaven.spi.TableService;
@@ -16,6 +17,7 @@
 public final class TableFollower {
   private static final Logger LOG = LoggerFactory.getLogger(TableFollower.class);
   private static final long WAIT_MILLIS = 2_200;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Takes documents. */
   public interface Listener {
@@ -35,11 +37,12 @@
   private long firstEnd;
   private long position;
   private boolean listed;
+  private boolean isListing;
   private long reads;
   private boolean isReading;
   private final Outage outage;
   private Timers.Timer pausing;
-  private long answeredAtMillis = Long.MIN_VALUE / 2;
+  private long answeredAtMillis = NEVER;
 
   /**
    * Creates a follower; {@link #start} begins.
@@ -71,7 +74,13 @@
     return listed;
   }
 
+  /** Whether the documents that are given now come from a listing, not from changes. */
+  public boolean isListing() {
+    return isListing;
+  }
+
   private void listAnew() {
+    isListing = true;
     listedKeys.clear();
     listAfter("");
   }
@@ -88,6 +97,16 @@
     return listed && timers.nowMillis() - answeredAtMillis <= millis;
   }
 
+  /**
+   * How long ago the table was last read to its end, as far as this node's clock tells; empty if it
+   * never was, or not since a suspension.
+   */
+  public OptionalLong silentMillis() {
+    return answeredAtMillis == NEVER
+        ? OptionalLong.empty()
+        : OptionalLong.of(timers.nowMillis() - answeredAtMillis);
+  }
+
   private void onPage(TableService.Page page, boolean isFirst) {
     outage.onSuccess(position);
     if (isFirst) {
@@ -102,6 +121,7 @@
     // Pages are no snapshot: changes that came in between are read again from the first page's end.
     listener.onListed(Set.copyOf(listedKeys));
     position = firstEnd;
+    isListing = false;
     if (!listed) {
       LOG.atInfo()
           .addKeyValue("table", table)
@@ -134,7 +154,7 @@
 
   /** The read that waits may never be answered: another one takes its place. */
   public void renew() {
-    answeredAtMillis = Long.MIN_VALUE / 2;
+    answeredAtMillis = NEVER;
     if (pausing != null) {
       hurry();
     } else if (isReading) {
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.passhaven.core.backend.ServerEntry;
@@ -103,6 +104,14 @@
     return operator.wasReadWithin(CURRENT_MILLIS);
   }
 
+  /**
+   * How long ago the store last told that there is no newer configuration, or gave it; empty if it
+   * never did.
+   */
+  public OptionalLong configurationAgeMillis() {
+    return operator.silentMillis();
+  }
+
   /** Servers as they list themselves. */
   public ServerTable servers() {
     return servers;
@@ -162,11 +171,17 @@
           .addKeyValue("version", table.version())
           .addKeyValue("before", routes.version())
           .addKeyValue("routes", table.size())
+          .addKeyValue("source", operator.isListing() ? "listing" : "changes")
+          .addKeyValue("silentMillis", text(operator.silentMillis()))
           .log("configuration: in force");
       routes = table;
       changed();
     }
 
+    private static String text(OptionalLong millis) {
+      return millis.isPresent() ? Long.toString(millis.getAsLong()) : "";
+    }
+
     private void name(String model, long version) {
       NamedVersion before = named.get(model);
       if (before == null || version > before.version()) {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.protocol.member.MemberBeat;
 import org.slf4j.Logger;
@@ -89,6 +90,7 @@
     log.addOwnerListener(members::hurry);
     log.addOwnerListener(directory::hurry);
     context.metrics().showPartitionsBehind(log);
+    context.metrics().showConfigurationAge(directory);
     runner.start();
     duties.start();
     meter.ifPresent(UsageMeter::start);
@@ -138,6 +140,11 @@
     return directory.isCurrent();
   }
 
+  /** How long ago the store last told of the configuration; empty if it never did. */
+  public OptionalLong configurationAgeMillis() {
+    return directory.configurationAgeMillis();
+  }
+
   /** What this node measures. */
   public GatewayMetrics metrics() {
     return context.metrics();
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.passhaven.core.admission.AdmissionVerdict.Reason;
@@ -18,6 +19,7 @@
 public final class GatewayMetrics {
   private static final String REJECTED = "passhaven.gateway.requests.rejected";
   private static final String MOVED = "passhaven.gateway.generations.moved";
+  private static final double MILLIS_A_SECOND = 1_000;
   private static final Duration[] LATENCY_BOUNDS = {
     Duration.ofMillis(25),
     Duration.ofMillis(50),
@@ -146,6 +148,17 @@
     registry.gauge("passhaven.gateway.partitions.behind", log, read -> read.behind().size());
   }
 
+  /** Shows the age of the configuration in force; no number while none is known. */
+  public void showConfigurationAge(Directory directory) {
+    registry.gauge(
+        "passhaven.gateway.configuration.age.seconds",
+        directory,
+        known -> {
+          OptionalLong millis = known.configurationAgeMillis();
+          return millis.isPresent() ? millis.getAsLong() / MILLIS_A_SECOND : Double.NaN;
+        });
+  }
+
   /**
    * Registers gauges of a service's waiting requests and of its concurrency limit.
    *
