Simulator: faults are drawn where they are defined

Drawing of faults moves to GatewayFault, unchanged: the same seeds give the same faults. GatewayWorldTest passes as before.

--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -33,7 +32,6 @@
   private static final long SLOW_STORE = 50;
   private static final long SLOW_SERVER = 4;
   private static final double LOST_SHARE = 0.35;
-  private static final long ADDRESS_AFTER_MILLIS = 15_000;
 
   /** Time after the end of all trouble in which every job can be read at every node again. */
   private static final long READ_BACK_MILLIS = 15_000;
@@ -186,36 +184,6 @@
     return losses;
   }
 
-  /** Draws faults that begin within a time. */
-  public static List<GatewayFault> draw(long seed, int count, long withinMillis) {
-    UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 7);
-    return draw(drawing, GatewayFault.Kind.DRAWN, count, withinMillis);
-  }
-
-  /** Draws faults that {@link #draw} does not: crashing requests and suspended machines. */
-  public static List<GatewayFault> drawCrashesAndSuspensions(
-      long seed, int count, long withinMillis) {
-    UniformRandomProvider drawing = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 37 + 11);
-    Set<GatewayFault.Kind> others = EnumSet.allOf(GatewayFault.Kind.class);
-    others.removeAll(GatewayFault.Kind.DRAWN);
-    return draw(drawing, others, count, withinMillis);
-  }
-
-  private static List<GatewayFault> draw(
-      UniformRandomProvider drawing, Set<GatewayFault.Kind> from, int count, long withinMillis) {
-    List<GatewayFault.Kind> kinds = new ArrayList<>(from);
-    List<GatewayFault> faults = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      faults.add(
-          new GatewayFault(
-              kinds.get(drawing.nextInt(kinds.size())),
-              ADDRESS_AFTER_MILLIS / 5 + drawing.nextLong(withinMillis),
-              500 + drawing.nextInt(6_000),
-              drawing.nextInt(1_000)));
-    }
-    return faults;
-  }
-
   /** Plays a run. */
   public Report play(List<GatewayFault> faults, long forMillis) {
     store.put(
--- a/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
@@ -79,7 +79,7 @@
   @Test
   void requestsThatCrashServersBesideOtherFaultsBreakNothing() {
     for (long seed = 1; seed <= 2 * SEEDS; seed++) {
-      List<GatewayFault> faults = new ArrayList<>(GatewayWorld.draw(seed, 4, 30_000));
+      List<GatewayFault> faults = new ArrayList<>(GatewayFault.draw(seed, 4, 30_000));
       faults.add(new GatewayFault(Kind.LOOKUP_CRASHES_SERVERS, 9_000, 0, 1));
       faults.add(new GatewayFault(Kind.ITEM_CRASHES_SERVERS, 11_000, 0, 1));
       faults.add(new GatewayFault(Kind.SCORE_CRASHES_SERVERS, 26_000, 0, 1));
--- a/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/GatewayWorldTest.java
@@ -40,7 +40,7 @@
 
   @Test
   void theSameSeedGivesTheSameReport() {
-    List<GatewayFault> faults = GatewayWorld.draw(5, FAULTS, 30_000);
+    List<GatewayFault> faults = GatewayFault.draw(5, FAULTS, 30_000);
     assertThat(play(5, faults), equalTo(play(5, faults)));
   }
 
@@ -74,7 +74,7 @@
   void drawnFaultsBreakNothing() {
     int handOvers = 0;
     for (long seed = 1; seed <= SEEDS; seed++) {
-      Report report = play(seed, GatewayWorld.draw(seed, FAULTS, 30_000));
+      Report report = play(seed, GatewayFault.draw(seed, FAULTS, 30_000));
       assertThat("seed " + seed, report.violations(), empty());
       assertThat("seed " + seed + " " + report, report.wholeSteps(), greaterThan(4));
       handOvers += report.handOvers();
@@ -85,8 +85,8 @@
   @Test
   void drawnCrashesAndSuspensionsBesideOtherFaultsBreakNothing() {
     for (long seed = 1; seed <= SEEDS; seed++) {
-      List<GatewayFault> faults = new ArrayList<>(GatewayWorld.draw(seed, FAULTS / 2, 30_000));
-      faults.addAll(GatewayWorld.drawCrashesAndSuspensions(seed, FAULTS / 2, 30_000));
+      List<GatewayFault> faults = new ArrayList<>(GatewayFault.draw(seed, FAULTS / 2, 30_000));
+      faults.addAll(GatewayFault.drawCrashesAndSuspensions(seed, FAULTS / 2, 30_000));
       assertThat("seed " + seed, play(seed, faults).violations(), empty());
     }
   }
--- a/simulator/src/test/java/org/passhaven/simulator/RestartInPlaceTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/RestartInPlaceTest.java
@@ -93,8 +93,8 @@
   @Test
   void drawnFaultsBreakNothing() {
     for (long seed = 1; seed <= 3 * SEEDS; seed++) {
-      List<GatewayFault> faults = new ArrayList<>(GatewayWorld.draw(seed, 4, 30_000));
-      faults.addAll(GatewayWorld.drawCrashesAndSuspensions(seed, 2, 30_000));
+      List<GatewayFault> faults = new ArrayList<>(GatewayFault.draw(seed, 4, 30_000));
+      faults.addAll(GatewayFault.drawCrashesAndSuspensions(seed, 2, 30_000));
       faults.add(fault(Kind.SERVER_CRASHES, 7_000, 600, (int) seed));
       Report report = play(seed, faults);
       assertThat("seed " + seed + " " + report, report.violations(), empty());
--- a/simulator/src/test/java/org/passhaven/simulator/UsageTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/UsageTest.java
@@ -87,8 +87,8 @@
     for (long seed = 1; seed <= 4 * SEEDS; seed++) {
       GatewayWorld world = world(seed);
       world.loseDuties(9_000 + 500 * seed, 6_000);
-      List<GatewayFault> faults = new ArrayList<>(GatewayWorld.draw(seed, 4, 30_000));
-      faults.addAll(GatewayWorld.drawCrashesAndSuspensions(seed, 2, 30_000));
+      List<GatewayFault> faults = new ArrayList<>(GatewayFault.draw(seed, 4, 30_000));
+      faults.addAll(GatewayFault.drawCrashesAndSuspensions(seed, 2, 30_000));
       Report report = world.play(faults, LENGTH_MILLIS);
       assertThat("seed " + seed + " " + report, report.violations(), empty());
     }
