--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -85,7 +85,9 @@
   private final FleetLosses losses;
   private final CrashingRequests crashing;
   private final SimulatedCallers callers;
+  private final ConfigurationChanges configurations;
   private int lookupPaths;
+  private long configureEveryMillis;
   private long lookupsEveryMillis;
   private long storeTroubledUntil;
   private int restartSpreadMillis;
@@ -117,6 +119,7 @@
     servers.setRunListener(duties::onBegun);
     trainer = new SimulatedTrainer(this, time, random);
     losses = new FleetLosses(time, trainer, hosts, this::killAndRestart);
+    configurations = new ConfigurationChanges(this, time, this::configure);
     callers =
         new SimulatedCallers(this, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 17 + 3));
     for (int i = 0; i < nodes; i++) {
@@ -174,6 +177,16 @@
     lookupsEveryMillis = everyMillis;
   }
 
+  /** The operator changes the configuration again and again. */
+  public void changeConfiguration(long everyMillis) {
+    configureEveryMillis = everyMillis;
+  }
+
+  /** How often a node was checked for the configuration that had to be in force. */
+  public int configurationChecks() {
+    return configurations.checks();
+  }
+
   /** When generations began at servers. */
   public List<Long> generationsBegunAtMillis() {
     return servers.begunAtMillis();
@@ -186,13 +199,13 @@
 
   /** Plays a run. */
   public Report play(List<GatewayFault> faults, long forMillis) {
-    store.put(
-        SimulatedDocuments.OPERATOR,
-        SimulatedDocuments.CONFIGURATION,
-        SimulatedDocuments.version(1));
+    configure(1);
     entries.start(servers.all());
     hosts.forEach(GatewayHost::start);
     after(3_000, trainer::start);
+    if (configureEveryMillis > 0) {
+      after(3_000, () -> configurations.start(configureEveryMillis));
+    }
     if (lookupPaths > 0) {
       after(3_000, () -> callers.sendOthers(lookupPaths, lookupsEveryMillis, forMillis));
     }
@@ -215,6 +228,13 @@
         storeCalls);
   }
 
+  private void configure(long version) {
+    store.put(
+        SimulatedDocuments.OPERATOR,
+        SimulatedDocuments.CONFIGURATION,
+        SimulatedDocuments.version(version));
+  }
+
   private void playUntil(long millis) {
     boolean more = true;
     while (more) {
@@ -292,10 +312,14 @@
   }
 
   private boolean isInTouch(String node) {
-    return isStoreSoundFor(IN_TOUCH_MILLIS)
-        && hosts.stream()
-            .filter(host -> host.process().name().equals(node))
-            .allMatch(host -> host.isSoundFor(IN_TOUCH_MILLIS));
+    return hosts.stream()
+        .filter(host -> host.process().name().equals(node))
+        .allMatch(this::isInTouch);
+  }
+
+  /** Whether neither the node nor the store was disturbed lately. */
+  boolean isInTouch(GatewayHost host) {
+    return isStoreSoundFor(IN_TOUCH_MILLIS) && host.isSoundFor(IN_TOUCH_MILLIS);
   }
 
   private void killAndRestart(GatewayHost host) {
