News of configuration and servers comes in time after an outage of the store

Callers were told 404 for a route that had been added, by nodes that had reached the store again for 3 s.

Cause: a read that waits for news and is sent to a silent store is never answered, also when the store is back. It was given up after its wait of 2.2 s and 1.2 s more, and begun again up to 0.4 s later: 3.8 s in which the node went by the old configuration although the store answered its other calls.

Now a read after a failure doesn't wait, so it is given up after 1.2 s and the next one tells of the store's return; that goes for tables and for streams (beats, orders, jobs came back at the same late moment). A waiting read that is overdue by 0.4 s is replaced by one that doesn't wait.

The world plays the large deployments' bound of 3 s above six nodes, as their sheets have it.

SharedRefresh holds what LogTail and TableFollower both need: one read for all who ask at the same time.

--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -1,9 +1,6 @@
 package org.passhaven.node.follow;
 
 import io.smallrye.mutiny.Uni;
-import io.smallrye.mutiny.subscription.UniEmitter;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -43,7 +40,7 @@
   private final String stream;
   private final LongSupplier betweenMillis;
   private final Listener listener;
-  private final List<UniEmitter<? super Boolean>> refreshing = new ArrayList<>();
+  private final SharedRefresh refresh = new SharedRefresh(this::readNow);
   private long next;
   private long reads;
   private boolean isReading;
@@ -125,7 +122,7 @@
       return;
     }
     Uni<LogService.Batch> read =
-        caughtUp ? log.read(stream, next, MOST_RECORDS, WAIT_MILLIS) : history.read(stream, next);
+        caughtUp ? log.read(stream, next, MOST_RECORDS, waitMillis()) : history.read(stream, next);
     long number = ++reads;
     isReading = true;
     read.subscribe()
@@ -134,6 +131,14 @@
             failure -> endRead(number, () -> onFailure(failure)));
   }
 
+  /**
+   * What is sent to a log that is silent is not answered, also when the log is back. A read that
+   * doesn't wait is given up sooner, and another one tells of the log's return.
+   */
+  private long waitMillis() {
+    return outage.isDown() ? 0 : WAIT_MILLIS;
+  }
+
   /** The answer of a read in whose place another one was begun is dropped. */
   private void endRead(long number, Runnable then) {
     if (number == reads) {
@@ -252,33 +257,15 @@
     if (!caughtUp) {
       return Uni.createFrom().item(false);
     }
-    return Uni.createFrom()
-        .emitter(
-            emitter -> {
-              refreshing.add(emitter);
-              if (refreshing.size() == 1) {
-                refreshNow();
-              }
-            });
+    return refresh.ask();
   }
 
-  private void refreshNow() {
-    List<UniEmitter<? super Boolean>> asked = new ArrayList<>(refreshing);
-    log.read(stream, next, MOST_RECORDS, 0)
-        .subscribe()
-        .with(
+  private Uni<Boolean> readNow() {
+    return log.read(stream, next, MOST_RECORDS, 0)
+        .map(
             batch -> {
               deliver(batch);
-              endRefresh(asked, next >= batch.endOffset());
-            },
-            failure -> endRefresh(asked, false));
-  }
-
-  private void endRefresh(List<UniEmitter<? super Boolean>> asked, boolean done) {
-    refreshing.removeAll(asked);
-    if (!refreshing.isEmpty()) {
-      refreshNow();
-    }
-    asked.forEach(emitter -> emitter.complete(done));
+              return next >= batch.endOffset();
+            });
   }
 }
--- a/node/src/main/java/org/passhaven/node/follow/Outage.java
+++ b/node/src/main/java/org/passhaven/node/follow/Outage.java
@@ -43,6 +43,11 @@
     return pause;
   }
 
+  /** Whether the newest read failed. */
+  boolean isDown() {
+    return down;
+  }
+
   /** A read succeeded. */
   void onSuccess(long position) {
     if (down) {
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -1,5 +1,7 @@
 package org.passhaven.node.follow;
 
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -16,7 +18,21 @@
  */
 public final class TableFollower {
   private static final Logger LOG = LoggerFactory.getLogger(TableFollower.class);
-  private static final long WAIT_MILLIS = 2_200;
+
+  /** The longest time for which the store waits for news before it answers that there is none. */
+  private static final long MAX_WAIT_MILLIS = 2_200;
+
+  private static final long MIN_WAIT_MILLIS = 100;
+
+  /**
+   * Time after the wait within which an answer comes, also one of a slow store or of a connection
+   * that is found silent.
+   */
+  private static final long OVERDUE_MILLIS = 400;
+
+  /** What another read takes when one is overdue, also where the store is slow. */
+  private static final long LOOK_MILLIS = 200;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Takes documents. */
@@ -31,6 +47,7 @@
   private final TableService tables;
   private final Timers timers;
   private final String table;
+  private final long waitMillis;
   private final LongSupplier betweenMillis;
   private final Listener listener;
   private final Set<String> listedKeys = new HashSet<>();
@@ -41,12 +58,25 @@
   private long reads;
   private boolean isReading;
   private final Outage outage;
+  private final SharedRefresh refresh = new SharedRefresh(this::readNow);
   private Timers.Timer pausing;
+  private Timers.Timer overdue = () -> {};
   private long answeredAtMillis = NEVER;
 
+  /** Creates a follower of a table whose news may come late when an answer is lost. */
+  public TableFollower(
+      TableService tables,
+      Timers timers,
+      String table,
+      LongSupplier betweenMillis,
+      Listener listener) {
+    this(tables, timers, table, Duration.ofDays(1), betweenMillis, listener);
+  }
+
   /**
    * Creates a follower; {@link #start} begins.
    *
+   * @param inTime time in which news must come, also if one answer is lost
    * @param betweenMillis pause after changes, so that a busy table is read in batches; asked each
    *     time
    */
@@ -54,8 +84,13 @@
       TableService tables,
       Timers timers,
       String table,
+      Duration inTime,
       LongSupplier betweenMillis,
       Listener listener) {
+    this.waitMillis =
+        Math.max(
+            MIN_WAIT_MILLIS,
+            Math.min(MAX_WAIT_MILLIS, inTime.toMillis() - OVERDUE_MILLIS - LOOK_MILLIS));
     this.tables = Objects.requireNonNull(tables, "tables");
     this.timers = Objects.requireNonNull(timers, "timers");
     this.table = Objects.requireNonNull(table, "table");
@@ -130,24 +165,51 @@
     }
     listed = true;
     answeredAtMillis = timers.nowMillis();
-    readOn();
+    await();
+  }
+
+  /** Waits for news. */
+  private void await() {
+    overdue.cancel();
+    overdue = timers.after(waitMillis + OVERDUE_MILLIS, this::onOverdue);
+    read(waitMillis);
+  }
+
+  /**
+   * Reads without waiting. What is sent to a store that is silent is not answered, also when the
+   * store is back: a read that doesn't wait is given up sooner, and another one tells of the
+   * store's return.
+   */
+  private void look() {
+    overdue.cancel();
+    read(0);
   }
 
-  private void readOn() {
+  private void read(long forMillis) {
     long read = ++reads;
     isReading = true;
     tables
-        .changes(table, position, WAIT_MILLIS)
+        .changes(table, position, forMillis)
         .subscribe()
         .with(
             changes -> endRead(read, () -> onChanges(changes)),
-            failure -> endRead(read, () -> onFailure(failure, this::readOn)));
+            failure -> endRead(read, () -> onFailure(failure, this::look)));
+  }
+
+  private void onOverdue() {
+    LOG.atInfo()
+        .addKeyValue("table", table)
+        .addKeyValue("next", position)
+        .addKeyValue("silentMillis", timers.nowMillis() - answeredAtMillis)
+        .log("table: a read that waits for news is overdue, another one is begun");
+    look();
   }
 
   /** The answer of a read in whose place another one was begun is dropped. */
   private void endRead(long read, Runnable then) {
     if (read == reads) {
       isReading = false;
+      overdue.cancel();
       then.run();
     }
   }
@@ -158,8 +220,40 @@
     if (pausing != null) {
       hurry();
     } else if (isReading) {
-      readOn();
+      look();
+    }
+  }
+
+  /**
+   * Reads what is there now, beside the waiting read. Gives true once all changes that were made
+   * before the call have been given, false if the table could not be read.
+   */
+  public Uni<Boolean> refresh() {
+    return listed && !isListing ? refresh.ask() : Uni.createFrom().item(false);
+  }
+
+  private Uni<Boolean> readNow() {
+    long from = position;
+    return tables.changes(table, from, 0).chain(changes -> onRefreshed(from, changes));
+  }
+
+  /** One answer may not hold all changes: the last one has none. */
+  private Uni<Boolean> onRefreshed(long from, TableService.Changes changes) {
+    if (changes.truncated() || isListing) {
+      return Uni.createFrom().item(false);
+    }
+    if (from == position) {
+      boolean isAll = changes.end() == from;
+      take(changes);
+      if (isAll) {
+        return Uni.createFrom().item(true);
+      }
+      if (isReading) {
+        // What waits would bring the same changes again, over newer ones.
+        look();
+      }
     }
+    return readNow();
   }
 
   private void onChanges(TableService.Changes changes) {
@@ -169,20 +263,24 @@
       listAnew();
       return;
     }
-    changes.entries().forEach(this::give);
-    position = changes.end();
-    answeredAtMillis = timers.nowMillis();
+    take(changes);
     long pause = changes.entries().isEmpty() ? 0 : betweenMillis.getAsLong();
     if (pause > 0) {
       pausing = timers.after(pause, this::endPause);
     } else {
-      readOn();
+      await();
     }
   }
 
+  private void take(TableService.Changes changes) {
+    changes.entries().forEach(this::give);
+    position = changes.end();
+    answeredAtMillis = timers.nowMillis();
+  }
+
   private void endPause() {
     pausing = null;
-    readOn();
+    await();
   }
 
   /** Somebody waits for news of the table: a pause between reads ends now. */
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -53,6 +53,7 @@
             context.tables(),
             context.timers(),
             documents.operatorTable(),
+            context.settings().inForce(),
             () -> 0,
             new OperatorListener());
     this.serverEntries =
@@ -60,6 +61,7 @@
             context.tables(),
             context.timers(),
             documents.serverTable(),
+            context.settings().inForce(),
             betweenServersMillis,
             new ServerListener());
   }
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param tick time between two rounds of decisions
  * @param lease who may order weights
  * @param loads how many servers of a service load weights at a time
+ * @param inForce time within which news of the operator and of servers must be acted on
  * @param keepJobs time for which ended jobs stay readable
  * @param mostRecordBytes largest record of the log
  * @param mostAppendBytes largest append to the log
@@ -35,6 +36,7 @@
     Duration tick,
     DutyLease.Settings lease,
     LoadLimit loads,
+    Duration inForce,
     Duration keepJobs,
     int mostRecordBytes,
     int mostAppendBytes,
@@ -47,6 +49,9 @@
     Objects.requireNonNull(lease, "lease");
     Objects.requireNonNull(loads, "loads");
     Objects.requireNonNull(usage, "usage");
+    if (inForce.toMillis() < 1) {
+      throw new IllegalArgumentException("inForce must be at least 1 ms, but is " + inForce);
+    }
     if (jobPartitions < 1) {
       throw new IllegalArgumentException("jobPartitions must be at least 1");
     }
--- a/node/src/test/java/org/passhaven/node/follow/NewsInTimeTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/NewsInTimeTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.equalTo;
 
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -117,6 +118,7 @@
             store,
             timers,
             "operator",
+            Duration.ofMillis(IN_FORCE_MILLIS),
             () -> 0,
             new TableFollower.Listener() {
               @Override
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -35,6 +35,7 @@
         Duration.ofMillis(100),
         new DutyLease.Settings(1_000, 3_000, 3_000, 2_000, 400, 75_000),
         new LoadLimit(2, 0.3),
+        Duration.ofSeconds(2),
         Duration.ofSeconds(150),
         maxRecordBytes,
         maxAppendBytes,
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/ConfigurationChanges.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/ConfigurationChanges.java
@@ -1,5 +1,6 @@
 package org.passhaven.simulator.gateway;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
@@ -11,15 +12,13 @@
  * force in time at the nodes that were undisturbed.
  */
 final class ConfigurationChanges {
-  /** Time from the acknowledgement of a version to its being in force. */
-  private static final long IN_FORCE_MILLIS = 2_000;
-
   private static final long CHECK_MILLIS = 50;
 
   private record Acknowledged(long version, long atMillis) {}
 
   private final GatewayWorld world;
   private final VirtualTime time;
+  private final long inForceMillis;
   private final Consumer<Long> write;
   private final Deque<Acknowledged> recent = new ArrayDeque<>();
   private long version = 1;
@@ -29,11 +28,14 @@
   /**
    * Creates the operator.
    *
+   * @param inForce time from the acknowledgement of a version to its being in force
    * @param write writes a version to the store, where it is acknowledged at once
    */
-  ConfigurationChanges(GatewayWorld world, VirtualTime time, Consumer<Long> write) {
+  ConfigurationChanges(
+      GatewayWorld world, VirtualTime time, Duration inForce, Consumer<Long> write) {
     this.world = Objects.requireNonNull(world, "world");
     this.time = Objects.requireNonNull(time, "time");
+    this.inForceMillis = inForce.toMillis();
     this.write = Objects.requireNonNull(write, "write");
   }
 
@@ -63,7 +65,7 @@
   }
 
   private void check() {
-    while (!recent.isEmpty() && time.nowMillis() - recent.peek().atMillis() > IN_FORCE_MILLIS) {
+    while (!recent.isEmpty() && time.nowMillis() - recent.peek().atMillis() > inForceMillis) {
       dueVersion = recent.poll().version();
     }
     world.hosts().stream().filter(world::isInTouch).forEach(this::check);
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -24,6 +24,11 @@
   private static final List<String> STREAMS =
       List.of("members.0", "orders.0", "jobs.0", "jobs.1", "table/" + SimulatedDocuments.SERVERS);
   private static final int FEW_NODES = 6;
+
+  /** Deployments of few machines put changes in force sooner than large ones. */
+  private static final Duration IN_FORCE_AT_FEW = Duration.ofSeconds(2);
+
+  private static final Duration IN_FORCE_AT_MANY = Duration.ofSeconds(3);
   private static final long LEASE_MILLIS = 3_000;
   private static final long HAND_OVER_MILLIS = LEASE_MILLIS + 1_200;
   private static final long RELEASED_MILLIS = LEASE_MILLIS + 100;
@@ -73,6 +78,7 @@
       Map<String, Long> storeCalls) {}
 
   private final boolean isUsageReported;
+  private final Duration inForce;
   private final VirtualTime time = new VirtualTime();
   private final UniformRandomProvider random;
   private final GatewayChecker checker = new GatewayChecker(LEASE_MILLIS);
@@ -105,6 +111,7 @@
   /** Creates a world in which usage is to be reported, or is not. */
   public GatewayWorld(long seed, int nodes, boolean isUsageReported) {
     this.isUsageReported = isUsageReported;
+    inForce = nodes > FEW_NODES ? IN_FORCE_AT_MANY : IN_FORCE_AT_FEW;
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     store = new SimulatedStore(time, random);
     entries = new ServerEntries(time, store);
@@ -119,7 +126,7 @@
     servers.setRunListener(duties::onBegun);
     trainer = new SimulatedTrainer(this, time, random);
     losses = new FleetLosses(time, trainer, hosts, this::killAndRestart);
-    configurations = new ConfigurationChanges(this, time, this::configure);
+    configurations = new ConfigurationChanges(this, time, inForce, this::configure);
     callers =
         new SimulatedCallers(this, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 17 + 3));
     for (int i = 0; i < nodes; i++) {
@@ -139,6 +146,7 @@
             Duration.ofMillis(100),
             new DutyLease.Settings(1_000, HAND_OVER_MILLIS, RELEASED_MILLIS, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
+            inForce,
             Duration.ofSeconds(150),
             262_144,
             2_097_152,
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetHistoryTest.java
@@ -107,6 +107,7 @@
             Duration.ofMillis(100),
             new DutyLease.Settings(1_000, 4_200, 3_100, 2_000, 400, 75_000),
             new LoadLimit(2, 0.3),
+            Duration.ofSeconds(2),
             Duration.ofSeconds(150),
             262_144,
             2_097_152,
