That a request is not let in is said only by a configuration that is confirmed

Callers were told 404, which is final, for a route that had been added over 2 s before: they tried no other node.

Cause: a node answered 404 by whatever configuration it knew, of any age; an unknown key got 401 by one that was up to 3 s old, where 2 s are allowed, and a missing key 401 by a route that may be public by now. The class: a final no by followed state that may be old. Jobs had it right: they look into the log before they say that there is none.

What the known configuration lets in runs as before, whatever its age: a store that is away must not end all service, and how long a node stays behind was bounded by the commit before. What it doesn't let in is looked up in the operator's table first, unless that was read within half of configApplyMs: one small read, shared by all who wait, at most two a second and node where 2 s are allowed. If the store can't tell within 0.4 s the answer is 503 with Retry-After: not run, another node may know.

A refresh of a table ends after 0.3 s.

--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -33,6 +33,12 @@
   /** What another read takes when one is overdue, also where the store is slow. */
   private static final long LOOK_MILLIS = 200;
 
+  /**
+   * A refresh that was begun while the store was silent must not hold up those after it. Above the
+   * 250 ms of a slow store.
+   */
+  private static final long REFRESH_LIMIT_MILLIS = 300;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Takes documents. */
@@ -234,7 +240,9 @@
 
   private Uni<Boolean> readNow() {
     long from = position;
-    return tables.changes(table, from, 0).chain(changes -> onRefreshed(from, changes));
+    return timers
+        .limit(tables.changes(table, from, 0), REFRESH_LIMIT_MILLIS, "table: refresh")
+        .chain(changes -> onRefreshed(from, changes));
   }
 
   /** One answer may not hold all changes: the last one has none. */
--- a/node/src/main/java/org/passhaven/node/gateway/Directory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Directory.java
@@ -1,5 +1,6 @@
 package org.passhaven.node.gateway;
 
+import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,8 +26,11 @@
 public final class Directory {
   private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
-  /** A read that waits for news is answered within 2.2 s; the rest is for a slow answer. */
-  private static final long CURRENT_MILLIS = 3_000;
+  /** A look into the table takes some 10 ms, and 250 ms where the store is slow. */
+  private static final long CONFIRM_LIMIT_MILLIS = 400;
+
+  /** Part of the time to put news in force within which what is known need not be confirmed. */
+  private static final int FRESH_PART = 2;
 
   /** Keys of entries that can't be read that are remembered, so that each is logged once. */
   private static final int MOST_UNREADABLE = 1_000;
@@ -99,11 +103,18 @@
   }
 
   /**
-   * Whether the configuration in force is the newest, as far as that can be known: a read that
-   * waits for news is answered within 2.2 s, and one more may be on its way.
+   * Looks into the operator's table unless it was read lately. Gives true if every configuration
+   * that has to be in force is, false if the store can't tell soon.
    */
-  public boolean isCurrent() {
-    return operator.wasReadWithin(CURRENT_MILLIS);
+  public Uni<Boolean> confirmConfiguration() {
+    if (operator.wasReadWithin(context.settings().inForce().toMillis() / FRESH_PART)) {
+      return Uni.createFrom().item(true);
+    }
+    return context
+        .timers()
+        .limit(operator.refresh(), CONFIRM_LIMIT_MILLIS, "configuration")
+        .onFailure()
+        .recoverWithItem(false);
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -135,9 +135,12 @@
     return directory.routes();
   }
 
-  /** Whether the configuration in force is the newest, as far as that can be known. */
-  public boolean isCurrent() {
-    return directory.isCurrent();
+  /**
+   * To be asked before a final answer that a newer configuration could forbid. Gives true if every
+   * configuration that has to be in force is, false if the store can't tell soon.
+   */
+  public Uni<Boolean> confirmConfiguration() {
+    return directory.confirmConfiguration();
   }
 
   /** How long ago the store last told of the configuration; empty if it never did. */
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -100,8 +100,11 @@
   /** Requests not let in whose key no tenant has. */
   public final Counter requestsWithUnknownKey;
 
-  /** Requests with an unknown key sent elsewhere, since the configuration here may be old. */
-  public final Counter requestsWithUnsureKey;
+  /** Requests without a route. */
+  public final Counter requestsWithoutRoute;
+
+  /** Requests sent elsewhere, since the configuration that doesn't let them in may be old. */
+  public final Counter requestsUnsure;
 
   /** Requests that waited at this node for a place at a service. */
   public final Counter requestsWaited;
@@ -130,7 +133,8 @@
     documentsUnreadable = registry.counter("passhaven.gateway.documents.unreadable");
     requestsWithoutKey = registry.counter(REJECTED, "reason", "no-key");
     requestsWithUnknownKey = registry.counter(REJECTED, "reason", "unknown-key");
-    requestsWithUnsureKey = registry.counter(REJECTED, "reason", "unsure");
+    requestsWithoutRoute = registry.counter(REJECTED, "reason", "no-route");
+    requestsUnsure = registry.counter(REJECTED, "reason", "unsure");
     fleetLosses = registry.counter("passhaven.gateway.fleet.losses");
     leaseChanges = registry.counter("passhaven.gateway.lease.changes");
     windowsReported = registry.counter("passhaven.gateway.usage.reports", "outcome", "done");
