--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -19,9 +19,13 @@
 public final class TableFollower {
   private static final Logger LOG = LoggerFactory.getLogger(TableFollower.class);
 
+  /** Leaves the longest wait to the store. */
+  private static final Duration NO_HURRY = Duration.ofDays(1);
+
   /** The longest time for which the store waits for news before it answers that there is none. */
   private static final long MAX_WAIT_MILLIS = 2_200;
 
+  /** A store is not asked more often, however soon news must come. */
   private static final long MIN_WAIT_MILLIS = 100;
 
   /**
@@ -30,8 +34,8 @@
    */
   private static final long OVERDUE_MILLIS = 400;
 
-  /** What another read takes when one is overdue, also where the store is slow. */
-  private static final long LOOK_MILLIS = 200;
+  /** What the read takes that is begun in place of an overdue one, also where the store is slow. */
+  private static final long REPLACEMENT_MILLIS = 200;
 
   /**
    * A refresh that was begun while the store was silent must not hold up those after it. Above the
@@ -76,13 +80,13 @@
       String table,
       LongSupplier betweenMillis,
       Listener listener) {
-    this(tables, timers, table, Duration.ofDays(1), betweenMillis, listener);
+    this(tables, timers, table, NO_HURRY, betweenMillis, listener);
   }
 
   /**
    * Creates a follower; {@link #start} begins.
    *
-   * @param inTime time in which news must come, also if one answer is lost
+   * @param inTime time within which news must be known here, also if one answer is lost
    * @param betweenMillis pause after changes, so that a busy table is read in batches; asked each
    *     time
    */
@@ -96,7 +100,7 @@
     this.waitMillis =
         Math.max(
             MIN_WAIT_MILLIS,
-            Math.min(MAX_WAIT_MILLIS, inTime.toMillis() - OVERDUE_MILLIS - LOOK_MILLIS));
+            Math.min(MAX_WAIT_MILLIS, inTime.toMillis() - OVERDUE_MILLIS - REPLACEMENT_MILLIS));
     this.tables = Objects.requireNonNull(tables, "tables");
     this.timers = Objects.requireNonNull(timers, "timers");
     this.table = Objects.requireNonNull(table, "table");
@@ -182,11 +186,11 @@
   }
 
   /**
-   * Reads without waiting. What is sent to a store that is silent is not answered, also when the
-   * store is back: a read that doesn't wait is given up sooner, and another one tells of the
-   * store's return.
+   * Reads without waiting for news. What is sent to a store that is silent is not answered, also
+   * when the store is back: a read that doesn't wait is given up sooner, and another one tells of
+   * the store's return.
    */
-  private void look() {
+  private void readAtOnce() {
     overdue.cancel();
     read(0);
   }
@@ -199,7 +203,7 @@
         .subscribe()
         .with(
             changes -> endRead(read, () -> onChanges(changes)),
-            failure -> endRead(read, () -> onFailure(failure, this::look)));
+            failure -> endRead(read, () -> onFailure(failure, this::readAtOnce)));
   }
 
   private void onOverdue() {
@@ -208,7 +212,7 @@
         .addKeyValue("next", position)
         .addKeyValue("silentMillis", timers.nowMillis() - answeredAtMillis)
         .log("table: a read that waits for news is overdue, another one is begun");
-    look();
+    readAtOnce();
   }
 
   /** The answer of a read in whose place another one was begun is dropped. */
@@ -226,7 +230,7 @@
     if (pausing != null) {
       hurry();
     } else if (isReading) {
-      look();
+      readAtOnce();
     }
   }
 
@@ -258,7 +262,7 @@
       }
       if (isReading) {
         // What waits would bring the same changes again, over newer ones.
-        look();
+        readAtOnce();
       }
     }
     return readNow();
