Follower of tables and of streams share their read and their pause

Both kept, each for itself, the number of the read that counts, whether one is under way, and the pause between reads that ends early. CurrentRead and ReadPause hold that once; nothing else is changed.

--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -41,12 +41,11 @@
   private final LongSupplier betweenMillis;
   private final Listener listener;
   private final SharedRefresh refresh = new SharedRefresh(this::readNow);
+  private final CurrentRead current = new CurrentRead();
+  private final ReadPause pause;
   private long next;
-  private long reads;
-  private boolean isReading;
   private boolean caughtUp;
   private boolean closed;
-  private Timers.Timer pausing;
   private long startedAtMillis;
   private long answeredAtMillis = Long.MIN_VALUE;
   private long records;
@@ -81,6 +80,7 @@
     this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.outage = new Outage(LOG, "log", stream);
+    this.pause = new ReadPause(timers, this::readOn);
   }
 
   /** Begins to read at an offset. */
@@ -123,12 +123,7 @@
     }
     Uni<LogService.Batch> read =
         caughtUp ? log.read(stream, next, MOST_RECORDS, waitMillis()) : history.read(stream, next);
-    long number = ++reads;
-    isReading = true;
-    read.subscribe()
-        .with(
-            batch -> endRead(number, () -> onBatch(batch)),
-            failure -> endRead(number, () -> onFailure(failure)));
+    current.begin(read, this::onBatch, this::onFailure);
   }
 
   /**
@@ -139,19 +134,11 @@
     return outage.isDown() ? 0 : WAIT_MILLIS;
   }
 
-  /** The answer of a read in whose place another one was begun is dropped. */
-  private void endRead(long number, Runnable then) {
-    if (number == reads) {
-      isReading = false;
-      then.run();
-    }
-  }
-
   /** The read that waits may never be answered: another one takes its place. */
   public void renew() {
-    if (pausing != null) {
+    if (pause.isRunning()) {
       hurry();
-    } else if (isReading && caughtUp) {
+    } else if (current.isUnderWay() && caughtUp) {
       readOn();
     }
   }
@@ -162,25 +149,12 @@
     }
     outage.onSuccess(next);
     boolean some = deliver(batch);
-    long pause = some && caughtUp ? betweenMillis.getAsLong() : 0;
-    if (pause > 0) {
-      pausing = timers.after(pause, this::endPause);
-    } else {
-      readOn();
-    }
-  }
-
-  private void endPause() {
-    pausing = null;
-    readOn();
+    pause.begin(some && caughtUp ? betweenMillis.getAsLong() : 0);
   }
 
   /** Somebody waits for news of the stream: a pause between reads ends now. */
   public void hurry() {
-    if (pausing != null) {
-      pausing.cancel();
-      endPause();
-    }
+    pause.cutShort();
   }
 
   /** Gives what was not given before; true if there was something. */
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -65,11 +65,10 @@
   private long position;
   private boolean listed;
   private boolean isListing;
-  private long reads;
-  private boolean isReading;
   private final Outage outage;
   private final SharedRefresh refresh = new SharedRefresh(this::readNow);
-  private Timers.Timer pausing;
+  private final CurrentRead current = new CurrentRead();
+  private final ReadPause pause;
   private Timers.Timer overdue = () -> {};
   private long answeredAtMillis = NEVER;
 
@@ -107,6 +106,7 @@
     this.betweenMillis = Objects.requireNonNull(betweenMillis, "betweenMillis");
     this.listener = Objects.requireNonNull(listener, "listener");
     this.outage = new Outage(LOG, "table", table);
+    this.pause = new ReadPause(timers, this::await);
   }
 
   /** Begins to follow. */
@@ -196,14 +196,10 @@
   }
 
   private void read(long forMillis) {
-    long read = ++reads;
-    isReading = true;
-    tables
-        .changes(table, position, forMillis)
-        .subscribe()
-        .with(
-            changes -> endRead(read, () -> onChanges(changes)),
-            failure -> endRead(read, () -> onFailure(failure, this::readAtOnce)));
+    current.begin(
+        tables.changes(table, position, forMillis),
+        this::onChanges,
+        failure -> onFailure(failure, this::readAtOnce));
   }
 
   private void onOverdue() {
@@ -215,21 +211,12 @@
     readAtOnce();
   }
 
-  /** The answer of a read in whose place another one was begun is dropped. */
-  private void endRead(long read, Runnable then) {
-    if (read == reads) {
-      isReading = false;
-      overdue.cancel();
-      then.run();
-    }
-  }
-
   /** The read that waits may never be answered: another one takes its place. */
   public void renew() {
     answeredAtMillis = NEVER;
-    if (pausing != null) {
+    if (pause.isRunning()) {
       hurry();
-    } else if (isReading) {
+    } else if (current.isUnderWay()) {
       readAtOnce();
     }
   }
@@ -260,7 +247,7 @@
       if (isAll) {
         return Uni.createFrom().item(true);
       }
-      if (isReading) {
+      if (current.isUnderWay()) {
         // What waits would bring the same changes again, over newer ones.
         readAtOnce();
       }
@@ -269,6 +256,7 @@
   }
 
   private void onChanges(TableService.Changes changes) {
+    overdue.cancel();
     outage.onSuccess(position);
     if (changes.truncated()) {
       LOG.atWarn().addKeyValue("table", table).addKeyValue("at", position).log("table: gap");
@@ -276,12 +264,7 @@
       return;
     }
     take(changes);
-    long pause = changes.entries().isEmpty() ? 0 : betweenMillis.getAsLong();
-    if (pause > 0) {
-      pausing = timers.after(pause, this::endPause);
-    } else {
-      await();
-    }
+    pause.begin(changes.entries().isEmpty() ? 0 : betweenMillis.getAsLong());
   }
 
   private void take(TableService.Changes changes) {
@@ -290,17 +273,9 @@
     answeredAtMillis = timers.nowMillis();
   }
 
-  private void endPause() {
-    pausing = null;
-    await();
-  }
-
   /** Somebody waits for news of the table: a pause between reads ends now. */
   public void hurry() {
-    if (pausing != null) {
-      pausing.cancel();
-      endPause();
-    }
+    pause.cutShort();
   }
 
   /** A document that its listener can't take must not end the reading of all that follow. */
@@ -317,6 +292,7 @@
   }
 
   private void onFailure(Throwable failure, Runnable again) {
+    overdue.cancel();
     timers.after(outage.onFailure(failure, position), again);
   }
 }
