--- a/simulator/src/main/java/org/passhaven/simulator/gateway/ConfigurationChanges.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/ConfigurationChanges.java
@@ -4,7 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
-import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.passhaven.simulator.time.VirtualTime;
 
 /**
@@ -19,7 +19,7 @@
   private final GatewayWorld world;
   private final VirtualTime time;
   private final long inForceMillis;
-  private final Consumer<Long> write;
+  private final LongConsumer write;
   private final Deque<Acknowledged> recent = new ArrayDeque<>();
   private long version = 1;
   private long dueVersion;
@@ -31,8 +31,7 @@
    * @param inForce time from the acknowledgement of a version to its being in force
    * @param write writes a version to the store, where it is acknowledged at once
    */
-  ConfigurationChanges(
-      GatewayWorld world, VirtualTime time, Duration inForce, Consumer<Long> write) {
+  ConfigurationChanges(GatewayWorld world, VirtualTime time, Duration inForce, LongConsumer write) {
     this.world = Objects.requireNonNull(world, "world");
     this.time = Objects.requireNonNull(time, "time");
     this.inForceMillis = inForce.toMillis();
