Interfaces: topology, properties of services, evacuations, the check before each send

Cause: a server's remaining cold time was parsed and dropped, services of the configuration (cold rate, scaling), evacuations, regions and allowed regions were not read at all, and nothing stood between a sender and a server that must get no request now.

In effect so far: only the check itself (listed, ready).

--- a/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerEntry.java
@@ -11,6 +11,8 @@
  * @param slots number of requests that the server processes concurrently
  * @param ready whether the server accepts new requests
  * @param versions weight version by model; empty if the server has no models
+ * @param coldMillis remaining time for which the server was cold when it published this entry; zero
+ *     if it was warm
  */
 public record ServerEntry(
     ServerIncarnation incarnation,
@@ -19,13 +21,29 @@
     String zone,
     int slots,
     boolean ready,
-    Map<String, Long> versions) {
+    Map<String, Long> versions,
+    long coldMillis) {
   public ServerEntry {
     Objects.requireNonNull(incarnation, "incarnation");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(zone, "zone");
     versions = Map.copyOf(versions);
+    if (coldMillis < 0) {
+      throw new IllegalArgumentException("cold time must not be negative, but is " + coldMillis);
+    }
+  }
+
+  /** Creates the entry of a warm server. */
+  public ServerEntry(
+      ServerIncarnation incarnation,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      boolean ready,
+      Map<String, Long> versions) {
+    this(incarnation, service, address, zone, slots, ready, versions, 0);
   }
 
   /**
@@ -35,7 +53,7 @@
   public ServerEntry withMinVersions(Map<String, Long> lowerBounds) {
     Map<String, Long> merged = new HashMap<>(versions);
     lowerBounds.forEach((model, version) -> merged.merge(model, version, Math::max));
-    return new ServerEntry(incarnation, service, address, zone, slots, ready, merged);
+    return new ServerEntry(incarnation, service, address, zone, slots, ready, merged, coldMillis);
   }
 
   /** Returns the weight version of a model, or zero if the server does not report serving it. */
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Zones whose servers must receive no new requests. Pure logic without I/O. */
+package org.passhaven.core.evacuation;
--- a/core/src/main/java/org/passhaven/core/route/Route.java
+++ b/core/src/main/java/org/passhaven/core/route/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.passhaven.protocol.region.RegionRestriction;
 
 /**
  * A route of the current configuration: which requests it matches and how they are forwarded.
@@ -17,6 +18,7 @@
  * @param priority priority of its requests; 0 is the highest
  * @param abandonAfterMillis time after which an item of a job may be abandoned; zero for never
  * @param isPublic whether requests are accepted without an API key even if tenants are configured
+ * @param restriction regions in which requests may be served and stored
  */
 public record Route(
     String name,
@@ -31,7 +33,8 @@
     boolean singleVersion,
     int priority,
     long abandonAfterMillis,
-    boolean isPublic) {
+    boolean isPublic,
+    RegionRestriction restriction) {
   /** Retry semantics and response type of a route. */
   public enum Kind {
     /** Requests may run more than once. */
@@ -50,11 +53,44 @@
     Objects.requireNonNull(pathPrefix, "pathPrefix");
     Objects.requireNonNull(kind, "kind");
     shares = List.copyOf(shares);
+    Objects.requireNonNull(restriction, "restriction");
     if (shares.isEmpty()) {
       throw new IllegalArgumentException("route " + name + " has no service");
     }
   }
 
+  /** Creates a route whose requests may be served in all regions. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      List<ServiceShare> shares,
+      Kind kind,
+      long timeoutMillis,
+      long targetMillis,
+      int maxAttempts,
+      boolean resumable,
+      boolean singleVersion,
+      int priority,
+      long abandonAfterMillis,
+      boolean isPublic) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        shares,
+        kind,
+        timeoutMillis,
+        targetMillis,
+        maxAttempts,
+        resumable,
+        singleVersion,
+        priority,
+        abandonAfterMillis,
+        isPublic,
+        RegionRestriction.NONE);
+  }
+
   /** Returns whether a request may be retried after it may have run. */
   public boolean mayRepeat() {
     return kind == Kind.REPEATABLE || resumable;
--- a/core/src/main/java/org/passhaven/core/route/RouteTable.java
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -10,7 +10,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.passhaven.core.service.ServiceSpec;
 import org.passhaven.core.tenant.TenantTable;
+import org.passhaven.protocol.region.RegionRestriction;
 
 /**
  * Immutable lookup table of the routes of one configuration version by host and path prefix, with
@@ -26,10 +28,26 @@
   private final TenantTable tenants;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Set<String> services = new HashSet<>();
+  private final Map<String, ServiceSpec> specs;
 
   /** Creates the table of configuration {@code version}; zero if there is no configuration. */
   public RouteTable(long version, List<Route> routes, RequestLimits limits, TenantTable tenants) {
+    this(version, routes, limits, tenants, Map.of());
+  }
+
+  /**
+   * Creates the table of configuration {@code version}.
+   *
+   * @param specs properties of the services that the configuration describes, by name
+   */
+  public RouteTable(
+      long version,
+      List<Route> routes,
+      RequestLimits limits,
+      TenantTable tenants,
+      Map<String, ServiceSpec> specs) {
     this.version = version;
+    this.specs = Map.copyOf(specs);
     this.limits = limits;
     this.tenants = Objects.requireNonNull(tenants, "tenants");
     for (Route route : routes) {
@@ -63,6 +81,21 @@
     return services.contains(service);
   }
 
+  /** Returns the properties of a service. */
+  public ServiceSpec service(String name) {
+    return specs.getOrDefault(name, ServiceSpec.ofName(name));
+  }
+
+  /** Returns the services that the configuration describes, by name. */
+  public Map<String, ServiceSpec> services() {
+    return specs;
+  }
+
+  /** Returns the regions in which a tenant's request on a route may be served and stored. */
+  public RegionRestriction restrictionOf(Route route, String tenant) {
+    return route.restriction().and(tenants.restrictionOf(tenant));
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routesByHost.values().stream().mapToInt(List::size).sum();
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/service/package-info.java
@@ -0,0 +1,2 @@
+/** Operator-defined properties of services. Pure logic without I/O. */
+package org.passhaven.core.service;
--- a/core/src/main/java/org/passhaven/core/tenant/TenantTable.java
+++ b/core/src/main/java/org/passhaven/core/tenant/TenantTable.java
@@ -7,6 +7,7 @@
 import org.passhaven.core.tenant.AuthenticationResult.Admitted;
 import org.passhaven.core.tenant.AuthenticationResult.Reason;
 import org.passhaven.core.tenant.AuthenticationResult.Rejected;
+import org.passhaven.protocol.region.RegionRestriction;
 
 /**
  * Immutable lookup table of the tenants of one configuration by API key and by name; a lookup takes
@@ -62,6 +63,15 @@
     return known == null ? OptionalInt.empty() : known.priority();
   }
 
+  /**
+   * Returns the regions in which a tenant's requests may be served and stored; unrestricted if the
+   * tenant is unknown.
+   */
+  public RegionRestriction restrictionOf(String tenant) {
+    Tenant known = byName.get(tenant);
+    return known == null ? RegionRestriction.NONE : known.restriction();
+  }
+
   @Override
   public String toString() {
     return "TenantTable[" + byName.size() + " tenants]";
--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/topology/package-info.java
@@ -0,0 +1,2 @@
+/** Zones, regions and the distance between them. Pure logic without I/O. */
+package org.passhaven.core.topology;
--- a/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
@@ -99,7 +99,8 @@
         call.host(),
         call.headers(),
         call.body(),
-        Math.max(1, plan.remainingMillis(nowMillis)));
+        Math.max(1, plan.remainingMillis(nowMillis)),
+        call.restriction());
   }
 
   private void onHedgeTimer(int attempt, ServerEntry server) {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -55,11 +55,20 @@
 
   /** Creates a node; {@link #start} starts its work. */
   public Gateway(GatewayContext baseContext) {
-    this.context = Objects.requireNonNull(baseContext, "context").withClockJumpDetection();
-    this.jobLog = new JobLog(context);
+    GatewayContext unchecked =
+        Objects.requireNonNull(baseContext, "context").withClockJumpDetection();
+    this.jobLog = new JobLog(unchecked);
     this.directory =
         new PlatformDirectory(
-            context, () -> jobLog.ownsAnyRun() ? 0 : IDLE_SERVER_READ_PAUSE_MILLIS);
+            unchecked, () -> jobLog.ownsAnyRun() ? 0 : IDLE_SERVER_READ_PAUSE_MILLIS);
+    this.context =
+        unchecked.withBackEnds(
+            new EligibleBackEnds(
+                unchecked.backEnds(),
+                directory.eligibility(),
+                directory.servers()::getById,
+                unchecked::nowMillis,
+                unchecked.metrics()));
     this.crashes = new CrashTracker(context, directory);
     this.meter =
         context.settings().usage().map(usage -> new UsageMeter(context, usage, this::liveNodes));
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayContext.java
@@ -53,6 +53,21 @@
         metrics);
   }
 
+  /** Returns a copy that sends requests to servers through another service. */
+  GatewayContext withBackEnds(BackEndService others) {
+    return new GatewayContext(
+        settings,
+        incarnation,
+        timers,
+        randomBelow,
+        log,
+        tables,
+        others,
+        duties,
+        documents,
+        metrics);
+  }
+
   /** Returns the monotonic time in milliseconds. */
   public long nowMillis() {
     return timers.nowMillis();
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import java.util.function.Function;
 import org.passhaven.core.admission.AdmissionDecision.Reason;
 import org.passhaven.core.admission.ServiceAdmission;
+import org.passhaven.core.eligibility.Ineligibility;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.spi.BackEndException;
 
@@ -183,6 +184,12 @@
     registry.counter("passhaven.gateway.admission.rejected", "reason", tag).increment();
   }
 
+  /** Counts a request that was not sent since its server was not eligible. */
+  void onIneligible(Ineligibility reason) {
+    String tag = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    registry.counter("passhaven.gateway.requests.ineligible", "reason", tag).increment();
+  }
+
   /** Counts a generation that this node stopped. */
   public void onGenerationStopped(String why) {
     generationsStopped.increment();
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.order.ConcurrentLoadLimit;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.core.usage.UsageSettings;
 
 /**
@@ -26,6 +27,10 @@
  * @param maxAppendBytes maximum size of an append to the log
  * @param usage schedule of usage reports; empty if usage is not reported
  * @param cores number of processor cores of the machine; zero if unknown
+ * @param topology zones and regions of the deployment
+ * @param survivedZoneLosses number of zones that may be lost at once while all requests must still
+ *     be served
+ * @param mayScale whether this deployment orders the number of servers of its services
  */
 public record GatewaySettings(
     String node,
@@ -42,7 +47,10 @@
     int maxRecordBytes,
     int maxAppendBytes,
     Optional<UsageSettings> usage,
-    double cores) {
+    double cores,
+    Topology topology,
+    int survivedZoneLosses,
+    boolean mayScale) {
   public GatewaySettings {
     Objects.requireNonNull(node, "node");
     Objects.requireNonNull(zone, "zone");
@@ -50,6 +58,7 @@
     Objects.requireNonNull(lease, "lease");
     Objects.requireNonNull(loadLimit, "loadLimit");
     Objects.requireNonNull(usage, "usage");
+    Objects.requireNonNull(topology, "topology");
     if (propagationLimit.toMillis() < 1) {
       throw new IllegalArgumentException(
           "propagationLimit must be at least 1 ms, but is " + propagationLimit);
@@ -61,4 +70,42 @@
       throw new IllegalArgumentException("cores must not be negative, but is " + cores);
     }
   }
+
+  /** Creates settings of a deployment with a single region that orders no servers. */
+  public GatewaySettings(
+      String node,
+      String zone,
+      String address,
+      int jobPartitions,
+      Duration heartbeatInterval,
+      Duration heartbeatTimeout,
+      Duration decisionInterval,
+      DutyLease.Settings lease,
+      ConcurrentLoadLimit loadLimit,
+      Duration propagationLimit,
+      Duration jobRetention,
+      int maxRecordBytes,
+      int maxAppendBytes,
+      Optional<UsageSettings> usage,
+      double cores) {
+    this(
+        node,
+        zone,
+        address,
+        jobPartitions,
+        heartbeatInterval,
+        heartbeatTimeout,
+        decisionInterval,
+        lease,
+        loadLimit,
+        propagationLimit,
+        jobRetention,
+        maxRecordBytes,
+        maxAppendBytes,
+        usage,
+        cores,
+        Topology.ofZone(zone),
+        0,
+        false);
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -12,6 +12,8 @@
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.eligibility.ServerEligibility;
+import org.passhaven.core.evacuation.ZoneEvacuations;
 import org.passhaven.core.job.AnnouncedVersion;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.follow.TableFollower;
@@ -39,6 +41,8 @@
   private final GatewayContext context;
   private final PlatformDocuments documents;
   private final ServerTable servers = new ServerTable();
+  private final ZoneEvacuations evacuations = new ZoneEvacuations();
+  private final ServerEligibility eligibility;
   private final Map<String, AnnouncedVersion> announcedVersions = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
   private final TableFollower operator;
@@ -53,6 +57,7 @@
   public PlatformDirectory(GatewayContext context, LongSupplier betweenServersMillis) {
     this.context = Objects.requireNonNull(context, "context");
     this.documents = context.documents();
+    this.eligibility = new ServerEligibility(servers, evacuations, context.settings().topology());
     this.operator =
         new TableFollower(
             context.tables(),
@@ -132,6 +137,11 @@
     return servers;
   }
 
+  /** Returns the check that every request to a server must pass. */
+  ServerEligibility eligibility() {
+    return eligibility;
+  }
+
   /** Returns the newest announced weight version of each model. */
   public Map<String, AnnouncedVersion> announcedVersions() {
     return announcedVersions;
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDocuments.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDocuments.java
@@ -1,6 +1,7 @@
 package org.passhaven.node.gateway;
 
 import java.util.Map;
+import java.util.Optional;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.route.RouteTable;
 
@@ -28,6 +29,14 @@
   /** Returns the weight versions by model that an operator's document announces; may be empty. */
   Map<String, Long> parseAnnouncedVersions(String key, byte[] document);
 
+  /**
+   * Returns the zone that a document of the operator's table evacuates while it exists; empty if it
+   * evacuates none.
+   */
+  default Optional<String> evacuatedZone(String key) {
+    return Optional.empty();
+  }
+
   /**
    * Parses a server entry.
    *
--- /dev/null
+++ b/protocol/src/main/java/org/passhaven/protocol/region/package-info.java
@@ -0,0 +1,2 @@
+/** Regions that requests are bound to. */
+package org.passhaven.protocol.region;
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.passhaven.protocol.job.HeaderField;
+import org.passhaven.protocol.region.RegionRestriction;
 
 /**
  * Client of the servers of services, among them model servers: runs requests and generations, reads
@@ -32,6 +33,7 @@
    * @param uri path and query, unmodified
    * @param tenant tenant that the request belongs to; empty if there is none
    * @param deadlineMillis maximum time for the server to respond
+   * @param restriction regions in which the request may be served
    */
   record Call(
       String id,
@@ -41,7 +43,8 @@
       String host,
       List<HeaderField> headers,
       byte[] body,
-      long deadlineMillis) {
+      long deadlineMillis,
+      RegionRestriction restriction) {
     public Call {
       Objects.requireNonNull(id, "id");
       Objects.requireNonNull(tenant, "tenant");
@@ -50,6 +53,20 @@
       Objects.requireNonNull(host, "host");
       headers = List.copyOf(headers);
       Objects.requireNonNull(body, "body");
+      Objects.requireNonNull(restriction, "restriction");
+    }
+
+    /** Creates a request that may be served in all regions. */
+    public Call(
+        String id,
+        String tenant,
+        String method,
+        String uri,
+        String host,
+        List<HeaderField> headers,
+        byte[] body,
+        long deadlineMillis) {
+      this(id, tenant, method, uri, host, headers, body, deadlineMillis, RegionRestriction.NONE);
     }
   }
 
