One table of costs by distance for requests and generations

Cause: the pickers knew only the own zone and others, so another region cost no more than another zone.

Change: DistanceCosts holds both costs for each distance; ServerPicker and GenerationPicker use it in place of their own constants. Generations use the estimate, since their latencies depend on their lengths.

ForwardPlanTest, GenerationPickerTest, JobSchedulerTest and IndependentPlacementTest pass unchanged otherwise; the latter prints the figures of docs/design/server-subsets.md.

--- a/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
@@ -3,10 +3,15 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.passhaven.core.topology.Distance;
+import org.passhaven.core.topology.DistanceCosts;
 
 /**
  * Chooses the server with the lowest cost for a request. The cost grows with the load and is higher
@@ -15,9 +20,6 @@
  * all nodes would send to the same server.
  */
 public final class ServerPicker {
-  /** Cost of a server in another zone, as a fraction of the cost of having all its slots in use. */
-  private static final double OTHER_ZONE_COST = 0.15;
-
   /** A server is slow if its latency exceeds that of the fastest one by this factor. */
   private static final double SLOW_LATENCY_FACTOR = 2.0;
 
@@ -25,17 +27,28 @@
   private static final double SLOW_COST = 0.6;
 
   private final ServerHealth health;
-  private final Predicate<ServerEntry> isNear;
+  private final Function<ServerEntry, Distance> distance;
 
   /** Creates a picker that prefers servers in {@code zone}. */
   public ServerPicker(ServerHealth health, String zone) {
     this(health, server -> server.zone().equals(zone));
   }
 
-  /** Creates a picker that prefers servers for which {@code isNear} holds. */
+  /** Creates a picker that prefers servers for which {@code isNear} holds, in a single region. */
   public ServerPicker(ServerHealth health, Predicate<ServerEntry> isNear) {
+    this(server -> isNear.test(server) ? Distance.SAME_ZONE : Distance.SAME_REGION, health);
+    Objects.requireNonNull(isNear, "isNear");
+  }
+
+  private ServerPicker(Function<ServerEntry, Distance> distance, ServerHealth health) {
     this.health = Objects.requireNonNull(health, "health");
-    this.isNear = Objects.requireNonNull(isNear, "isNear");
+    this.distance = Objects.requireNonNull(distance, "distance");
+  }
+
+  /** Creates a picker that prefers servers at small distances. */
+  public static ServerPicker byDistance(
+      ServerHealth health, Function<ServerEntry, Distance> distance) {
+    return new ServerPicker(distance, health);
   }
 
   /**
@@ -53,8 +66,30 @@
             .toList();
     List<ServerEntry> candidates = healthy.isEmpty() ? allowed : healthy;
     double fastest = fastestMillis(candidates, nowMillis);
+    DistanceCosts costs = distanceCosts(candidates, nowMillis);
     return candidates.stream()
-        .min(Comparator.comparingDouble(server -> cost(server, fastest, nowMillis)));
+        .min(Comparator.comparingDouble(server -> cost(server, costs, fastest, nowMillis)));
+  }
+
+  /** Returns the costs by the fastest answers of the own and of other regions. */
+  private DistanceCosts distanceCosts(Collection<ServerEntry> servers, long nowMillis) {
+    Map<Boolean, List<ServerEntry>> byRegion =
+        servers.stream()
+            .collect(
+                Collectors.partitioningBy(
+                    server -> distance.apply(server) == Distance.OTHER_REGION));
+    return DistanceCosts.measured(
+        fastestMillis(byRegion.get(false), nowMillis),
+        fastestMillis(byRegion.get(true), nowMillis));
+  }
+
+  /**
+   * Returns whether a server can take a request now: it did not fail recently and has a slot that
+   * this node does not use.
+   */
+  public boolean isUsable(ServerEntry server, long nowMillis) {
+    return !health.isAvoided(server.incarnation(), nowMillis)
+        && health.inProgress(server.incarnation()) < Math.max(1, server.slots());
   }
 
   /**
@@ -62,8 +97,7 @@
    * node does not use, and is not slow compared with its peers.
    */
   public boolean isGood(ServerEntry server, Collection<ServerEntry> peers, long nowMillis) {
-    return !health.isAvoided(server.incarnation(), nowMillis)
-        && health.inProgress(server.incarnation()) < Math.max(1, server.slots())
+    return isUsable(server, nowMillis)
         && !isSlow(server, fastestMillis(peers, nowMillis), nowMillis);
   }
 
@@ -81,11 +115,10 @@
             > SLOW_LATENCY_FACTOR * fastestMillis;
   }
 
-  private double cost(ServerEntry server, double fastestMillis, long nowMillis) {
+  private double cost(
+      ServerEntry server, DistanceCosts costs, double fastestMillis, long nowMillis) {
     double cost = health.inProgress(server.incarnation()) / (double) Math.max(1, server.slots());
-    if (!isNear.test(server)) {
-      cost += OTHER_ZONE_COST;
-    }
+    cost += costs.slots(distance.apply(server));
     if (isSlow(server, fastestMillis, nowMillis)) {
       cost += SLOW_COST;
     }
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -9,6 +9,8 @@
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.topology.DistanceCosts;
+import org.passhaven.core.topology.Topology;
 
 /**
  * Chooses the model server of a generation among the servers with allowed weights and a free slot.
@@ -19,7 +21,6 @@
  */
 final class GenerationPicker {
   private static final double AFFINITY_GAIN_MILLIS = 60;
-  private static final double OTHER_ZONE_COST_MILLIS = 15;
   private static final double OVERDUE_WEIGHTS_COST_MILLIS = 800;
 
   /** Cost of occupying the last free slot, which a longer text might need. */
@@ -36,16 +37,21 @@
 
   private static final int MAX_GROUPS = 4_096;
   private final String node;
-  private final String zone;
+  private final Topology topology;
   private final ServerView view;
   private final LengthEstimator lengths;
   private final RefusalTracker refusals = new RefusalTracker();
   private final Map<String, ServerIncarnation> serverByGroup = new LinkedHashMap<>();
   private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
 
+  /** Creates the picker of a node in {@code zone}, in a deployment with a single region. */
   GenerationPicker(String node, String zone, ServerView view, LengthEstimator lengths) {
+    this(node, Topology.ofZone(zone), view, lengths);
+  }
+
+  GenerationPicker(String node, Topology topology, ServerView view, LengthEstimator lengths) {
     this.node = Objects.requireNonNull(node, "node");
-    this.zone = Objects.requireNonNull(zone, "zone");
+    this.topology = Objects.requireNonNull(topology, "topology");
     this.view = Objects.requireNonNull(view, "view");
     this.lengths = Objects.requireNonNull(lengths, "lengths");
   }
@@ -166,9 +172,7 @@
     if (incarnation.equals(serverByGroup.get(execution.item.group()))) {
       cost -= AFFINITY_GAIN_MILLIS;
     }
-    if (!server.zone().equals(zone)) {
-      cost += OTHER_ZONE_COST_MILLIS;
-    }
+    cost += DistanceCosts.ESTIMATED.millis(topology.to(server.zone()));
     if (servers.hasOverdueWeights(server, modelOf(execution), nowMillis)) {
       cost += OVERDUE_WEIGHTS_COST_MILLIS;
     }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -66,10 +67,15 @@
     this("", zone, (job, item) -> true);
   }
 
-  /** Creates the scheduler of {@code node} in {@code zone}. */
+  /** Creates the scheduler of {@code node} in {@code zone}, in a single region. */
   public JobScheduler(String node, String zone, ItemGate gate) {
+    this(node, Topology.ofZone(zone), gate);
+  }
+
+  /** Creates the scheduler of {@code node}. */
+  public JobScheduler(String node, Topology topology, ItemGate gate) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, zone, view, lengths);
+    this.picker = new GenerationPicker(node, topology, view, lengths);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
--- a/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.member.ServerUse;
 
@@ -25,8 +26,12 @@
   private final ReadyServers servers = new ReadyServers(List.of(FAST, SLOW), Map.of());
 
   private static ServerEntry server(String name) {
+    return server(name, "z");
+  }
+
+  private static ServerEntry server(String name, String zone) {
     return new ServerEntry(
-        ServerIncarnation.of(name), "llm", name + ":1", "z", 12, true, Map.of("m", 1L));
+        ServerIncarnation.of(name), "llm", name + ":1", zone, 12, true, Map.of("m", 1L));
   }
 
   private static ItemExecution item(long expectedTokens) {
@@ -173,4 +178,17 @@
     picker.onAccepted(execution);
     assertThat(picker.choose(item(100), 30), equalTo(Optional.of(started)));
   }
+
+  @Test
+  void anotherRegionCostsMoreThanAnotherZoneAtEqualLoad() {
+    Topology topology = new Topology("z", Map.of("z", "a", "y", "a", "x", "b"));
+    GenerationPicker inRegion =
+        new GenerationPicker("n", topology, new ServerView(), new LengthEstimator());
+    ServerEntry otherZone = server("i-zone", "y");
+    ServerEntry otherRegion = server("a-region", "x");
+    inRegion.beginRound(new ReadyServers(List.of(otherRegion, otherZone), Map.of()), 20);
+    assertThat(inRegion.choose(item(100), 20), equalTo(Optional.of(otherZone)));
+    inRegion.beginRound(new ReadyServers(List.of(otherRegion), Map.of()), 20);
+    assertThat(inRegion.choose(item(100), 20), equalTo(Optional.of(otherRegion)));
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -66,7 +66,7 @@
     this.log = Objects.requireNonNull(log, "log");
     this.results = new ResultWriter(context, log);
     this.scheduler =
-        new JobScheduler(context.settings().node(), context.settings().zone(), this.crashGate);
+        new JobScheduler(context.settings().node(), context.settings().topology(), this.crashGate);
     this.texts = new PartialTextLog(context, log.history(), scheduler, this::scheduleDecision);
     this.scoreQueue = new ScoreCallQueue(context, directory, forwarder, scheduler, this::apply);
     this.runClaimer = new RunClaimer(members, log);
