Callers are told nodes of their region

Cause: a zone with fewer than two live nodes made the directory name all nodes, those of the other region too.

Change: with several regions, callers get nodes of their zone if these can take the zone's share of the region's load, else of their region, and of another region only while theirs has no node that takes work. The lookup's region is passed on and counts for a zone that is not known. With one region the choice is as before.

--- a/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.member.MemberBeat;
 
 /**
@@ -281,15 +282,49 @@
    * @param maxAddresses maximum number of addresses
    */
   public List<String> addressesFor(String zone, int minInZone, int maxAddresses) {
-    List<MemberBeat> all = acceptingNodes();
+    return addressesFor(zone, "", Topology.ofZone(zone), minInZone, maxAddresses);
+  }
+
+  /**
+   * Returns addresses of live nodes for callers in a deployment of several regions: those of the
+   * caller's zone if they suffice for its share of the region's load, else of its region, and of
+   * all regions only if its own has no live node.
+   *
+   * @param region region of the caller; that of its zone if it is not a known one
+   * @param minInZone minimum number of nodes in the caller's zone that suffice
+   * @param maxAddresses maximum number of addresses
+   */
+  public List<String> addressesFor(
+      String zone, String region, Topology topology, int minInZone, int maxAddresses) {
+    List<MemberBeat> selected = acceptingNodes();
+    double zoneShareOfLoad = 0;
+    if (topology.hasSeveralRegions()) {
+      String callerRegion = topology.regions().contains(region) ? region : topology.regionOf(zone);
+      List<MemberBeat> inRegion =
+          selected.stream()
+              .filter(heartbeat -> topology.regionOf(heartbeat.zone()).equals(callerRegion))
+              .toList();
+      selected = inRegion.isEmpty() ? selected : inRegion;
+      zoneShareOfLoad =
+          requestsPerSecond(selected) / Math.max(1, topology.zonesOf(callerRegion).size());
+    }
     List<MemberBeat> inZone =
-        all.stream().filter(heartbeat -> heartbeat.zone().equals(zone)).toList();
-    List<MemberBeat> selected = inZone.size() >= minInZone ? inZone : all;
-    double requestsPerSecond = selected.stream().mapToDouble(MemberBeat::requestsPerSecond).sum();
+        selected.stream().filter(heartbeat -> heartbeat.zone().equals(zone)).toList();
+    boolean suffices = inZone.size() * REQUESTS_PER_SECOND_PER_NODE >= zoneShareOfLoad;
+    return chooseForCallers(
+        inZone.size() >= minInZone && suffices ? inZone : selected, zone, maxAddresses);
+  }
+
+  private static double requestsPerSecond(List<MemberBeat> heartbeats) {
+    return heartbeats.stream().mapToDouble(MemberBeat::requestsPerSecond).sum();
+  }
+
+  private static List<String> chooseForCallers(
+      List<MemberBeat> selected, String zone, int maxAddresses) {
     long needed =
         Math.max(
             MIN_NODES_FOR_CALLERS,
-            (long) Math.ceil(requestsPerSecond / REQUESTS_PER_SECOND_PER_NODE));
+            (long) Math.ceil(requestsPerSecond(selected) / REQUESTS_PER_SECOND_PER_NODE));
     return selected.stream()
         .sorted(
             LargeNodes.among(selected)
--- a/core/src/main/java/org/passhaven/core/topology/Topology.java
+++ b/core/src/main/java/org/passhaven/core/topology/Topology.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * The regions of the deployment's zones. A zone that is not listed belongs to the region of the
@@ -46,6 +47,14 @@
     return new TreeSet<>(regionsByZone.values());
   }
 
+  /** Returns the known zones of a region. */
+  public Set<String> zonesOf(String region) {
+    return regionsByZone.entrySet().stream()
+        .filter(zoneAndRegion -> zoneAndRegion.getValue().equals(region))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the distance between two zones. */
   public Distance between(String first, String second) {
     if (first.equals(second)) {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -127,7 +127,8 @@
         || duties.isHolder()
         || jobLog.hasRecentCallers()
         || forwarder.requestsPerSecond() > 0
-        || announcedAddressesFor(context.settings().zone()).contains(context.settings().address());
+        || announcedAddressesFor(context.settings().zone(), "")
+            .contains(context.settings().address());
   }
 
   private long heartbeatReadPauseMillis() {
@@ -189,11 +190,20 @@
    * node. Callers cache the answer, so a node returns none before it knows which nodes are alive.
    */
   public List<String> addressesFor(String zone) {
+    return addressesFor(zone, "");
+  }
+
+  /**
+   * Returns the addresses that a caller should use, as {@link #addressesFor(String)} does.
+   *
+   * @param region region of the caller; that of its zone if it is not known
+   */
+  public List<String> addressesFor(String zone, String region) {
     lastDiscoveryMillis = context.nowMillis();
     if (members.isLivenessUnknown()) {
       return List.of();
     }
-    List<String> known = announcedAddressesFor(zone);
+    List<String> known = announcedAddressesFor(zone, region);
     if (known.isEmpty() && isReady()) {
       return List.of(context.settings().address());
     }
@@ -208,8 +218,10 @@
     return members.heartbeats().acceptingNodes();
   }
 
-  private List<String> announcedAddressesFor(String zone) {
-    return members.heartbeats().addressesFor(zone, MIN_NEAR_NODES, MAX_ADDRESSES);
+  private List<String> announcedAddressesFor(String zone, String region) {
+    return members
+        .heartbeats()
+        .addressesFor(zone, region, context.settings().topology(), MIN_NEAR_NODES, MAX_ADDRESSES);
   }
 
   /**
