Candidates for runs and the duty lie in different zones

Cause: the first candidates for a run or the duty could all be in the owner's zone and be lost with it.

Change: where a zone's loss must be survived (faultTolerance.zones) or there are several regions, every zone is used once before any is used again, among the large nodes first and then among the others. The first candidate stays the same. Ranks follow from the heartbeats alone, so all nodes agree.

HeartbeatTableTest and LargeNodesTest pass unchanged.

--- a/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -52,6 +54,7 @@
   private static final double RECENT_START_SHARE = 0.75;
 
   private final long silenceMillis;
+  private final boolean spreadsOverZones;
   private final Map<String, LatestHeartbeat> members = new TreeMap<>();
   private final FleetLossDetector lossDetector = new FleetLossDetector();
   private int heartbeatsRead;
@@ -77,7 +80,20 @@
    *     heartbeat intervals
    */
   public HeartbeatTable(long silenceMillis) {
+    this(silenceMillis, false);
+  }
+
+  /**
+   * Creates a table.
+   *
+   * @param silenceMillis minimum silence after which a node is dead; longer for nodes with long
+   *     heartbeat intervals
+   * @param spreadsOverZones whether candidates for work are ranked with every zone used once before
+   *     any zone is used again
+   */
+  public HeartbeatTable(long silenceMillis, boolean spreadsOverZones) {
     this.silenceMillis = silenceMillis;
+    this.spreadsOverZones = spreadsOverZones;
   }
 
   /** Applies a heartbeat; heartbeats are passed in the order of the log. */
@@ -193,7 +209,9 @@
   /**
    * Returns the rank of a node among the live ones that accept work, from zero: large nodes first,
    * and within each group the most recently started first; the number of these nodes if the node is
-   * unknown. During a rolling restart the most recently started node stays the longest.
+   * unknown. During a rolling restart the most recently started node stays the longest. If work is
+   * spread over zones, the next ranks after the first go to other zones, so that nodes which are
+   * lost with the holder do not delay the claim.
    */
   public int rankByStartTime(String node) {
     LargeNodes largeNodes = LargeNodes.among(acceptingNodes());
@@ -204,6 +222,9 @@
                     .largeFirst()
                     .thenComparing(Comparator.comparingLong(MemberBeat::incarnation).reversed()))
             .toList();
+    if (spreadsOverZones) {
+      ranked = spread(ranked, largeNodes);
+    }
     for (int position = 0; position < ranked.size(); position++) {
       if (ranked.get(position).node().equals(node)) {
         return position;
@@ -212,6 +233,29 @@
     return ranked.size();
   }
 
+  /** Reorders nodes with every zone used once before any is used again, large nodes first. */
+  private static List<MemberBeat> spread(List<MemberBeat> ranked, LargeNodes largeNodes) {
+    List<MemberBeat> spread = new ArrayList<>();
+    List<MemberBeat> remaining = new ArrayList<>(ranked);
+    Set<String> usedZones = new HashSet<>();
+    while (!remaining.isEmpty()) {
+      boolean isLarge = largeNodes.contains(remaining.get(0));
+      Optional<MemberBeat> next =
+          remaining.stream()
+              .filter(heartbeat -> largeNodes.contains(heartbeat) == isLarge)
+              .filter(heartbeat -> !usedZones.contains(heartbeat.zone()))
+              .findFirst();
+      if (next.isEmpty()) {
+        usedZones.clear();
+        continue;
+      }
+      remaining.remove(next.get());
+      usedZones.add(next.get().zone());
+      spread.add(next.get());
+    }
+    return spread;
+  }
+
   /**
    * Returns the rank of a node among the candidates for a key, from zero; the number of candidates
    * if the node is unknown.
@@ -255,21 +299,23 @@
     return recentlyStarted.subList(0, Math.min(MAX_FIRST_NODES, recentlyStarted.size()));
   }
 
-  private static List<Member> rank(String key, List<MemberBeat> heartbeats) {
+  private List<Member> rank(String key, List<MemberBeat> heartbeats) {
     LargeNodes largeNodes = LargeNodes.among(heartbeats);
     List<Member> ranked = new ArrayList<>(rankByRendezvous(key, heartbeats, largeNodes::contains));
     ranked.addAll(rankByRendezvous(key, heartbeats, heartbeat -> !largeNodes.contains(heartbeat)));
     return ranked;
   }
 
-  private static List<Member> rankByRendezvous(
+  private List<Member> rankByRendezvous(
       String key, List<MemberBeat> heartbeats, Predicate<MemberBeat> selected) {
     List<Member> candidates =
         heartbeats.stream()
             .filter(selected)
             .map(heartbeat -> new Member(heartbeat.node(), heartbeat.zone()))
             .toList();
-    return Rendezvous.rank(key, candidates, candidates.size());
+    return spreadsOverZones
+        ? Rendezvous.rankAcrossZones(key, candidates, candidates.size())
+        : Rendezvous.rank(key, candidates, candidates.size());
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewaySettings.java
@@ -71,6 +71,11 @@
     }
   }
 
+  /** Returns whether no single zone may hold all that a node or a run depends on. */
+  public boolean spreadsOverZones() {
+    return survivedZoneLosses > 0 || topology.hasSeveralRegions();
+  }
+
   /** Creates settings of a deployment with a single region that orders no servers. */
   public GatewaySettings(
       String node,
--- a/node/src/main/java/org/passhaven/node/gateway/MembershipAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MembershipAgent.java
@@ -81,7 +81,10 @@
     this.context = Objects.requireNonNull(context, "context");
     this.requestsPerSecond = Objects.requireNonNull(requestsPerSecond, "requestsPerSecond");
     this.isDependedOn = Objects.requireNonNull(isDependedOn, "isDependedOn");
-    this.heartbeats = new HeartbeatTable(context.settings().heartbeatTimeout().toMillis());
+    this.heartbeats =
+        new HeartbeatTable(
+            context.settings().heartbeatTimeout().toMillis(),
+            context.settings().spreadsOverZones());
     this.tail =
         new LogTail(
             context.log(), context.timers(), STREAM, betweenReadsMillis, new HeartbeatReader());
