Requests stay in their region while it has a usable server

Cause: subsets and candidates took servers of another region like those of another zone, and a subset could lie in one zone.

Change: a node's subset has servers of its region first, with shares counted in each region; where a zone's loss must be survived or there are several regions, the last choice leaves the zone if all others lie in one, for the own region if it can. A request goes to another region only if no server of its own is usable (tried, avoided or filled), at once and for this attempt only. Each such attempt is logged with the state of the region and counted.

--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.topology.Topology;
 
 /**
  * The subset of a service's servers that one node sends to. Subsets are small, so that connections
@@ -49,13 +50,30 @@
   }
 
   /**
-   * Computes the subset of one node.
+   * Computes the subset of one node in a deployment with a single region.
    *
    * @param nodes live nodes; {@code self} is added if missing
    * @param servers servers of one service that accept new requests
    */
   public static ServerSubset of(
       Member self, Collection<Member> nodes, Collection<ServerEntry> servers) {
+    return of(self, nodes, servers, Topology.ofZone(self.zone()), false);
+  }
+
+  /**
+   * Computes the subset of one node.
+   *
+   * @param nodes live nodes; {@code self} is added if missing
+   * @param servers servers of one service that accept new requests
+   * @param leavesZone whether no subset of several servers lies in one zone if there are servers in
+   *     others
+   */
+  public static ServerSubset of(
+      Member self,
+      Collection<Member> nodes,
+      Collection<ServerEntry> servers,
+      Topology topology,
+      boolean leavesZone) {
     Objects.requireNonNull(self, "self");
     List<Member> all = new ArrayList<>(nodes);
     if (all.stream().noneMatch(node -> node.name().equals(self.name()))) {
@@ -63,10 +81,11 @@
     }
     int size = sizeFor(all.size(), servers.size());
     List<ServerEntry> ordered =
-        new ArrayList<>(new SubsetRounds(all, servers).choose(self.name(), size));
+        new ArrayList<>(
+            new SubsetRounds(all, servers, topology, leavesZone).choose(self.name(), size));
     servers.stream()
         .filter(server -> !ordered.contains(server))
-        .sorted(preferenceOrderOf(self))
+        .sorted(preferenceOrderOf(self, topology))
         .forEachOrdered(ordered::add);
     return new ServerSubset(ordered, size);
   }
@@ -107,8 +126,9 @@
     return Math.min(servers, Math.max(MIN_SERVERS, shared));
   }
 
-  private static Comparator<ServerEntry> preferenceOrderOf(Member node) {
-    return Comparator.comparing((ServerEntry server) -> !server.zone().equals(node.zone()))
+  private static Comparator<ServerEntry> preferenceOrderOf(Member node, Topology topology) {
+    return Comparator.comparing(
+            (ServerEntry server) -> topology.between(node.zone(), server.zone()))
         .thenComparing(
             server -> Rendezvous.weight(node.name(), server.incarnation().toString()),
             Comparator.reverseOrder())
@@ -180,6 +200,28 @@
     return servers.stream().anyMatch(isGood) ? servers : byPreference;
   }
 
+  /**
+   * Returns the servers to choose from in a deployment of several regions: those that {@link
+   * #candidates(Predicate)} returns as far as they are in the own region, unless that region has no
+   * usable server and others have one.
+   *
+   * @param isInRegion whether a server is in the own region
+   * @param isUsable whether a server can take the request now, even if it is a poor choice
+   */
+  public List<ServerEntry> candidates(
+      Predicate<ServerEntry> isGood,
+      Predicate<ServerEntry> isInRegion,
+      Predicate<ServerEntry> isUsable) {
+    List<ServerEntry> own = byPreference.stream().filter(isInRegion).toList();
+    if (own.stream().anyMatch(isUsable)) {
+      List<ServerEntry> members =
+          byPreference.subList(0, size).stream().filter(isInRegion).toList();
+      return members.stream().anyMatch(isGood) ? members : own;
+    }
+    List<ServerEntry> others = byPreference.stream().filter(isInRegion.negate()).toList();
+    return others.stream().anyMatch(isUsable) ? others : byPreference;
+  }
+
   /** Returns whether some servers are outside the subset. */
   public boolean isPartial() {
     return size < byPreference.size();
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -47,6 +47,9 @@
   /** Attempts that considered all servers, since none of this node's subset was usable. */
   public final Counter subsetsWidened;
 
+  /** Attempts at servers of another region. */
+  public final Counter attemptsInOtherRegion;
+
   /** Generations started or continued. */
   public final Counter generationsStarted;
 
@@ -121,6 +124,7 @@
     requestsUnknown = registry.counter("passhaven.gateway.requests", "outcome", "outcome-unknown");
     attemptsFailed = registry.counter("passhaven.gateway.attempts.failed");
     subsetsWidened = registry.counter("passhaven.gateway.subsets.widened");
+    attemptsInOtherRegion = registry.counter("passhaven.gateway.attempts.in.other.region");
     generationsStarted = registry.counter("passhaven.gateway.generations.begun");
     generationsFailed = registry.counter("passhaven.gateway.generations.failed");
     generationsRefused = registry.counter("passhaven.gateway.generations.refused");
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -179,6 +179,9 @@
       if (server.isEmpty()) {
         return plan.inProgress() > 0;
       }
+      if (!candidates.isInRegion(server.get())) {
+        log.onRegionLeft(server.get(), candidates.describeRegion(service, plan));
+      }
       attempts.send(server.get(), plan.inProgress() > 1);
       return true;
     }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
@@ -43,6 +43,22 @@
         .log("request: no answer within the hedge delay, sending to another server");
   }
 
+  /** Logs and counts an attempt at a server of another region. */
+  void onRegionLeft(ServerEntry server, RegionState region) {
+    context.metrics().attemptsInOtherRegion.increment();
+    LOG.atInfo()
+        .addKeyValue("request", call.id())
+        .addKeyValue("server", server.incarnation())
+        .addKeyValue("zone", server.zone())
+        .addKeyValue("ready", region.ready())
+        .addKeyValue("tried", region.tried())
+        .addKeyValue("avoided", region.avoided())
+        .addKeyValue("full", region.full())
+        .addKeyValue("serversAgeMillis", directory.configurationAgeMillis().orElse(-1))
+        .addKeyValue("afterMillis", context.nowMillis() - startedAtMillis)
+        .log("request: leaves the region");
+  }
+
   /** Logs and counts a failed attempt. */
   void onAttemptFailed(ServerEntry server, Outcome outcome, String reason) {
     context.metrics().attemptsFailed.increment();
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -12,14 +12,16 @@
 import org.passhaven.core.backend.ServerSubset;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.placement.Member;
+import org.passhaven.core.topology.Distance;
 import org.passhaven.protocol.member.MemberBeat;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Selects the servers that a request may be sent to: those of this node's {@link ServerSubset}, or
- * all servers of the service while none of the subset is usable. A subset is recomputed only when
- * nodes or servers have changed. Not thread-safe.
+ * all servers of the service while none of the subset is usable. Servers of another region are left
+ * out while this node's region has a usable one. A subset is recomputed only when nodes or servers
+ * have changed. Not thread-safe.
  */
 final class ServerCandidates {
   private static final Logger LOG = LoggerFactory.getLogger(ServerCandidates.class);
@@ -53,7 +55,7 @@
     this.health = Objects.requireNonNull(health, "health");
     this.liveNodes = Objects.requireNonNull(liveNodes, "liveNodes");
     this.self = new Member(context.settings().node(), context.settings().zone());
-    this.picker = new ServerPicker(health, this::isNear);
+    this.picker = ServerPicker.byDistance(health, this::distanceTo);
   }
 
   /** Returns the picker that chooses among the servers returned by {@link #of}. */
@@ -71,8 +73,10 @@
     List<ServerEntry> servers =
         service.activeSubset.candidates(
             server ->
-                !plan.hasTried(server.incarnation()) && picker.isGood(server, service.ready, now));
-    if (servers.size() > service.activeSubset.size()) {
+                !plan.hasTried(server.incarnation()) && picker.isGood(server, service.ready, now),
+            this::isInRegion,
+            server -> !plan.hasTried(server.incarnation()) && picker.isUsable(server, now));
+    if (service.activeSubset.isPartial() && servers.stream().anyMatch(this::isOutsideSubset)) {
       context.metrics().subsetsWidened.increment();
     }
     return servers;
@@ -95,7 +99,13 @@
     }
     // The first choice changes with the servers, so that a new server becomes the first choice of
     // its share of the nodes.
-    ServerSubset newSubset = ServerSubset.of(self, live, ready);
+    ServerSubset newSubset =
+        ServerSubset.of(
+            self,
+            live,
+            ready,
+            context.settings().topology(),
+            context.settings().spreadsOverZones());
     service.subset = hasSameServers ? newSubset.withFirstChoiceOf(service.subset) : newSubset;
     LOG.atDebug()
         .addKeyValue("service", name)
@@ -118,14 +128,50 @@
     return nodes;
   }
 
+  /** Returns whether a server is in this node's region. */
+  boolean isInRegion(ServerEntry server) {
+    return context.settings().topology().to(server.zone()) != Distance.OTHER_REGION;
+  }
+
+  /** Returns the state of this node's region for a request that leaves it. */
+  RegionState describeRegion(String name, ForwardPlan plan) {
+    List<ServerEntry> own =
+        directory.servers().readyServersOf(name).stream().filter(this::isInRegion).toList();
+    int tried = 0;
+    int avoided = 0;
+    int full = 0;
+    for (ServerEntry server : own) {
+      if (plan.hasTried(server.incarnation())) {
+        tried++;
+      } else if (health.isAvoided(server.incarnation(), context.nowMillis())) {
+        avoided++;
+      } else if (health.inProgress(server.incarnation()) >= Math.max(1, server.slots())) {
+        full++;
+      }
+    }
+    return new RegionState(own.size(), tried, avoided, full);
+  }
+
+  private boolean isOutsideSubset(ServerEntry server) {
+    Service service = services.get(server.service());
+    return service != null && !service.activeSubset.contains(server.incarnation());
+  }
+
   private int inProgress(Service service) {
     return service.ready.stream().mapToInt(server -> health.inProgress(server.incarnation())).sum();
   }
 
   /**
-   * Returns whether a server is in this node's zone, or in its subset if that is partial; a subset
-   * prefers servers of the node's zone.
+   * Returns the distance to a server. A server of the region counts as in this node's zone if it is
+   * in a partial subset; a subset prefers servers of the node's zone.
    */
+  private Distance distanceTo(ServerEntry server) {
+    if (!isInRegion(server)) {
+      return Distance.OTHER_REGION;
+    }
+    return isNear(server) ? Distance.SAME_ZONE : Distance.SAME_REGION;
+  }
+
   private boolean isNear(ServerEntry server) {
     Service service = services.get(server.service());
     return server.zone().equals(self.zone())
