--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -180,7 +180,7 @@
         return plan.inProgress() > 0;
       }
       if (!candidates.isInRegion(server.get())) {
-        log.onRegionLeft(server.get(), candidates.describeRegion(service, plan));
+        log.onRegionLeft(server.get(), () -> candidates.describeRegion(service, plan));
       }
       attempts.send(server.get(), plan.inProgress() > 1);
       return true;
--- a/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
@@ -1,6 +1,7 @@
 package org.passhaven.node.gateway;
 
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.forward.ForwardPlan.Outcome;
 import org.passhaven.core.route.Route;
@@ -44,17 +45,22 @@
   }
 
   /** Logs and counts an attempt at a server of another region. */
-  void onRegionLeft(ServerEntry server, RegionState region) {
+  void onRegionLeft(ServerEntry server, Supplier<RegionState> region) {
     context.metrics().attemptsInOtherRegion.increment();
-    LOG.atInfo()
+    // Frequent while the region has no usable server.
+    if (!LOG.isDebugEnabled()) {
+      return;
+    }
+    RegionState own = region.get();
+    LOG.atDebug()
         .addKeyValue("request", call.id())
         .addKeyValue("server", server.incarnation())
         .addKeyValue("zone", server.zone())
-        .addKeyValue("ready", region.ready())
-        .addKeyValue("tried", region.tried())
-        .addKeyValue("avoided", region.avoided())
-        .addKeyValue("full", region.full())
-        .addKeyValue("serversAgeMillis", directory.configurationAgeMillis().orElse(-1))
+        .addKeyValue("ready", own.ready())
+        .addKeyValue("tried", own.tried())
+        .addKeyValue("avoided", own.avoided())
+        .addKeyValue("full", own.full())
+        .addKeyValue("configurationAgeMillis", directory.configurationAgeMillis().orElse(-1))
         .addKeyValue("afterMillis", context.nowMillis() - startedAtMillis)
         .log("request: leaves the region");
   }
