--- a/core/src/test/java/org/passhaven/core/backend/RegionSubsetTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/RegionSubsetTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.in;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -93,6 +94,22 @@
     assertThat(SubsetFixture.maxOverMean(subsets, servers, 3), lessThanOrEqualTo(1.15));
   }
 
+  @Test
+  void serversWithMoreSlotsHaveMoreNodesOfARegionWithoutServers() {
+    Random random = new Random(5);
+    List<Member> nodes = nodes(80, "a", random);
+    ServerEntry large =
+        new ServerEntry(ServerIncarnation.of("large"), "s", "l:1", "b0", 12, true, Map.of());
+    List<ServerEntry> servers = joined(servers(11, "b", random), List.of(large));
+    long nodesOfLarge =
+        nodes.stream()
+            .filter(node -> membersOf(subset(node, nodes, servers, true)).contains(large))
+            .count();
+    long share = 2 * 80 * 3 / 13 + 1;
+    assertThat(nodesOfLarge, greaterThanOrEqualTo(share * 3 / 4));
+    assertThat(nodesOfLarge, lessThanOrEqualTo(share));
+  }
+
   @Test
   void noSubsetLiesInOneZone() {
     int inOneZone = 0;
