Evacuated zones and allowed regions bind the choosers of servers

Cause: the operator's evacuations and the allowed regions of routes and tenants were parsed, but nothing applied them: the check at the send knew no evacuation and no request carried a restriction, and no chooser left a server out beforehand.

Change: the directory applies evacuations from changes and listings (a removed key or a complete listing without it takes one back) and returns the candidates of a service for a restriction; none before the operator's table was listed whole. Subsets, admission's capacity, attempts, hedges, generations, moves and continuations use them. The forwarder and the runner set a request's restriction from route and tenant, scorings also get their job's. A request whose service has only excluded servers is refused at once as not run, names the reason, and may be retried after the longest time that callers wait. A log line for each change, a gauge of evacuated zones.

--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -206,6 +206,17 @@
     return retryAfter.delayMillis(drainMillis, request.priority(), left);
   }
 
+  /**
+   * Returns the time after which the caller of a request may retry if nothing tells when its
+   * service will be available again: the longest that callers wait, as no earlier time is better.
+   */
+  public long retryAfterWithoutKnownEndMillis(AdmissionRequest request, long nowMillis) {
+    long left = request.deadlineMillis() - nowMillis;
+    return request.source() == Source.SCORING
+        ? retryAfterMillis(request, nowMillis)
+        : retryAfter.delayMillis((double) left, request.priority(), left);
+  }
+
   /** Records a successful response of a server. */
   public void onResponse(AdmissionRequest request, long tookMillis, long nowMillis) {
     latencies.values().removeIf(each -> each.isIdle(nowMillis));
--- a/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
+++ b/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
@@ -1,7 +1,10 @@
 package org.passhaven.core.eligibility;
 
+import java.util.Collection;
+import java.util.EnumSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerTable;
 import org.passhaven.core.evacuation.ZoneEvacuations;
@@ -38,14 +41,44 @@
       return Optional.of(Ineligibility.NOT_LISTED);
     } else if (!listed.ready()) {
       return Optional.of(Ineligibility.DRAINING);
-    } else if (evacuations.contains(listed.zone())) {
-      return Optional.of(Ineligibility.ZONE_EVACUATED);
-    } else if (!restriction.allows(topology.regionOf(listed.zone()))) {
-      return Optional.of(Ineligibility.REGION_NOT_ALLOWED);
-    } else if (!coldStartLimit.maySend(listed, nowMillis)) {
+    }
+    Optional<Ineligibility> exclusion = exclusion(listed, restriction);
+    if (exclusion.isEmpty() && !coldStartLimit.maySend(listed, nowMillis)) {
       return Optional.of(Ineligibility.COLD_LIMIT_REACHED);
     }
-    return Optional.empty();
+    return exclusion;
+  }
+
+  /**
+   * Returns why a server must not be chosen for a request, however long the request waits; empty if
+   * it may be.
+   */
+  public Optional<Ineligibility> exclusion(ServerEntry server, RegionRestriction restriction) {
+    if (!restriction.allows(topology.regionOf(server.zone()))) {
+      return Optional.of(Ineligibility.REGION_NOT_ALLOWED);
+    }
+    return evacuations.contains(server.zone())
+        ? Optional.of(Ineligibility.ZONE_EVACUATED)
+        : Optional.empty();
+  }
+
+  /**
+   * Returns why all of these servers are excluded; empty if one is not, or if there are none. An
+   * evacuation is named if it excludes any server that the request may be served by.
+   */
+  public Optional<Ineligibility> exclusionOfAll(
+      Collection<ServerEntry> all, RegionRestriction restriction) {
+    Set<Ineligibility> reasons = EnumSet.noneOf(Ineligibility.class);
+    for (ServerEntry server : all) {
+      Optional<Ineligibility> reason = exclusion(server, restriction);
+      if (reason.isEmpty()) {
+        return Optional.empty();
+      }
+      reasons.add(reason.get());
+    }
+    return reasons.contains(Ineligibility.ZONE_EVACUATED)
+        ? Optional.of(Ineligibility.ZONE_EVACUATED)
+        : reasons.stream().findFirst();
   }
 
   /** Counts a request that is sent to a server now, after a successful check. */
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -39,11 +39,22 @@
   private final String zone;
   private final ServerView view;
   private final LengthEstimator lengths;
+  private final CandidateFilter candidates;
   private final RefusalTracker refusals = new RefusalTracker();
   private final Map<String, ServerIncarnation> serverByGroup = new LinkedHashMap<>();
   private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
 
   GenerationPicker(String node, String zone, ServerView view, LengthEstimator lengths) {
+    this(node, zone, view, lengths, (server, restriction) -> true);
+  }
+
+  GenerationPicker(
+      String node,
+      String zone,
+      ServerView view,
+      LengthEstimator lengths,
+      CandidateFilter candidates) {
+    this.candidates = Objects.requireNonNull(candidates, "candidates");
     this.node = Objects.requireNonNull(node, "node");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.view = Objects.requireNonNull(view, "view");
@@ -153,6 +164,7 @@
         model.isEmpty()
             || server.versionOf(model) >= execution.jobExecution.job.submission().oldestVersion();
     return isVersionAllowed
+        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
         && refusals.maySend(
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -36,7 +36,11 @@
 
   private void score(ItemExecution execution, List<JobAction> actions) {
     execution.phase = ItemExecution.Phase.SCORING;
-    actions.add(new JobAction.Score(execution.jobExecution.job.submission(), execution.item));
+    actions.add(
+        new JobAction.Score(
+            execution.jobExecution.job.submission(),
+            execution.item,
+            execution.jobExecution.policy.restriction()));
   }
 
   /** Finishes an item with its score. */
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -66,10 +66,15 @@
     this("", zone, (job, item) -> true);
   }
 
-  /** Creates the scheduler of {@code node} in {@code zone}. */
+  /** Creates the scheduler of {@code node} in {@code zone}, which may choose all ready servers. */
   public JobScheduler(String node, String zone, ItemGate gate) {
+    this(node, zone, gate, (server, restriction) -> true);
+  }
+
+  /** Creates the scheduler of {@code node} in {@code zone}. */
+  public JobScheduler(String node, String zone, ItemGate gate, CandidateFilter candidates) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, zone, view, lengths);
+    this.picker = new GenerationPicker(node, zone, view, lengths, candidates);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
@@ -253,7 +258,8 @@
             execution.jobExecution.job.submission(),
             execution.item,
             execution.text.lastEvent(),
-            priority));
+            priority,
+            execution.jobExecution.policy.restriction()));
   }
 
   /** Stops a stalled generation, and moves one from a slow server if a faster one has a slot. */
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -109,6 +109,7 @@
     jobLog.addOwnerListener(directory::endReadPause);
     context.metrics().registerPartitionsBehind(jobLog);
     context.metrics().registerConfigurationAge(directory);
+    context.metrics().registerEvacuatedZones(directory);
     runner.start();
     duties.start();
     meter.ifPresent(UsageMeter::start);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -165,6 +165,12 @@
         });
   }
 
+  /** Registers a gauge of the evacuated zones that this node knows of. */
+  public void registerEvacuatedZones(PlatformDirectory directory) {
+    registry.gauge(
+        "passhaven.gateway.zones.evacuated", directory, PlatformDirectory::evacuatedZones);
+  }
+
   /**
    * Registers gauges of a service's queued requests and of its concurrency limit.
    *
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -66,7 +66,11 @@
     this.log = Objects.requireNonNull(log, "log");
     this.results = new ResultWriter(context, log);
     this.scheduler =
-        new JobScheduler(context.settings().node(), context.settings().zone(), this.crashGate);
+        new JobScheduler(
+            context.settings().node(),
+            context.settings().zone(),
+            this.crashGate,
+            directory::isCandidate);
     this.texts = new PartialTextLog(context, log.history(), scheduler, this::scheduleDecision);
     this.scoreQueue = new ScoreCallQueue(context, directory, forwarder, scheduler, this::apply);
     this.runClaimer = new RunClaimer(members, log);
@@ -248,7 +252,8 @@
                         .tenants()
                         .priorityOf(submission.tenant())
                         .orElse(route.priority()),
-                    route.abandonAfterMillis()));
+                    route.abandonAfterMillis(),
+                    directory.routes().restrictionOf(route, submission.tenant())));
   }
 
   private void apply(List<JobAction> actions) {
@@ -295,7 +300,7 @@
 
   private void startGeneration(JobAction.Start start) {
     JobItem item = start.item();
-    Call call = callOf(start.job(), item);
+    Call call = callOf(start.job(), item).withRestriction(start.restriction());
     long attempt = start.attempt();
     ServerIncarnation server = start.server().incarnation();
     LOG.atLevel(start.lastEvent() > 0 ? Level.INFO : Level.DEBUG)
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -6,18 +6,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.eligibility.Ineligibility;
 import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.evacuation.ZoneEvacuations;
 import org.passhaven.core.job.AnnouncedVersion;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.follow.TableFollower;
 import org.passhaven.node.gateway.PlatformDocuments.DocumentException;
+import org.passhaven.protocol.region.RegionRestriction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,6 +52,7 @@
   private final TableFollower operator;
   private final TableFollower serverEntries;
   private RouteTable routes = RouteTable.EMPTY;
+  private boolean areEvacuationsKnown;
 
   /**
    * Creates a directory; {@link #start} begins to follow the tables.
@@ -103,9 +108,9 @@
     return routes;
   }
 
-  /** Returns whether a configuration was read and the servers were listed. */
+  /** Returns whether a configuration, all evacuations and the servers were read. */
   public boolean isConfigured() {
-    return routes.version() > 0 && serverEntries.isListed();
+    return routes.version() > 0 && areEvacuationsKnown && serverEntries.isListed();
   }
 
   /**
@@ -137,6 +142,31 @@
     return servers;
   }
 
+  /** Returns the ready servers of a service that a request may be sent to. */
+  List<ServerEntry> candidatesOf(String service, RegionRestriction restriction) {
+    return servers.readyServersOf(service).stream()
+        .filter(server -> isCandidate(server, restriction))
+        .toList();
+  }
+
+  /**
+   * Returns whether a server may be chosen for a request. None may before the operator's table was
+   * listed, since the rest of it may name an evacuation.
+   */
+  boolean isCandidate(ServerEntry server, RegionRestriction restriction) {
+    return areEvacuationsKnown && eligibility.exclusion(server, restriction).isEmpty();
+  }
+
+  /** Returns why none of a service's ready servers may be chosen; empty if one may, or if none. */
+  Optional<Ineligibility> exclusionOf(String service, RegionRestriction restriction) {
+    return eligibility.exclusionOfAll(servers.readyServersOf(service), restriction);
+  }
+
+  /** Returns the number of evacuated zones. */
+  int evacuatedZones() {
+    return evacuations.zones().size();
+  }
+
   /** Returns the check that every request to a server must pass. */
   ServerEligibility eligibility() {
     return eligibility;
@@ -170,6 +200,11 @@
   private final class OperatorListener implements TableFollower.Listener {
     @Override
     public void onDocument(String key, byte[] value) {
+      Optional<String> evacuatedZone = documents.evacuatedZone(key);
+      if (evacuatedZone.isPresent()) {
+        onEvacuation(evacuatedZone.get(), value != null);
+        return;
+      }
       if (value == null) {
         return;
       }
@@ -188,6 +223,25 @@
       }
     }
 
+    /** Applies an evacuation; its document's content is irrelevant. */
+    private void onEvacuation(String zone, boolean isEvacuated) {
+      boolean isChange = isEvacuated ? evacuations.add(zone) : evacuations.remove(zone);
+      if (!isChange) {
+        return;
+      }
+      LOG.atInfo()
+          .addKeyValue("zone", zone)
+          .addKeyValue("servers", serversIn(zone))
+          .addKeyValue("source", operator.isListing() ? "listing" : "changes")
+          .addKeyValue("silentMillis", text(operator.millisSinceLastRead()))
+          .log(isEvacuated ? "evacuation: in force" : "evacuation: taken back");
+      notifyListeners();
+    }
+
+    private long serversIn(String zone) {
+      return servers.all().stream().filter(server -> server.zone().equals(zone)).count();
+    }
+
     private void apply(RouteTable table) {
       if (table.version() <= routes.version()) {
         return;
@@ -220,7 +274,19 @@
     }
 
     @Override
-    public void onListed(Set<String> keys) {}
+    public void onListed(Set<String> keys) {
+      Set<String> listed =
+          keys.stream()
+              .flatMap(key -> documents.evacuatedZone(key).stream())
+              .collect(Collectors.toSet());
+      evacuations.zones().stream()
+          .filter(zone -> !listed.contains(zone))
+          .forEach(zone -> onEvacuation(zone, false));
+      if (!areEvacuationsKnown) {
+        areEvacuationsKnown = true;
+        notifyListeners();
+      }
+    }
   }
 
   private final class ServerListener implements TableFollower.Listener {
--- a/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
@@ -149,6 +149,11 @@
           : service.admission.retryAfterMillis(request, context.nowMillis());
     }
 
+    /** Returns the time after which to retry a request if nothing tells when it can be run. */
+    long retryAfterWithoutKnownEndMillis() {
+      return service.admission.retryAfterWithoutKnownEndMillis(request, context.nowMillis());
+    }
+
     /** Releases the slot when the request is over or its caller has disconnected. */
     void release() {
       if (service.slots.remove(request.id()) != null) {
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -11,12 +11,14 @@
 import org.passhaven.core.admission.AdmissionRequest.Source;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.eligibility.Ineligibility;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.forward.ForwardPlan.Outcome;
 import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.WeightedRoundRobin;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.protocol.region.RegionRestriction;
 import org.passhaven.spi.BackEndService.Answer;
 import org.passhaven.spi.BackEndService.Call;
 import org.passhaven.spi.PlatformException;
@@ -74,7 +76,9 @@
     this.crashes = Objects.requireNonNull(crashes, "crashes");
     this.rotation = new WeightedRoundRobin(context.randomBelow());
     this.candidates = new ServerCandidates(context, directory, health, liveNodes);
-    this.admission = new RequestAdmission(context, directory, directory.servers()::readyServersOf);
+    this.admission =
+        new RequestAdmission(
+            context, directory, name -> directory.candidatesOf(name, RegionRestriction.NONE));
     this.requestRate = new RateMeter(context.nowMillis());
     directory.addListener(
         () ->
@@ -133,8 +137,13 @@
     private boolean isReportedAsRun;
     private boolean isDone;
 
-    Forward(Route route, Call call, Source source, UniEmitter<? super ForwardOutcome> emitter) {
-      this.call = call;
+    Forward(
+        Route route, Call submitted, Source source, UniEmitter<? super ForwardOutcome> emitter) {
+      this.call =
+          submitted.withRestriction(
+              submitted
+                  .restriction()
+                  .and(directory.routes().restrictionOf(route, submitted.tenant())));
       this.emitter = emitter;
       this.plan = new ForwardPlan(route, startedAtMillis + call.deadlineMillis());
       this.crashGuard = new CrashGuard(crashes, call);
@@ -148,7 +157,17 @@
       inProgress++;
       requestRate.recordEvent(context.nowMillis());
       deadlineTimer = context.timers().after(call.deadlineMillis(), this::onDeadline);
-      slot.acquire(this);
+      if (exclusion().isPresent()) {
+        // Admission doesn't know regions, so it might let the request wait.
+        failWithoutServer("no server");
+      } else {
+        slot.acquire(this);
+      }
+    }
+
+    /** Returns why no server of the service may serve the request; empty if one may. */
+    private Optional<Ineligibility> exclusion() {
+      return directory.exclusionOf(service, call.restriction());
     }
 
     @Override
@@ -161,7 +180,7 @@
 
     @Override
     public void onRejected(Reject rejection) {
-      fail(rejection.reason().text());
+      failWithoutServer(rejection.reason().text());
     }
 
     /** Sends the request to the next server; returns false if no attempt is in progress. */
@@ -173,7 +192,7 @@
       if (!crashGuard.mayRun(plan.inProgress() > 0, this::onTrialClaimed)) {
         return crashGuard.isClaiming() || plan.inProgress() > 0;
       }
-      List<ServerEntry> servers = candidates.of(service, plan);
+      List<ServerEntry> servers = candidates.of(service, call.restriction(), plan);
       Optional<ServerEntry> server =
           plan.nextServer(servers, candidates.picker(), context.nowMillis());
       if (server.isEmpty()) {
@@ -307,13 +326,18 @@
       if (crashGuard.isHeldBack()) {
         context.metrics().requestsHeldBack.increment();
       }
-      fail(crashGuard.isHeldBack() ? HELD_BACK_REASON : otherReason);
+      String reason = exclusion().map(Ineligibility::text).orElse(otherReason);
+      fail(crashGuard.isHeldBack() ? HELD_BACK_REASON : reason);
     }
 
     private long retryAfterMillis() {
       long untilTrialMillis =
           crashGuard.isHeldBack() ? crashGuard.heldUntilMillis() - context.nowMillis() : 0;
-      return Math.max(slot.retryAfterMillis(), untilTrialMillis);
+      long untilServerMillis =
+          exclusion().isPresent()
+              ? slot.retryAfterWithoutKnownEndMillis()
+              : slot.retryAfterMillis();
+      return Math.max(untilServerMillis, untilTrialMillis);
     }
 
     private void fail(String reason) {
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
@@ -87,7 +87,8 @@
             score.host(),
             List.of(),
             score.body(),
-            SCORE_TIMEOUT_MILLIS);
+            SCORE_TIMEOUT_MILLIS,
+            action.restriction());
     forwarder
         .forward(route.get(), call, Source.SCORING)
         .subscribe()
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.passhaven.core.backend.PeakConcurrency;
 import org.passhaven.core.backend.ServerEntry;
@@ -13,6 +14,7 @@
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.placement.Member;
 import org.passhaven.protocol.member.MemberBeat;
+import org.passhaven.protocol.region.RegionRestriction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,10 +31,14 @@
   private final Supplier<List<MemberBeat>> liveNodes;
   private final Member self;
   private final ServerPicker picker;
-  private final Map<String, Service> services = new HashMap<>();
+  private final Map<Requests, Service> services = new HashMap<>();
+  private Service lastChosen = new Service();
   private List<MemberBeat> lastHeartbeats = List.of();
   private List<Member> nodes = List.of();
 
+  /** Requests to one service that may be served in the same regions. */
+  private record Requests(String service, RegionRestriction restriction) {}
+
   /** The subset of one service, the nodes and servers it was computed from, and its peak use. */
   private static final class Service {
     final PeakConcurrency peakUse = new PeakConcurrency();
@@ -62,9 +68,12 @@
   }
 
   /** Returns the servers that a request may be sent to now, in this node's preference order. */
-  List<ServerEntry> of(String name, ForwardPlan plan) {
-    Service service = services.computeIfAbsent(name, key -> new Service());
-    refresh(name, service);
+  List<ServerEntry> of(String name, RegionRestriction restriction, ForwardPlan plan) {
+    // A subset of all servers might contain none of the allowed regions.
+    Requests requests = new Requests(name, restriction);
+    Service service = services.computeIfAbsent(requests, key -> new Service());
+    lastChosen = service;
+    refresh(requests, service);
     long now = context.nowMillis();
     int peak = service.peakUse.update(inProgress(service) + 1, now);
     service.activeSubset = service.subset.forLoad(peak, service.rotation++);
@@ -78,8 +87,8 @@
     return servers;
   }
 
-  private void refresh(String name, Service service) {
-    List<ServerEntry> ready = directory.servers().readyServersOf(name);
+  private void refresh(Requests requests, Service service) {
+    List<ServerEntry> ready = directory.candidatesOf(requests.service(), requests.restriction());
     List<Member> live = liveMembers();
     boolean hasSameNodes = live.equals(service.nodes);
     if (hasSameNodes && ready.equals(service.ready)) {
@@ -98,7 +107,8 @@
     ServerSubset newSubset = ServerSubset.of(self, live, ready);
     service.subset = hasSameServers ? newSubset.withFirstChoiceOf(service.subset) : newSubset;
     LOG.atDebug()
-        .addKeyValue("service", name)
+        .addKeyValue("service", requests.service())
+        .addKeyValue("regions", requests.restriction().regions().orElse(Set.of()))
         .addKeyValue("nodes", live.size())
         .addKeyValue("servers", ready.size())
         .addKeyValue("size", service.subset.size())
@@ -127,10 +137,8 @@
    * prefers servers of the node's zone.
    */
   private boolean isNear(ServerEntry server) {
-    Service service = services.get(server.service());
     return server.zone().equals(self.zone())
-        || (service != null
-            && service.activeSubset.isPartial()
-            && service.activeSubset.contains(server.incarnation()));
+        || (lastChosen.activeSubset.isPartial()
+            && lastChosen.activeSubset.contains(server.incarnation()));
   }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -10,6 +10,7 @@
 import org.passhaven.core.duty.DutyLease;
 import org.passhaven.core.order.ConcurrentLoadLimit;
 import org.passhaven.core.route.RouteTable;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.TableService;
 
@@ -43,6 +44,30 @@
         0);
   }
 
+  /** Returns settings of node {@code n} in the own zone of a topology. */
+  static GatewaySettings settings(Topology topology) {
+    GatewaySettings base = settings(1, 262_144, 2_097_152);
+    return new GatewaySettings(
+        base.node(),
+        topology.zone(),
+        base.address(),
+        base.jobPartitions(),
+        base.heartbeatInterval(),
+        base.heartbeatTimeout(),
+        base.decisionInterval(),
+        base.lease(),
+        base.loadLimit(),
+        base.propagationLimit(),
+        base.jobRetention(),
+        base.maxRecordBytes(),
+        base.maxAppendBytes(),
+        base.usage(),
+        base.cores(),
+        topology,
+        0,
+        false);
+  }
+
   /** Table service that never answers. */
   static class SilentTables implements TableService {
     @Override
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -68,6 +68,11 @@
         long deadlineMillis) {
       this(id, tenant, method, uri, host, headers, body, deadlineMillis, RegionRestriction.NONE);
     }
+
+    /** Returns a copy that may be served in the given regions. */
+    public Call withRestriction(RegionRestriction other) {
+      return new Call(id, tenant, method, uri, host, headers, body, deadlineMillis, other);
+    }
   }
 
   /**
