Evacuations: senders are all checked, hosts are looked up in allowed regions

Cause: no test showed that every sender of a node goes through the check of servers, nor that an evacuated zone is no capacity; callers of a host whose routes are all restricted were sent to nodes of any region; requests looked at each server twice though nothing was excluded.

Change: tests at Gateway level with a limit that no chooser knows; LookupZone and RouteTable.restrictionOfHost choose the zone that the lookup of a host uses; exclusions are only computed where a zone is evacuated or a request restricted.

--- a/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
+++ b/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
@@ -49,6 +49,11 @@
     return exclusion;
   }
 
+  /** Returns whether any server could be excluded, so that callers can skip looking at each. */
+  public boolean mayExclude(RegionRestriction restriction) {
+    return restriction.isRestricted() || !evacuations.isEmpty();
+  }
+
   /**
    * Returns why a server must not be chosen for a request, however long the request waits; empty if
    * it may be.
--- a/core/src/main/java/org/passhaven/core/evacuation/ZoneEvacuations.java
+++ b/core/src/main/java/org/passhaven/core/evacuation/ZoneEvacuations.java
@@ -26,6 +26,11 @@
     return zones.contains(zone);
   }
 
+  /** Returns whether no zone is evacuated. */
+  public boolean isEmpty() {
+    return zones.isEmpty();
+  }
+
   /** Returns the evacuated zones, in alphabetical order. */
   public Set<String> zones() {
     return new TreeSet<>(zones);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -5,6 +5,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import org.passhaven.core.eligibility.LookupZone;
+import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.protocol.member.MemberBeat;
 import org.slf4j.Logger;
@@ -185,6 +188,23 @@
     return jobs;
   }
 
+  /**
+   * Returns the zone whose nodes a caller in {@code zone} should use for requests to a host: a zone
+   * of an allowed region if all routes of the host are restricted.
+   */
+  public String lookupZone(String host, String zone) {
+    return LookupZone.choose(
+        zone,
+        directory.routes().restrictionOfHost(host),
+        context.settings().topology(),
+        acceptingNodes().stream().map(MemberBeat::zone).collect(Collectors.toSet()));
+  }
+
+  /** Returns the check that every request to a server must pass. */
+  ServerEligibility eligibility() {
+    return directory.eligibility();
+  }
+
   /**
    * Returns the addresses that a caller in {@code zone} should use; empty if it should ask another
    * node. Callers cache the answer, so a node returns none before it knows which nodes are alive.
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -144,9 +144,13 @@
 
   /** Returns the ready servers of a service that a request may be sent to. */
   List<ServerEntry> candidatesOf(String service, RegionRestriction restriction) {
-    return servers.readyServersOf(service).stream()
-        .filter(server -> isCandidate(server, restriction))
-        .toList();
+    if (!areEvacuationsKnown) {
+      return List.of();
+    }
+    List<ServerEntry> ready = servers.readyServersOf(service);
+    return eligibility.mayExclude(restriction)
+        ? ready.stream().filter(server -> isCandidate(server, restriction)).toList()
+        : ready;
   }
 
   /**
@@ -159,7 +163,9 @@
 
   /** Returns why none of a service's ready servers may be chosen; empty if one may, or if none. */
   Optional<Ineligibility> exclusionOf(String service, RegionRestriction restriction) {
-    return eligibility.exclusionOfAll(servers.readyServersOf(service), restriction);
+    return eligibility.mayExclude(restriction)
+        ? eligibility.exclusionOfAll(servers.readyServersOf(service), restriction)
+        : Optional.empty();
   }
 
   /** Returns the number of evacuated zones. */
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -157,9 +157,9 @@
       inProgress++;
       requestRate.recordEvent(context.nowMillis());
       deadlineTimer = context.timers().after(call.deadlineMillis(), this::onDeadline);
-      if (exclusion().isPresent()) {
-        // Admission doesn't know regions, so it might let the request wait.
-        failWithoutServer("no server");
+      // Admission doesn't know regions, so it might let the request wait.
+      if (call.restriction().isRestricted() && exclusion().isPresent()) {
+        fail(exclusionOr("no server"));
       } else {
         slot.acquire(this);
       }
@@ -170,6 +170,10 @@
       return directory.exclusionOf(service, call.restriction());
     }
 
+    private String exclusionOr(String otherReason) {
+      return exclusion().map(Ineligibility::text).orElse(otherReason);
+    }
+
     @Override
     public void onAdmitted() {
       if (!tryNext()) {
@@ -180,7 +184,7 @@
 
     @Override
     public void onRejected(Reject rejection) {
-      failWithoutServer(rejection.reason().text());
+      fail(exclusionOr(rejection.reason().text()));
     }
 
     /** Sends the request to the next server; returns false if no attempt is in progress. */
@@ -326,8 +330,7 @@
       if (crashGuard.isHeldBack()) {
         context.metrics().requestsHeldBack.increment();
       }
-      String reason = exclusion().map(Ineligibility::text).orElse(otherReason);
-      fail(crashGuard.isHeldBack() ? HELD_BACK_REASON : reason);
+      fail(crashGuard.isHeldBack() ? HELD_BACK_REASON : exclusionOr(otherReason));
     }
 
     private long retryAfterMillis() {
--- a/node/src/test/java/org/passhaven/node/gateway/EvacuationTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/EvacuationTest.java
@@ -24,10 +24,12 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.eligibility.ColdStartLimit;
 import org.passhaven.core.eligibility.Ineligibility;
 import org.passhaven.core.route.RequestLimits;
 import org.passhaven.core.route.Route;
@@ -59,6 +61,7 @@
   private final MemoryTables tables = new MemoryTables(timers);
   private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   private final List<String> called = new ArrayList<>();
+  private final List<String> checked = new ArrayList<>();
   private final List<String> generated = new ArrayList<>();
   private final List<UniEmitter<? super Answer>> answers = new ArrayList<>();
   private final List<MultiEmitter<? super BackEndService.Progress>> generations = new ArrayList<>();
@@ -183,17 +186,20 @@
   @BeforeEach
   void listServers() {
     for (String zone : List.of("z", "y", "x")) {
-      for (String service : List.of("s", "llm")) {
-        String id = service + "-" + zone;
-        ServerEntry entry =
-            new ServerEntry(
-                ServerIncarnation.of(id), service, id + ":1", zone, 2, true, Map.of("m", 1L));
-        tables.add("servers", List.of(new Entry(id, Codec.encode(entry))));
-      }
+      list("s", zone);
+      list("llm", zone);
     }
     put("config", "1");
   }
 
+  private void list(String service, String zone) {
+    String id = service + "-" + zone;
+    ServerEntry entry =
+        new ServerEntry(
+            ServerIncarnation.of(id), service, id + ":1", zone, 2, true, Map.of("m", 1L));
+    tables.add("servers", List.of(new Entry(id, Codec.encode(entry))));
+  }
+
   private Entry configuration() {
     return new Entry("config", "1".getBytes(StandardCharsets.UTF_8));
   }
@@ -240,7 +246,7 @@
   /** Returns the servers that requests go to while so many are open that all servers are used. */
   private Set<String> usedServers() {
     called.clear();
-    for (int i = 0; i < 6; i++) {
+    for (int i = 0; i < 8; i++) {
       submit("");
     }
     Set<String> used = new TreeSet<>(called);
@@ -300,10 +306,101 @@
   }
 
   @Test
-  void anUnknownZoneIsHarmless() {
+  void anUnknownZoneIsHarmlessAndItsLaterServersGetNothing() {
     startNode();
-    put(EVACUATE + "nowhere", "{}");
+    put(EVACUATE + "new", "{}");
     assertThat(usedServers(), containsInAnyOrder("s-z", "s-y", "s-x"));
+    list("s", "new");
+    timers.advance(1_000);
+    assertThat(usedServers(), containsInAnyOrder("s-z", "s-y", "s-x"));
+    put(EVACUATE + "new", null);
+    assertThat(usedServers(), containsInAnyOrder("s-z", "s-y", "s-x", "s-new"));
+  }
+
+  @Test
+  void serversOfAnEvacuatedZoneAreNoCapacity() {
+    startNode();
+    usedServers();
+    assertThat(admissionLimit(), equalTo(9.0));
+    put(EVACUATE + "z", "{}");
+    assertThat(admissionLimit(), equalTo(6.0));
+  }
+
+  private double admissionLimit() {
+    return meters.get("passhaven.gateway.admission.limit").tag("service", "s").gauge().value();
+  }
+
+  @Test
+  void aRequestWithoutAnAllowedRegionDoesNotWaitBehindOthers() {
+    startNode();
+    for (int i = 0; i < 20; i++) {
+      submit("");
+    }
+    int before = outcomes.size();
+    routeRestriction = RegionRestriction.to(Set.of("elsewhere"));
+    submit("");
+    assertThat(outcomes, hasSize(before + 1));
+    ForwardOutcome.NotRun refused = (ForwardOutcome.NotRun) outcomes.get(before);
+    assertThat(refused.reason(), equalTo(Ineligibility.REGION_NOT_ALLOWED.text()));
+  }
+
+  /** Lets the node send only while {@code maySend}, which no chooser knows. */
+  private void limitSends(BooleanSupplier maySend) {
+    gateway
+        .eligibility()
+        .limitColdStarts(
+            new ColdStartLimit() {
+              @Override
+              public boolean maySend(ServerEntry server, long nowMillis) {
+                return maySend.getAsBoolean();
+              }
+
+              @Override
+              public void onSent(ServerEntry server, long nowMillis) {
+                checked.add(server.incarnation().id());
+              }
+            });
+  }
+
+  @Test
+  void noSenderOfANodeBypassesTheCheckOfServers() {
+    startNode();
+    limitSends(() -> false);
+    submit("");
+    submitJob(1, null);
+    timers.advance(3_000);
+    assertThat(called, empty());
+    assertThat(generated, empty());
+    assertThat(ineligible(Ineligibility.COLD_LIMIT_REACHED), greaterThan(1.0));
+  }
+
+  @Test
+  void hedgesRetriesItemsAndScoringsAreAllChecked() {
+    startNode();
+    limitSends(() -> true);
+    submit("");
+    timers.advance(400);
+    answers.get(0).complete(new Answer(503, true, "", List.of(), new byte[0]));
+    timers.advance(400);
+    submitJob(1, new ScoreCall("score", "h", "/score", new byte[0]));
+    generations.get(0).emit(new BackEndService.Progress.Began(1));
+    generations.get(0).emit(new BackEndService.Progress.Event(1, 0, "one"));
+    generations.get(0).complete();
+    timers.advance(100);
+    assertThat("a request, its hedge and its retry, and a scoring", called, hasSize(4));
+    assertThat(generated, hasSize(1));
+    List<String> all = new ArrayList<>(called);
+    all.addAll(generated);
+    assertThat(checked, containsInAnyOrder(all.toArray()));
+  }
+
+  @Test
+  void callersOfARestrictedHostAreSentToAllowedRegions() {
+    routeRestriction = RegionRestriction.to(Set.of("near"));
+    jobRestriction = routeRestriction;
+    startNode();
+    assertThat(gateway.lookupZone("h", "x"), equalTo("z"));
+    assertThat(gateway.lookupZone("other", "x"), equalTo("x"));
   }
 
   @Test
