--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -40,6 +40,7 @@
   private final Topology topology;
   private final ServerView view;
   private final LengthEstimator lengths;
+  private final CandidateFilter candidates;
   private final RefusalTracker refusals = new RefusalTracker();
   private final Map<String, ServerIncarnation> serverByGroup = new LinkedHashMap<>();
   private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
@@ -49,7 +50,18 @@
     this(node, Topology.ofZone(zone), view, lengths);
   }
 
+  /** Creates a picker that may choose all ready servers. */
   GenerationPicker(String node, Topology topology, ServerView view, LengthEstimator lengths) {
+    this(node, topology, view, lengths, (server, restriction) -> true);
+  }
+
+  GenerationPicker(
+      String node,
+      Topology topology,
+      ServerView view,
+      LengthEstimator lengths,
+      CandidateFilter candidates) {
+    this.candidates = Objects.requireNonNull(candidates, "candidates");
     this.node = Objects.requireNonNull(node, "node");
     this.topology = Objects.requireNonNull(topology, "topology");
     this.view = Objects.requireNonNull(view, "view");
@@ -159,6 +171,7 @@
         model.isEmpty()
             || server.versionOf(model) >= execution.jobExecution.job.submission().oldestVersion();
     return isVersionAllowed
+        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
         && refusals.maySend(
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -67,15 +67,18 @@
     this("", zone, (job, item) -> true);
   }
 
-  /** Creates the scheduler of {@code node} in {@code zone}, in a single region. */
+  /**
+   * Creates the scheduler of {@code node} in {@code zone}, in a single region, which may choose all
+   * ready servers.
+   */
   public JobScheduler(String node, String zone, ItemGate gate) {
-    this(node, Topology.ofZone(zone), gate);
+    this(node, Topology.ofZone(zone), gate, (server, restriction) -> true);
   }
 
   /** Creates the scheduler of {@code node}. */
-  public JobScheduler(String node, Topology topology, ItemGate gate) {
+  public JobScheduler(String node, Topology topology, ItemGate gate, CandidateFilter candidates) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, topology, view, lengths);
+    this.picker = new GenerationPicker(node, topology, view, lengths, candidates);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
@@ -259,7 +262,8 @@
             execution.jobExecution.job.submission(),
             execution.item,
             execution.text.lastEvent(),
-            priority));
+            priority,
+            execution.jobExecution.policy.restriction()));
   }
 
   /** Stops a stalled generation, and moves one from a slow server if a faster one has a slot. */
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -44,7 +44,7 @@
         0);
   }
 
-  /** Returns settings of node {@code n} in a deployment of several regions. */
+  /** Returns settings of node {@code n} in the own zone of a topology. */
   static GatewaySettings settings(Topology topology) {
     GatewaySettings base = settings("n", 1, 262_144, 2_097_152);
     return new GatewaySettings(
