Cold servers: each node sends its share of their load limit

Cause: nothing bounded what all nodes together send to a server that has just started and falls over above its cold rate. A refusal at the door counted as one of a full server and made the picker back off. JobRunner stored a generation after subscribe(), so one that failed at once left an entry behind.

Heartbeats carry the owned runs where a service has a limit. GenerationPicker and ServerCandidates ask before they choose: warm servers first for requests, at most one generation a round at a cold one. A request held back at the door has a kind of its own and causes no backoff.

--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
@@ -0,0 +1,234 @@
+package org.passhaven.core.coldstart;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntUnaryOperator;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.eligibility.ColdStartLimit;
+import org.passhaven.core.route.Route;
+import org.passhaven.core.route.RouteTable;
+
+/**
+ * Paces this node's requests to cold servers at its share of their load limits. A request is sent
+ * at the earliest one interval after the last one, so that a pause allows no burst. Times are in
+ * monotonic milliseconds. Not thread-safe.
+ */
+public final class ColdStartLimiter implements ColdStartLimit {
+  /** Part of a server's rate that is shared out; the rest is for nodes whose views differ. */
+  private static final double SHARED_PART = 0.8;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Steps of the random part of an interval that a first request waits for. */
+  private static final int PHASE_STEPS = 1_000;
+
+  private static final long NEVER_MILLIS = Long.MAX_VALUE;
+
+  private final ColdStartShares shares;
+  private final IntUnaryOperator randomBelow;
+  private final Map<String, ServiceLimit> limitByService = new HashMap<>();
+  private final Map<String, ColdServer> coldById = new HashMap<>();
+  private BooleanSupplier isMembershipKnown = () -> false;
+
+  /** Change of a server that an entry reports. */
+  public enum Change {
+    /** The server was warm and is cold. */
+    COLD,
+    /** The server was cold and is warm. */
+    WARM
+  }
+
+  /**
+   * Load limit of a service's cold servers.
+   *
+   * @param users whether jobs, other requests or both use the service
+   */
+  private record ServiceLimit(double requestsPerSecond, Set<User> users) {}
+
+  private enum User {
+    JOBS,
+    REQUESTS
+  }
+
+  /** A cold server and this node's turns there. */
+  private static final class ColdServer {
+    final ServerIncarnation incarnation;
+    final double phase;
+    long untilMillis;
+
+    /** Time from which the next turn is counted; negative if this node had no share. */
+    long countedFromMillis = -1;
+
+    boolean hasSent;
+
+    ColdServer(ServerIncarnation incarnation, double phase) {
+      this.incarnation = incarnation;
+      this.phase = phase;
+    }
+  }
+
+  /**
+   * Creates a limiter without any limit.
+   *
+   * @param randomBelow returns a random number from zero (inclusive) to the argument (exclusive)
+   */
+  public ColdStartLimiter(ColdStartShares shares, IntUnaryOperator randomBelow) {
+    this.shares = Objects.requireNonNull(shares, "shares");
+    this.randomBelow = Objects.requireNonNull(randomBelow, "randomBelow");
+  }
+
+  /** Returns a limiter for a fleet without limits. */
+  public static ColdStartLimiter none() {
+    return new ColdStartLimiter(new ColdStartShares(""), bound -> 0);
+  }
+
+  /** Sets the check of whether the view of the heartbeats is current; without it, it is not. */
+  public void trustSharesWhile(BooleanSupplier isKnown) {
+    isMembershipKnown = Objects.requireNonNull(isKnown, "isKnown");
+  }
+
+  /** Applies the limits of a configuration. */
+  public void configure(RouteTable routes) {
+    limitByService.clear();
+    routes
+        .services()
+        .forEach(
+            (name, spec) ->
+                spec.coldStart()
+                    .ifPresent(
+                        limit ->
+                            limitByService.put(
+                                name,
+                                new ServiceLimit(
+                                    limit.requestsPerSecond(), usersOf(routes.kindsOf(name))))));
+  }
+
+  private static Set<User> usersOf(Set<Route.Kind> kinds) {
+    Set<User> users = EnumSet.noneOf(User.class);
+    kinds.forEach(kind -> users.add(kind == Route.Kind.JOBS ? User.JOBS : User.REQUESTS));
+    return users;
+  }
+
+  /** Returns whether any service has a load limit for cold servers. */
+  public boolean isInUse() {
+    return !limitByService.isEmpty();
+  }
+
+  /**
+   * Handles an entry of a server. It was written before it was read, so a server counts as cold for
+   * longer than it is rather than for shorter.
+   */
+  public Optional<Change> onEntry(ServerEntry entry, long nowMillis) {
+    ServerIncarnation incarnation = entry.incarnation();
+    ColdServer known = coldById.get(incarnation.id());
+    if (entry.coldMillis() == 0) {
+      coldById.remove(incarnation.id());
+      return known == null ? Optional.empty() : Optional.of(Change.WARM);
+    }
+    boolean isSame = known != null && known.incarnation.equals(incarnation);
+    boolean wasCold = isSame && nowMillis < known.untilMillis;
+    ColdServer server = isSame ? known : new ColdServer(incarnation, drawPhase());
+    server.untilMillis = nowMillis + entry.coldMillis();
+    coldById.put(incarnation.id(), server);
+    return wasCold ? Optional.empty() : Optional.of(Change.COLD);
+  }
+
+  private double drawPhase() {
+    return randomBelow.applyAsInt(PHASE_STEPS) / (double) PHASE_STEPS;
+  }
+
+  /** Removes a server that is no longer listed. */
+  public void remove(String id) {
+    coldById.remove(id);
+  }
+
+  /** Keeps only the servers with these ids. */
+  public void retain(Set<String> ids) {
+    coldById.keySet().retainAll(ids);
+  }
+
+  /** Returns whether a service has a load limit for cold servers. */
+  public boolean limits(String service) {
+    return limitByService.containsKey(service);
+  }
+
+  /** Returns whether requests to a server are limited now. */
+  public boolean isLimited(ServerEntry server, long nowMillis) {
+    return limits(server.service()) && coldServer(server, nowMillis) != null;
+  }
+
+  private ColdServer coldServer(ServerEntry server, long nowMillis) {
+    ColdServer cold = coldById.get(server.incarnation().id());
+    boolean isCold =
+        cold != null
+            && cold.incarnation.equals(server.incarnation())
+            && nowMillis < cold.untilMillis;
+    return isCold ? cold : null;
+  }
+
+  @Override
+  public boolean maySend(ServerEntry server, long nowMillis) {
+    return !isLimited(server, nowMillis) || nowMillis >= turnMillis(server, nowMillis);
+  }
+
+  /**
+   * Returns the time until this node may send the next request to a server; empty if it has no
+   * share of the server's load limit.
+   */
+  public OptionalLong millisUntilTurn(ServerEntry server, long nowMillis) {
+    if (!isLimited(server, nowMillis)) {
+      return OptionalLong.of(0);
+    }
+    long turnMillis = turnMillis(server, nowMillis);
+    return turnMillis == NEVER_MILLIS
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.max(0, turnMillis - nowMillis));
+  }
+
+  private long turnMillis(ServerEntry server, long nowMillis) {
+    ColdServer cold = coldServer(server, nowMillis);
+    ServiceLimit limit = limitByService.get(server.service());
+    double ratePerSecond = limit.requestsPerSecond() * SHARED_PART * shareOf(limit, nowMillis);
+    if (ratePerSecond <= 0) {
+      if (!cold.hasSent) {
+        cold.countedFromMillis = -1;
+      }
+      return NEVER_MILLIS;
+    }
+    if (cold.countedFromMillis < 0) {
+      cold.countedFromMillis = nowMillis;
+    }
+    double intervalMillis = MILLIS_PER_SECOND / ratePerSecond;
+    double waitMillis = cold.hasSent ? intervalMillis : cold.phase * intervalMillis;
+    return cold.countedFromMillis + (long) Math.ceil(waitMillis);
+  }
+
+  private double shareOf(ServiceLimit limit, long nowMillis) {
+    if (limit.users().isEmpty() || !isMembershipKnown.getAsBoolean()) {
+      return 0;
+    }
+    double sum = 0;
+    for (User user : limit.users()) {
+      sum += user == User.JOBS ? shares.ofRuns(nowMillis) : shares.ofRequests(nowMillis);
+    }
+    return sum / limit.users().size();
+  }
+
+  @Override
+  public void onSent(ServerEntry server, long nowMillis) {
+    if (!limitByService.isEmpty()) {
+      ColdServer cold = coldServer(server, nowMillis);
+      if (cold != null) {
+        cold.hasSent = true;
+        cold.countedFromMillis = nowMillis;
+      }
+    }
+  }
+}
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -1,6 +1,7 @@
 package org.passhaven.core.job;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.placement.Rendezvous;
 
 /**
@@ -39,20 +41,32 @@
   private final String zone;
   private final ServerView view;
   private final LengthEstimator lengths;
+  private final ColdStartLimiter coldStarts;
   private final RefusalTracker refusals = new RefusalTracker();
   private final Map<String, ServerIncarnation> serverByGroup = new LinkedHashMap<>();
+
+  /** Servers chosen in this round, whose requests the cold start limit has not counted yet. */
+  private final Set<ServerIncarnation> chosenThisRound = new HashSet<>();
+
   private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
 
-  GenerationPicker(String node, String zone, ServerView view, LengthEstimator lengths) {
+  GenerationPicker(
+      String node,
+      String zone,
+      ServerView view,
+      LengthEstimator lengths,
+      ColdStartLimiter coldStarts) {
     this.node = Objects.requireNonNull(node, "node");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.view = Objects.requireNonNull(view, "view");
     this.lengths = Objects.requireNonNull(lengths, "lengths");
+    this.coldStarts = Objects.requireNonNull(coldStarts, "coldStarts");
   }
 
   /** Begins a scheduling round, during which the servers and their speeds stay the same. */
   void beginRound(ReadyServers readyServers, long nowMillis) {
     servers = readyServers;
+    chosenThisRound.clear();
     refusals.retain(readyServers.incarnations());
     view.beginRound(readyServers, nowMillis);
   }
@@ -84,6 +98,7 @@
   /** Counts a generation that was sent to its server as pending. */
   void onSent(ItemExecution execution) {
     refusals.onSent(execution.server, modelOf(execution));
+    chosenThisRound.add(execution.server);
   }
 
   /** Handles the acceptance of a generation by its server. */
@@ -121,6 +136,7 @@
     return choose(execution, nowMillis)
         .filter(server -> !server.incarnation().equals(execution.server))
         .filter(server -> isNotLoading(execution, server))
+        .filter(server -> !coldStarts.isLimited(server, nowMillis))
         .filter(
             server ->
                 currentIntervalMillis
@@ -156,7 +172,15 @@
         && refusals.maySend(
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
-        && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots());
+        && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots())
+        && isWarmOrDue(server, nowMillis);
+  }
+
+  /** Returns whether a server is warm or it is this node's turn to send one generation there. */
+  private boolean isWarmOrDue(ServerEntry server, long nowMillis) {
+    return !coldStarts.isLimited(server, nowMillis)
+        || (coldStarts.maySend(server, nowMillis)
+            && !chosenThisRound.contains(server.incarnation()));
   }
 
   /** Returns the expected time of the remaining text at a server, plus penalties. */
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -38,6 +39,8 @@
   public enum Failure {
     /** The server refused the request. */
     REFUSED,
+    /** The request was not sent, since the server must not receive it now. */
+    HELD_BACK,
     /** The response came from another server or weight version than requested. */
     MISDIRECTED,
     /** The server answered with an error. */
@@ -66,10 +69,15 @@
     this("", zone, (job, item) -> true);
   }
 
-  /** Creates the scheduler of {@code node} in {@code zone}. */
+  /** Creates the scheduler of {@code node} in {@code zone}, without limits for cold servers. */
   public JobScheduler(String node, String zone, ItemGate gate) {
+    this(node, zone, gate, ColdStartLimiter.none());
+  }
+
+  /** Creates the scheduler of {@code node} in {@code zone}. */
+  public JobScheduler(String node, String zone, ItemGate gate, ColdStartLimiter coldStarts) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, zone, view, lengths);
+    this.picker = new GenerationPicker(node, zone, view, lengths, coldStarts);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
@@ -375,6 +383,7 @@
     execution.retryAtMillis = nowMillis + RETRY_DELAY_MILLIS;
     switch (failure) {
       case REFUSED -> picker.onRefused(execution, nowMillis);
+      case HELD_BACK -> {}
       case MISDIRECTED ->
           health.avoid(execution.server, MISDIRECTED_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case CONNECTION_LOST -> health.onFailure(execution.server, nowMillis);
--- a/core/src/main/java/org/passhaven/core/route/RouteTable.java
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.passhaven.core.service.ServiceSpec;
 import org.passhaven.core.tenant.TenantTable;
 import org.passhaven.protocol.region.RegionRestriction;
@@ -81,6 +82,15 @@
     return services.contains(service);
   }
 
+  /** Returns the kinds of the routes that use a service. */
+  public Set<Route.Kind> kindsOf(String service) {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(route -> route.shares().stream().anyMatch(share -> share.service().equals(service)))
+        .map(Route::kind)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the properties of a service. */
   public ServiceSpec service(String name) {
     return specs.getOrDefault(name, ServiceSpec.ofName(name));
--- a/node/src/main/java/org/passhaven/node/gateway/EligibleBackEnds.java
+++ b/node/src/main/java/org/passhaven/node/gateway/EligibleBackEnds.java
@@ -82,7 +82,8 @@
                   ? backEnds.generate(target, generation)
                   : Multi.createFrom()
                       .failure(
-                          new BackEndException(BackEndException.Kind.REFUSED, reason.get().text()));
+                          new BackEndException(
+                              BackEndException.Kind.HELD_BACK, reason.get().text()));
             });
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -86,6 +86,7 @@
             forwarder::requestsPerSecond,
             this::isDependedOn,
             this::heartbeatReadPauseMillis);
+    limitColdStarts();
     this.jobs = new JobService(context, jobLog);
     this.runner = new JobRunner(context, directory, members, jobLog, forwarder, crashes);
     this.duties = new DutyAgent(context, members, jobLog);
@@ -93,6 +94,19 @@
     meter.ifPresent(usageMeter -> new UsageReporter(context, duties, usageMeter));
   }
 
+  /** Derives this node's share of the load of cold servers from the heartbeats of all nodes. */
+  private void limitColdStarts() {
+    directory.coldStarts().trustSharesWhile(members::isMembershipKnown);
+    members.shareOwnedRuns(
+        () -> directory.coldStarts().isInUse() ? jobLog.owners().ownedRuns().size() : 0);
+    members.onHeartbeatsRead(
+        () -> {
+          if (directory.coldStarts().isInUse()) {
+            directory.coldStartShares().onHeartbeats(acceptingNodes(), context.nowMillis());
+          }
+        });
+  }
+
   /** Starts following the log and the tables, and running jobs and duties. */
   public void start() {
     LOG.atInfo()
@@ -117,6 +131,7 @@
   /** Restarts reads after a suspension, since pending ones may never complete. */
   private void restartReads() {
     directory.restartReads();
+    directory.coldStartShares().clear();
     crashes.restartReads();
     duties.restartReads();
   }
--- a/node/src/main/java/org/passhaven/node/gateway/ItemCrashGate.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ItemCrashGate.java
@@ -67,7 +67,7 @@
               .onInterrupted(fingerprintOf(start.job(), start.item()), start.server())
               .subscribe()
               .with(ignored -> {});
-      case REFUSED, MISDIRECTED, UNREACHABLE -> {
+      case REFUSED, HELD_BACK, MISDIRECTED, UNREACHABLE -> {
         if (!crashes.hasNoSuspects()) {
           crashes.returnTrial(fingerprintOf(start.job(), start.item()));
         }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -66,7 +66,11 @@
     this.log = Objects.requireNonNull(log, "log");
     this.results = new ResultWriter(context, log);
     this.scheduler =
-        new JobScheduler(context.settings().node(), context.settings().zone(), this.crashGate);
+        new JobScheduler(
+            context.settings().node(),
+            context.settings().zone(),
+            this.crashGate,
+            directory.coldStarts());
     this.texts = new PartialTextLog(context, log.history(), scheduler, this::scheduleDecision);
     this.scoreQueue = new ScoreCallQueue(context, directory, forwarder, scheduler, this::apply);
     this.runClaimer = new RunClaimer(members, log);
@@ -306,6 +310,7 @@
         .addKeyValue("after", start.lastEvent())
         .addKeyValue("estimate", scheduler.serverView().estimate(server, context.nowMillis()))
         .log("job: generation begins");
+    generations.put(attempt, () -> {});
     Cancellable generation =
         context
             .backEnds()
@@ -318,7 +323,10 @@
                 failure -> onFailed(start, BackEndException.from(failure)),
                 () -> onCompleted(start));
     context.metrics().generationsStarted.increment();
-    generations.put(attempt, generation);
+    // The generation may have ended or been stopped during subscribe().
+    if (generations.replace(attempt, generation) == null) {
+      generation.cancel();
+    }
   }
 
   /** Returns the request by which a server generates an item's text. */
@@ -369,6 +377,7 @@
   private static JobScheduler.Failure failureOf(BackEndException.Kind kind) {
     return switch (kind) {
       case REFUSED -> JobScheduler.Failure.REFUSED;
+      case HELD_BACK -> JobScheduler.Failure.HELD_BACK;
       case MISDIRECTED -> JobScheduler.Failure.MISDIRECTED;
       case SERVER_ERROR -> JobScheduler.Failure.SERVER_ERROR;
       case IMPOSSIBLE -> JobScheduler.Failure.PERMANENT_ERROR;
--- a/node/src/main/java/org/passhaven/node/gateway/MembershipAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/MembershipAgent.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.passhaven.core.member.HeartbeatInterval;
@@ -65,6 +66,8 @@
   private Runnable clockJumpCallback = () -> {};
   private Supplier<List<ServerUse>> serverUse = List::of;
   private Consumer<MemberBeat> otherHeartbeatConsumer = heartbeat -> {};
+  private IntSupplier ownedRuns = () -> 0;
+  private Runnable heartbeatsReadCallback = () -> {};
 
   /**
    * Creates an agent; {@link #start} begins its work.
@@ -117,6 +120,16 @@
     otherHeartbeatConsumer = Objects.requireNonNull(others, "others");
   }
 
+  /** Sets the source of the number of runs that this node owns, which heartbeats carry. */
+  void shareOwnedRuns(IntSupplier own) {
+    ownedRuns = Objects.requireNonNull(own, "own");
+  }
+
+  /** Sets the task that runs after each batch of heartbeats was read. */
+  void onHeartbeatsRead(Runnable task) {
+    heartbeatsReadCallback = Objects.requireNonNull(task, "task");
+  }
+
   /** Shortens the heartbeat period and ends the read pause when others start to depend on it. */
   void shortenIntervals() {
     if (currentPeriodMillis() < announcedPeriodMillis) {
@@ -217,7 +230,8 @@
             announcedPeriodMillis,
             settings.cores(),
             inLogMillis(),
-            serverUse.get());
+            serverUse.get(),
+            ownedRuns.getAsInt());
     context
         .log()
         .append(STREAM, List.of(Codec.encode(heartbeat)))
@@ -350,6 +364,7 @@
     public void onBatchEnd() {
       detectFleetLoss();
       logChange();
+      heartbeatsReadCallback.run();
     }
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -6,12 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.coldstart.ColdStartLimiter;
+import org.passhaven.core.coldstart.ColdStartShares;
 import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.evacuation.ZoneEvacuations;
 import org.passhaven.core.job.AnnouncedVersion;
@@ -43,6 +46,8 @@
   private final ServerTable servers = new ServerTable();
   private final ZoneEvacuations evacuations = new ZoneEvacuations();
   private final ServerEligibility eligibility;
+  private final ColdStartShares coldStartShares;
+  private final ColdStartLimiter coldStarts;
   private final Map<String, AnnouncedVersion> announcedVersions = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
   private final TableFollower operator;
@@ -58,6 +63,9 @@
     this.context = Objects.requireNonNull(context, "context");
     this.documents = context.documents();
     this.eligibility = new ServerEligibility(servers, evacuations, context.settings().topology());
+    this.coldStartShares = new ColdStartShares(context.settings().node());
+    this.coldStarts = new ColdStartLimiter(coldStartShares, context.randomBelow());
+    eligibility.limitColdStarts(coldStarts);
     this.operator =
         new TableFollower(
             context.tables(),
@@ -142,6 +150,16 @@
     return eligibility;
   }
 
+  /** Returns the limit on requests to cold servers. */
+  ColdStartLimiter coldStarts() {
+    return coldStarts;
+  }
+
+  /** Returns this node's shares of the load that cold servers can take. */
+  ColdStartShares coldStartShares() {
+    return coldStartShares;
+  }
+
   /** Returns the newest announced weight version of each model. */
   public Map<String, AnnouncedVersion> announcedVersions() {
     return announcedVersions;
@@ -200,6 +218,7 @@
           .addKeyValue("silentMillis", text(operator.millisSinceLastRead()))
           .log("configuration: in force");
       routes = table;
+      coldStarts.configure(table);
       notifyListeners();
     }
 
@@ -237,6 +256,9 @@
         parseAndStore(key, value);
       }
       ServerEntry after = servers.getById(key);
+      if (after == null) {
+        coldStarts.remove(key);
+      }
       if (!Objects.equals(before, after)) {
         logChange(key, before, after);
         notifyListeners();
@@ -246,8 +268,12 @@
     /** Stores an entry; an unreadable one removes the earlier entry of the same key. */
     private void parseAndStore(String key, byte[] value) {
       try {
-        servers.put(documents.parseServer(key, value));
+        ServerEntry entry = documents.parseServer(key, value);
+        servers.put(entry);
         unreadable.remove(key);
+        if (servers.get(entry.incarnation()) != null) {
+          noteColdTime(entry);
+        }
       } catch (DocumentException e) {
         servers.remove(key);
         context.metrics().documentsUnreadable.increment();
@@ -255,6 +281,18 @@
       }
     }
 
+    private void noteColdTime(ServerEntry entry) {
+      Optional<ColdStartLimiter.Change> change = coldStarts.onEntry(entry, context.nowMillis());
+      if (change.isPresent() && coldStarts.limits(entry.service())) {
+        LOG.atInfo()
+            .addKeyValue("server", entry.incarnation())
+            .addKeyValue("service", entry.service())
+            .addKeyValue("state", change.get())
+            .addKeyValue("coldMillis", entry.coldMillis())
+            .log("servers: cold time changed");
+      }
+    }
+
     /** Logs a key once for each reason, since servers rewrite their entries with each heartbeat. */
     private void logUnreadable(String key, String reason) {
       boolean isNewReason = !reason.equals(unreadable.get(key));
@@ -284,6 +322,7 @@
     @Override
     public void onListed(Set<String> keys) {
       servers.retain(keys);
+      coldStarts.retain(keys);
       unreadable.keySet().retainAll(keys);
       notifyListeners();
     }
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -4,12 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.passhaven.core.backend.PeakConcurrency;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerPicker;
 import org.passhaven.core.backend.ServerSubset;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.placement.Member;
 import org.passhaven.protocol.member.MemberBeat;
@@ -68,14 +70,37 @@
     long now = context.nowMillis();
     int peak = service.peakUse.update(inProgress(service) + 1, now);
     service.activeSubset = service.subset.forLoad(peak, service.rotation++);
-    List<ServerEntry> servers =
-        service.activeSubset.candidates(
-            server ->
-                !plan.hasTried(server.incarnation()) && picker.isGood(server, service.ready, now));
+    Predicate<ServerEntry> isGood =
+        server -> !plan.hasTried(server.incarnation()) && picker.isGood(server, service.ready, now);
+    if (directory.coldStarts().limits(name)) {
+      return warmFirst(service, isGood, now);
+    }
+    List<ServerEntry> servers = service.activeSubset.candidates(isGood);
+    countWidened(service, servers);
+    return servers;
+  }
+
+  /**
+   * Returns the warm servers while one of them is good, otherwise also the cold ones whose turn it
+   * is.
+   */
+  private List<ServerEntry> warmFirst(
+      Service service, Predicate<ServerEntry> isGood, long nowMillis) {
+    ColdStartLimiter coldStarts = directory.coldStarts();
+    Predicate<ServerEntry> isWarm = server -> !coldStarts.isLimited(server, nowMillis);
+    List<ServerEntry> servers = service.activeSubset.candidates(isWarm.and(isGood));
+    countWidened(service, servers);
+    Predicate<ServerEntry> isEligible =
+        servers.stream().anyMatch(isWarm.and(isGood))
+            ? isWarm
+            : server -> coldStarts.maySend(server, nowMillis);
+    return servers.stream().filter(isEligible).toList();
+  }
+
+  private void countWidened(Service service, List<ServerEntry> servers) {
     if (servers.size() > service.activeSubset.size()) {
       context.metrics().subsetsWidened.increment();
     }
-    return servers;
   }
 
   private void refresh(String name, Service service) {
--- a/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
+++ b/protocol/src/main/java/org/passhaven/protocol/member/MemberBeat.java
@@ -17,6 +17,8 @@
  *     incarnation, then 1 plus the milliseconds since that acknowledgement; 0 if not reported
  * @param serverUse the node's use of model servers that it shares with other nodes; omitted from
  *     the encoding if empty, and ignored by older nodes
+ * @param ownedRuns number of runs whose jobs the node runs; omitted from the encoding if zero, and
+ *     ignored by older nodes
  */
 public record MemberBeat(
     String node,
@@ -28,7 +30,8 @@
     long periodMillis,
     double cores,
     long inLogMillis,
-    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerUse> serverUse) {
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerUse> serverUse,
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) int ownedRuns) {
   /**
    * Value of {@link #inLogMillis} until the log has acknowledged the first heartbeat of an
    * incarnation.
@@ -45,6 +48,32 @@
     serverUse = serverUse == null ? List.of() : List.copyOf(serverUse);
   }
 
+  /** Creates a heartbeat of a node that owns no run. */
+  public MemberBeat(
+      String node,
+      String address,
+      String zone,
+      long incarnation,
+      boolean taking,
+      double requestsPerSecond,
+      long periodMillis,
+      double cores,
+      long inLogMillis,
+      List<ServerUse> serverUse) {
+    this(
+        node,
+        address,
+        zone,
+        incarnation,
+        taking,
+        requestsPerSecond,
+        periodMillis,
+        cores,
+        inLogMillis,
+        serverUse,
+        0);
+  }
+
   /** Creates a heartbeat without server use. */
   public MemberBeat(
       String node,
--- a/spi/src/main/java/org/passhaven/spi/BackEndException.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndException.java
@@ -10,6 +10,8 @@
   public enum Kind {
     /** The server is at capacity and did not run the request. */
     REFUSED,
+    /** This node did not send the request, since the server must not receive it now. */
+    HELD_BACK,
     /**
      * Another server uses the address, or the server has another version; the request did not run.
      */
