Cold servers: requests wait for a turn when no warm server is left

Cause: while all servers of a service are cold, a request was refused although this node's next turn was milliseconds away.

Change: ColdTurnQueue gives a request the first turn that no other waits for, if it lies within the route's objective; otherwise the request is refused at once.

--- a/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
@@ -179,23 +179,29 @@
   }
 
   /**
-   * Returns the time until this node may send the next request to a server; empty if it has no
-   * share of the server's load limit.
+   * Returns the time until this node may send a request to a server; empty if it has no share of
+   * the server's load limit.
+   *
+   * @param ahead number of requests that are sent there before it
    */
-  public OptionalLong millisUntilTurn(ServerEntry server, long nowMillis) {
+  public OptionalLong millisUntilTurn(ServerEntry server, int ahead, long nowMillis) {
     if (!isLimited(server, nowMillis)) {
       return OptionalLong.of(0);
     }
     long turnMillis = turnMillis(server, nowMillis);
-    return turnMillis == NEVER_MILLIS
-        ? OptionalLong.empty()
-        : OptionalLong.of(Math.max(0, turnMillis - nowMillis));
+    if (turnMillis == NEVER_MILLIS) {
+      return OptionalLong.empty();
+    }
+    double intervalMillis =
+        MILLIS_PER_SECOND / ratePerSecond(limitByService.get(server.service()), nowMillis);
+    return OptionalLong.of(
+        Math.max(0, turnMillis - nowMillis) + (long) Math.ceil(ahead * intervalMillis));
   }
 
   private long turnMillis(ServerEntry server, long nowMillis) {
     ColdServer cold = coldServer(server, nowMillis);
     ServiceLimit limit = limitByService.get(server.service());
-    double ratePerSecond = limit.requestsPerSecond() * SHARED_PART * shareOf(limit, nowMillis);
+    double ratePerSecond = ratePerSecond(limit, nowMillis);
     if (ratePerSecond <= 0) {
       if (!cold.hasSent) {
         cold.countedFromMillis = -1;
@@ -210,6 +216,11 @@
     return cold.countedFromMillis + (long) Math.ceil(waitMillis);
   }
 
+  /** Returns the rate at which this node may send to each cold server of a service. */
+  private double ratePerSecond(ServiceLimit limit, long nowMillis) {
+    return limit.requestsPerSecond() * SHARED_PART * shareOf(limit, nowMillis);
+  }
+
   private double shareOf(ServiceLimit limit, long nowMillis) {
     if (limit.users().isEmpty() || !isMembershipKnown.getAsBoolean()) {
       return 0;
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -208,6 +208,17 @@
     decideSingleStart(servers, 320);
   }
 
+  @Test
+  void aServerIsNotAvoidedAfterARequestThatThisNodeHeldBack() {
+    List<ServerEntry> servers = List.of(server("a", 1));
+    scheduler.startOrUpdate(
+        job("j", 0, 1, item("x", "g", 2, false), item("y", "g", 1, false)), POLICY, NO_SAVED_TEXTS);
+    List<JobAction.Start> both = startActions(scheduler.decide(servers, NO_ANNOUNCED_VERSIONS, 0));
+    both.forEach(start -> scheduler.onFailed(start.attempt(), Failure.HELD_BACK, 10));
+    assertThat(
+        startActions(scheduler.decide(servers, NO_ANNOUNCED_VERSIONS, 60)), hasSize(both.size()));
+  }
+
   @Test
   void textOfATooOldVersionIsRejected() {
     scheduler.startOrUpdate(job("j", 0, 5, item("x", "g", 0, false)), POLICY, NO_SAVED_TEXTS);
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -47,6 +47,7 @@
   private final ServerHealth health = new ServerHealth();
   private final ServerCandidates candidates;
   private final RequestAdmission admission;
+  private final ColdTurnQueue coldTurns;
   private final RateMeter requestRate;
   private final RunListener runListener;
   private int inProgress;
@@ -75,6 +76,7 @@
     this.rotation = new WeightedRoundRobin(context.randomBelow());
     this.candidates = new ServerCandidates(context, directory, health, liveNodes);
     this.admission = new RequestAdmission(context, directory, directory.servers()::readyServersOf);
+    this.coldTurns = new ColdTurnQueue(context, directory);
     this.requestRate = new RateMeter(context.nowMillis());
     directory.addListener(
         () ->
@@ -129,7 +131,9 @@
     private final long lostAtStartMillis = lostToClockJumpsMillis();
     private final ForwardAttempts attempts;
     private final RequestLogger log;
+    private final long objectiveMillis;
     private Timers.Timer deadlineTimer;
+    private Timers.Timer coldTurn;
     private boolean isReportedAsRun;
     private boolean isDone;
 
@@ -142,6 +146,7 @@
       this.slot = admission.newSlot(route, call, service, source, plan.deadlineMillis());
       this.attempts = new ForwardAttempts(context, health, call, plan, this);
       this.log = new RequestLogger(context, directory, route, call, service, startedAtMillis);
+      this.objectiveMillis = startedAtMillis + route.targetMillis();
     }
 
     void start() {
@@ -177,12 +182,19 @@
       Optional<ServerEntry> server =
           plan.nextServer(servers, candidates.picker(), context.nowMillis());
       if (server.isEmpty()) {
-        return plan.inProgress() > 0;
+        return plan.inProgress() > 0 || (servers.isEmpty() && awaitColdTurn());
       }
       attempts.send(server.get(), plan.inProgress() > 1);
       return true;
     }
 
+    /** Waits for a turn at a cold server; returns false if there is none within the objective. */
+    private boolean awaitColdTurn() {
+      Optional<Timers.Timer> turn = coldTurns.await(service, objectiveMillis, this::tryNextOrFail);
+      turn.ifPresent(timer -> coldTurn = timer);
+      return turn.isPresent();
+    }
+
     private void updateUncountedTime() {
       plan.onUncountedTime(lostToClockJumpsMillis() - lostAtStartMillis);
     }
@@ -340,6 +352,9 @@
       inProgress--;
       crashGuard.close(attempts.isInProgress());
       deadlineTimer.cancel();
+      if (coldTurn != null) {
+        coldTurn.cancel();
+      }
       attempts.cancel();
       slot.release();
     }
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -30,6 +31,7 @@
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
 import org.passhaven.protocol.job.TextRecord;
+import org.passhaven.spi.BackEndException;
 import org.passhaven.spi.BackEndService;
 import org.passhaven.spi.DutyService;
 
@@ -190,6 +192,15 @@
     assertThat(ownClaimCount(MODEL), equalTo(before));
   }
 
+  @Test
+  void aGenerationThatIsStoppedWhileItStartsIsCancelled() {
+    servers.running.get(0).fail(new BackEndException(BackEndException.Kind.CUT, "reset"));
+    servers.firstProgress = new BackEndService.Progress.Event(1, 0, "without a version");
+    timers.advance(2_000);
+    assertThat(servers.running.size(), greaterThan(1));
+    assertThat(servers.cancelled, equalTo(servers.running.size()));
+  }
+
   @Test
   void theEndOfADrainStopsRunsThatNoNodeTookOver() {
     gateway.drain().subscribe().with(left -> {});
@@ -208,6 +219,9 @@
     final List<Long> lastEvents = new ArrayList<>();
     int cancelled;
 
+    /** Sent before a generation's subscription is complete; null for none. */
+    Progress firstProgress;
+
     @Override
     public Multi<Progress> generate(Target target, Generation generation) {
       return Multi.createFrom()
@@ -216,6 +230,9 @@
                 running.add(emitter);
                 lastEvents.add(generation.lastEvent());
                 emitter.onTermination(() -> cancelled++);
+                if (firstProgress != null) {
+                  emitter.emit(firstProgress);
+                }
               });
     }
   }
