--- a/protocol/src/test/java/org/passhaven/protocol/member/MemberBeatTest.java
+++ b/protocol/src/test/java/org/passhaven/protocol/member/MemberBeatTest.java
@@ -55,6 +55,13 @@
     assertThat(Codec.decode(encoded, OldBeat.class), equalTo(OLD));
   }
 
+  @Test
+  void ownedRunsAreKeptAndIgnoredByAnOlderNode() {
+    MemberBeat owner = new MemberBeat("n", "n:1", "z", 7, true, 2.5, 500, 0, 0, List.of(), 2);
+    assertThat(Codec.decode(Codec.encode(owner), MemberBeat.class), equalTo(owner));
+    assertThat(Codec.decode(Codec.encode(owner), OldBeat.class), equalTo(OLD));
+  }
+
   @Test
   void emptyServerUseAddsNoBytes() {
     assertThat(Codec.encode(beat(List.of())).length, equalTo(Codec.encode(OLD).length));
