--- a/core/src/test/java/org/passhaven/core/job/ColdServerPlacementTest.java
+++ b/core/src/test/java/org/passhaven/core/job/ColdServerPlacementTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 
 import java.util.ArrayList;
@@ -115,6 +116,27 @@
     assertThat(starts(List.of(COLD), KNOWN_AT_MILLIS), contains("soon0@cold"));
   }
 
+  @Test
+  void aRunningTextDoesNotMoveToAColdServer() {
+    ServerView view = new ServerView();
+    LengthEstimator lengths = new LengthEstimator();
+    lengths.onCompleted(100, 10);
+    for (int i = 0; i < 20; i++) {
+      view.intervalTracker().onInterval(COLD.incarnation(), 40, i);
+      view.intervalTracker().onInterval(WARM.incarnation(), 50, i);
+    }
+    GenerationPicker picker = new GenerationPicker("n", "z", view, lengths, limiter);
+    picker.beginRound(new ReadyServers(List.of(COLD, WARM), Map.of()), KNOWN_AT_MILLIS);
+    JobItem item = new JobItem("x", "/p/x", List.of(), new byte[] {1}, "g", 1_000, null);
+    Job job = new Job(JobTableTest.submission("j", 0, 0, item), 0);
+    ItemExecution execution =
+        new JobExecution(job, new JobPolicy("llm", 3, false, 1, 0)).items.get("x");
+    execution.server = WARM.incarnation();
+    assertThat(picker.chooseFaster(execution, KNOWN_AT_MILLIS), equalTo(Optional.empty()));
+    limiter.onEntry(server("cold", 0), KNOWN_AT_MILLIS);
+    assertThat(picker.chooseFaster(execution, KNOWN_AT_MILLIS), equalTo(Optional.of(COLD)));
+  }
+
   @Test
   void aNodeWithoutAShareUsesWarmServersOnly() {
     shares.clear();
--- a/node/src/test/java/org/passhaven/node/gateway/ColdServerForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ColdServerForwardTest.java
@@ -150,9 +150,10 @@
 
   @Test
   void requestsGoToWarmServersWhileOneIsGood() {
-    list("cold", 60_000);
-    list("warm0", 0);
-    list("warm1", 0);
+    for (int i = 0; i < 5; i++) {
+      list("cold" + i, 60_000);
+    }
+    list("warm", 0);
     for (int i = 0; i < 20; i++) {
       submit(1);
       timers.advance(100);
