--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
@@ -39,6 +40,8 @@
   public enum Failure {
     /** The server refused the request. */
     REFUSED,
+    /** The request was not sent, since the server must not receive it now. */
+    HELD_BACK,
     /** The response came from another server or weight version than requested. */
     MISDIRECTED,
     /** The server answered with an error. */
@@ -69,16 +72,21 @@
 
   /**
    * Creates the scheduler of {@code node} in {@code zone}, in a single region, which may choose all
-   * ready servers.
+   * ready servers without limits for cold ones.
    */
   public JobScheduler(String node, String zone, ItemGate gate) {
-    this(node, Topology.ofZone(zone), gate, (server, restriction) -> true);
+    this(node, Topology.ofZone(zone), gate, (server, restriction) -> true, ColdStartLimiter.none());
   }
 
   /** Creates the scheduler of {@code node}. */
-  public JobScheduler(String node, Topology topology, ItemGate gate, CandidateFilter candidates) {
+  public JobScheduler(
+      String node,
+      Topology topology,
+      ItemGate gate,
+      CandidateFilter candidates,
+      ColdStartLimiter coldStarts) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, topology, view, lengths, candidates);
+    this.picker = new GenerationPicker(node, topology, view, lengths, candidates, coldStarts);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
@@ -385,6 +393,7 @@
     execution.retryAtMillis = nowMillis + RETRY_DELAY_MILLIS;
     switch (failure) {
       case REFUSED -> picker.onRefused(execution, nowMillis);
+      case HELD_BACK -> {}
       case MISDIRECTED ->
           health.avoid(execution.server, MISDIRECTED_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case CONNECTION_LOST -> health.onFailure(execution.server, nowMillis);
--- a/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/GenerationPickerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.member.ServerUse;
@@ -22,7 +23,8 @@
   private static final ServerEntry SLOW = server("slow");
   private final ServerView view = new ServerView();
   private final LengthEstimator lengths = new LengthEstimator();
-  private final GenerationPicker picker = new GenerationPicker("n", "z", view, lengths);
+  private final GenerationPicker picker =
+      new GenerationPicker("n", "z", view, lengths, ColdStartLimiter.none());
   private final ReadyServers servers = new ReadyServers(List.of(FAST, SLOW), Map.of());
 
   private static ServerEntry server(String name) {
@@ -183,7 +185,13 @@
   void anotherRegionCostsMoreThanAnotherZoneAtEqualLoad() {
     Topology topology = new Topology("z", Map.of("z", "a", "y", "a", "x", "b"));
     GenerationPicker inRegion =
-        new GenerationPicker("n", topology, new ServerView(), new LengthEstimator());
+        new GenerationPicker(
+            "n",
+            topology,
+            new ServerView(),
+            new LengthEstimator(),
+            (server, restriction) -> true,
+            ColdStartLimiter.none());
     ServerEntry otherZone = server("i-zone", "y");
     ServerEntry otherRegion = server("a-region", "x");
     inRegion.beginRound(new ReadyServers(List.of(otherRegion, otherZone), Map.of()), 20);
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -70,7 +70,8 @@
             context.settings().node(),
             context.settings().topology(),
             this.crashGate,
-            directory::isCandidate);
+            directory::isCandidate,
+            directory.coldStarts());
     this.texts = new PartialTextLog(context, log.history(), scheduler, this::scheduleDecision);
     this.scoreQueue = new ScoreCallQueue(context, directory, forwarder, scheduler, this::apply);
     this.runClaimer = new RunClaimer(members, log);
@@ -311,6 +312,7 @@
         .addKeyValue("after", start.lastEvent())
         .addKeyValue("estimate", scheduler.serverView().estimate(server, context.nowMillis()))
         .log("job: generation begins");
+    generations.put(attempt, () -> {});
     Cancellable generation =
         context
             .backEnds()
@@ -323,7 +325,10 @@
                 failure -> onFailed(start, BackEndException.from(failure)),
                 () -> onCompleted(start));
     context.metrics().generationsStarted.increment();
-    generations.put(attempt, generation);
+    // The generation may have ended or been stopped during subscribe().
+    if (generations.replace(attempt, generation) == null) {
+      generation.cancel();
+    }
   }
 
   /** Returns the request by which a server generates an item's text. */
@@ -374,6 +379,7 @@
   private static JobScheduler.Failure failureOf(BackEndException.Kind kind) {
     return switch (kind) {
       case REFUSED -> JobScheduler.Failure.REFUSED;
+      case HELD_BACK -> JobScheduler.Failure.HELD_BACK;
       case MISDIRECTED -> JobScheduler.Failure.MISDIRECTED;
       case SERVER_ERROR -> JobScheduler.Failure.SERVER_ERROR;
       case IMPOSSIBLE -> JobScheduler.Failure.PERMANENT_ERROR;
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -5,12 +5,14 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.passhaven.core.backend.PeakConcurrency;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
 import org.passhaven.core.backend.ServerPicker;
 import org.passhaven.core.backend.ServerSubset;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.forward.ForwardPlan;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.topology.Distance;
@@ -79,18 +81,44 @@
     long now = context.nowMillis();
     int peak = service.peakUse.update(inProgress(service) + 1, now);
     service.activeSubset = service.subset.forLoad(peak, service.rotation++);
-    List<ServerEntry> servers =
-        service.activeSubset.candidates(
-            server ->
-                !plan.hasTried(server.incarnation()) && picker.isGood(server, service.ready, now),
-            this::isInRegion,
-            server -> !plan.hasTried(server.incarnation()) && picker.isUsable(server, now));
+    Predicate<ServerEntry> isUntried = server -> !plan.hasTried(server.incarnation());
+    Predicate<ServerEntry> isGood =
+        isUntried.and(server -> picker.isGood(server, service.ready, now));
+    Predicate<ServerEntry> isUsable = isUntried.and(server -> picker.isUsable(server, now));
+    if (directory.coldStarts().limits(name)) {
+      return warmFirst(service, isGood, isUsable, now);
+    }
+    return chooseFrom(service, isGood, isUsable);
+  }
+
+  private List<ServerEntry> chooseFrom(
+      Service service, Predicate<ServerEntry> isGood, Predicate<ServerEntry> isUsable) {
+    List<ServerEntry> servers = service.activeSubset.candidates(isGood, this::isInRegion, isUsable);
     if (service.activeSubset.isPartial() && hasOthers(service.activeSubset, servers)) {
       context.metrics().subsetsWidened.increment();
     }
     return servers;
   }
 
+  /**
+   * Returns the warm servers while one of them is good, otherwise also the cold ones whose turn it
+   * is.
+   */
+  private List<ServerEntry> warmFirst(
+      Service service,
+      Predicate<ServerEntry> isGood,
+      Predicate<ServerEntry> isUsable,
+      long nowMillis) {
+    ColdStartLimiter coldStarts = directory.coldStarts();
+    Predicate<ServerEntry> isWarm = server -> !coldStarts.isLimited(server, nowMillis);
+    List<ServerEntry> servers = chooseFrom(service, isWarm.and(isGood), isWarm.and(isUsable));
+    Predicate<ServerEntry> isEligible =
+        servers.stream().anyMatch(isWarm.and(isGood))
+            ? isWarm
+            : server -> coldStarts.maySend(server, nowMillis);
+    return servers.stream().filter(isEligible).toList();
+  }
+
   private void refresh(Requests requests, Service service) {
     List<ServerEntry> ready = directory.candidatesOf(requests.service(), requests.restriction());
     List<Member> live = liveMembers();
