--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -203,8 +203,9 @@
   /**
    * Returns the servers to choose from in a deployment of several regions: those that {@link
    * #candidates(Predicate)} returns as far as they are in the own region, unless that region has no
-   * usable server and others have one.
+   * usable server and others have one; then those that are in the other regions.
    *
+   * @param isGood whether a server is healthy and has a free slot; a good server must be usable
    * @param isInRegion whether a server is in the own region
    * @param isUsable whether a server can take the request now, even if it is a poor choice
    */
@@ -212,11 +213,18 @@
       Predicate<ServerEntry> isGood,
       Predicate<ServerEntry> isInRegion,
       Predicate<ServerEntry> isUsable) {
+    List<ServerEntry> members = byPreference.subList(0, size);
+    List<ServerEntry> ownMembers = members.stream().filter(isInRegion).toList();
+    if (ownMembers.stream().anyMatch(isGood)) {
+      return ownMembers;
+    }
     List<ServerEntry> own = byPreference.stream().filter(isInRegion).toList();
     if (own.stream().anyMatch(isUsable)) {
-      List<ServerEntry> members =
-          byPreference.subList(0, size).stream().filter(isInRegion).toList();
-      return members.stream().anyMatch(isGood) ? members : own;
+      return own;
+    }
+    List<ServerEntry> otherMembers = members.stream().filter(isInRegion.negate()).toList();
+    if (otherMembers.stream().anyMatch(isGood)) {
+      return otherMembers;
     }
     List<ServerEntry> others = byPreference.stream().filter(isInRegion.negate()).toList();
     return others.stream().anyMatch(isUsable) ? others : byPreference;
--- a/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
+++ b/core/src/main/java/org/passhaven/core/eligibility/ServerEligibility.java
@@ -59,6 +59,9 @@
    * it may be.
    */
   public Optional<Ineligibility> exclusion(ServerEntry server, RegionRestriction restriction) {
+    if (!mayExclude(restriction)) {
+      return Optional.empty();
+    }
     if (!restriction.allows(topology.regionOf(server.zone()))) {
       return Optional.of(Ineligibility.REGION_NOT_ALLOWED);
     }
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -183,11 +183,11 @@
         model.isEmpty()
             || server.versionOf(model) >= execution.jobExecution.job.submission().oldestVersion();
     return isVersionAllowed
-        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
         && refusals.maySend(
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
         && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots())
+        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
         && isWarmOrDue(server, nowMillis);
   }
 
--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -36,11 +36,7 @@
 
   private void score(ItemExecution execution, List<JobAction> actions) {
     execution.phase = ItemExecution.Phase.SCORING;
-    actions.add(
-        new JobAction.Score(
-            execution.jobExecution.job.submission(),
-            execution.item,
-            execution.jobExecution.policy.restriction()));
+    actions.add(new JobAction.Score(execution.jobExecution.job.submission(), execution.item));
   }
 
   /** Finishes an item with its score. */
--- a/core/src/main/java/org/passhaven/core/job/JobAction.java
+++ b/core/src/main/java/org/passhaven/core/job/JobAction.java
@@ -29,13 +29,8 @@
   /** Close a generation's connection; its later events are ignored. */
   record Stop(long attempt, String reason) implements JobAction {}
 
-  /**
-   * Send the request that scores an item's text.
-   *
-   * @param restriction regions to which the text may be sent
-   */
-  record Score(JobSubmission job, JobItem item, RegionRestriction restriction)
-      implements JobAction {}
+  /** Send the request that scores an item's text. */
+  record Score(JobSubmission job, JobItem item) implements JobAction {}
 
   /** Append the result of an item to the log. */
   record Finish(ItemResult result) implements JobAction {}
--- a/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
@@ -1,15 +1,18 @@
 package org.passhaven.core.member;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
 import org.passhaven.core.topology.Topology;
@@ -235,25 +238,45 @@
 
   /** Reorders nodes with every zone used once before any is used again, large nodes first. */
   private static List<MemberBeat> spread(List<MemberBeat> ranked, LargeNodes largeNodes) {
-    List<MemberBeat> spread = new ArrayList<>();
-    List<MemberBeat> remaining = new ArrayList<>(ranked);
+    List<MemberBeat> spread = new ArrayList<>(ranked.size());
     Set<String> usedZones = new HashSet<>();
-    while (!remaining.isEmpty()) {
-      boolean isLarge = largeNodes.contains(remaining.get(0));
-      Optional<MemberBeat> next =
-          remaining.stream()
-              .filter(heartbeat -> largeNodes.contains(heartbeat) == isLarge)
-              .filter(heartbeat -> !usedZones.contains(heartbeat.zone()))
-              .findFirst();
-      if (next.isEmpty()) {
+    Map<Boolean, List<MemberBeat>> bySize =
+        ranked.stream().collect(Collectors.partitioningBy(largeNodes::contains));
+    appendAcrossZones(bySize.get(true), usedZones, spread);
+    appendAcrossZones(bySize.get(false), usedZones, spread);
+    return spread;
+  }
+
+  private static void appendAcrossZones(
+      List<MemberBeat> ranked, Set<String> usedZones, List<MemberBeat> spread) {
+    Map<String, Deque<Integer>> positionsByZone = new HashMap<>();
+    for (int position = 0; position < ranked.size(); position++) {
+      positionsByZone
+          .computeIfAbsent(ranked.get(position).zone(), zone -> new ArrayDeque<>())
+          .add(position);
+    }
+    while (!positionsByZone.isEmpty()) {
+      if (usedZones.containsAll(positionsByZone.keySet())) {
         usedZones.clear();
-        continue;
       }
-      remaining.remove(next.get());
-      usedZones.add(next.get().zone());
-      spread.add(next.get());
+      String zone = firstZone(positionsByZone, usedZones);
+      Deque<Integer> positions = positionsByZone.get(zone);
+      spread.add(ranked.get(positions.poll()));
+      usedZones.add(zone);
+      if (positions.isEmpty()) {
+        positionsByZone.remove(zone);
+      }
     }
-    return spread;
+  }
+
+  /** Returns the zone, of those not used yet, whose next node has the best rank. */
+  private static String firstZone(
+      Map<String, Deque<Integer>> positionsByZone, Set<String> usedZones) {
+    return positionsByZone.entrySet().stream()
+        .filter(entry -> !usedZones.contains(entry.getKey()))
+        .min(Comparator.comparingInt(entry -> entry.getValue().peek()))
+        .map(Map.Entry::getKey)
+        .orElseThrow();
   }
 
   /**
--- a/core/src/main/java/org/passhaven/core/route/RouteTable.java
+++ b/core/src/main/java/org/passhaven/core/route/RouteTable.java
@@ -106,21 +106,6 @@
     return route.restriction().and(tenants.restrictionOf(tenant));
   }
 
-  /**
-   * Returns the regions in which requests to a host may be served and stored, whatever their route:
-   * all regions if any of its routes is unrestricted.
-   */
-  public RegionRestriction restrictionOfHost(String host) {
-    List<Route> routes = routesByHost.getOrDefault(normalizeHost(host), List.of());
-    if (routes.isEmpty()
-        || !routes.stream().allMatch(route -> route.restriction().isRestricted())) {
-      return RegionRestriction.NONE;
-    }
-    Set<String> regions = new HashSet<>();
-    routes.forEach(route -> route.restriction().regions().ifPresent(regions::addAll));
-    return RegionRestriction.to(regions);
-  }
-
   /** Returns the number of routes. */
   public int size() {
     return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/core/src/main/java/org/passhaven/core/topology/Topology.java
+++ b/core/src/main/java/org/passhaven/core/topology/Topology.java
@@ -27,14 +27,20 @@
     return new Topology(zone, Map.of());
   }
 
-  /** Returns the region of this node. */
+  /** Returns the region of this node; the only known one if its zone is not listed. */
   public String region() {
-    return regionsByZone.getOrDefault(zone, DEFAULT_REGION);
+    String listed = regionsByZone.get(zone);
+    if (listed != null) {
+      return listed;
+    }
+    Set<String> regions = regions();
+    return regions.size() == 1 ? regions.iterator().next() : DEFAULT_REGION;
   }
 
   /** Returns the region of a zone. */
   public String regionOf(String otherZone) {
-    return regionsByZone.getOrDefault(otherZone, region());
+    String listed = regionsByZone.get(otherZone);
+    return listed == null ? region() : listed;
   }
 
   /** Returns whether the deployment has more than one region. */
--- a/core/src/test/java/org/passhaven/core/backend/RegionSubsetTest.java
+++ b/core/src/test/java/org/passhaven/core/backend/RegionSubsetTest.java
@@ -181,6 +181,15 @@
     assertThat(own.stream().allMatch(IN_REGION), equalTo(true));
   }
 
+  @Test
+  void aRegionWithoutServersUsesItsSubsetOfTheOtherRegion() {
+    Random random = new Random(6);
+    List<Member> nodes = joined(nodes(40, "a", random), nodes(40, "b", random));
+    ServerSubset subset = subset(nodes.get(0), nodes, servers(24, "b", random), true);
+    assertThat(
+        subset.candidates(server -> true, IN_REGION, server -> true), equalTo(membersOf(subset)));
+  }
+
   @Test
   void aRequestLeavesARegionWithoutUsableServerForUsableOnesOnly() {
     ServerSubset subset = ofBothRegions();
--- a/core/src/test/java/org/passhaven/core/topology/TopologyTest.java
+++ b/core/src/test/java/org/passhaven/core/topology/TopologyTest.java
@@ -30,5 +30,6 @@
     assertThat(twoRegions.to("c1"), equalTo(Distance.SAME_REGION));
     assertThat(Topology.ofZone("z").to("y"), equalTo(Distance.SAME_REGION));
     assertThat(Topology.ofZone("z").hasSeveralRegions(), equalTo(false));
+    assertThat(new Topology("z", Map.of("a1", "a")).to("a1"), equalTo(Distance.SAME_REGION));
   }
 }
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -168,7 +168,7 @@
       return;
     }
     // Pages are not a consistent snapshot, so changes are read from the end of the first page on.
-    listener.onListed(Set.copyOf(listedKeys));
+    deliverListing();
     position = firstPageEnd;
     isListing = false;
     if (!listed) {
@@ -295,6 +295,15 @@
     }
   }
 
+  /** Logs exceptions of the listener, so that later changes are still read. */
+  private void deliverListing() {
+    try {
+      listener.onListed(Set.copyOf(listedKeys));
+    } catch (RuntimeException e) {
+      LOG.atError().addKeyValue("table", table).setCause(e).log("table: a listing was not taken");
+    }
+  }
+
   private void onFailure(Throwable failure, Runnable retry) {
     overdueTimer.cancel();
     timers.after(outage.onFailure(failure, position), retry);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -5,8 +5,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.stream.Collectors;
-import org.passhaven.core.eligibility.LookupZone;
 import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.protocol.member.MemberBeat;
@@ -204,18 +202,6 @@
     return jobs;
   }
 
-  /**
-   * Returns the zone whose nodes a caller in {@code zone} should use for requests to a host: a zone
-   * of an allowed region if all routes of the host are restricted.
-   */
-  public String lookupZone(String host, String zone) {
-    return LookupZone.choose(
-        zone,
-        directory.routes().restrictionOfHost(host),
-        context.settings().topology(),
-        acceptingNodes().stream().map(MemberBeat::zone).collect(Collectors.toSet()));
-  }
-
   /** Returns the check that every request to a server must pass. */
   ServerEligibility eligibility() {
     return directory.eligibility();
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
@@ -88,7 +88,7 @@
             List.of(),
             score.body(),
             SCORE_TIMEOUT_MILLIS,
-            action.restriction());
+            directory.routes().tenants().restrictionOf(action.job().tenant()));
     forwarder
         .forward(route.get(), call, Source.SCORING)
         .subscribe()
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -111,7 +111,11 @@
       long nowMillis) {
     ColdStartLimiter coldStarts = directory.coldStarts();
     Predicate<ServerEntry> isWarm = server -> !coldStarts.isLimited(server, nowMillis);
-    List<ServerEntry> servers = chooseFrom(service, isWarm.and(isGood), isWarm.and(isUsable));
+    List<ServerEntry> servers =
+        chooseFrom(
+            service,
+            isWarm.and(isGood),
+            isUsable.and(server -> coldStarts.maySend(server, nowMillis)));
     Predicate<ServerEntry> isEligible =
         servers.stream().anyMatch(isWarm.and(isGood))
             ? isWarm
