Mends after the review of cold servers

Change: a server that held a request back is avoided for 50 ms; a wait for a turn ends with the last time for an attempt; one interval for turns and queue; a move considers warm servers only from the start.

Result: ColdServerForwardTest and JobSchedulerTest with a new case each, and the tests of cold servers, pickers and forwarder pass (BUILD SUCCESS). The new cases weren't run without the change.

--- a/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
@@ -192,10 +192,8 @@
     if (turnMillis == NEVER_MILLIS) {
       return OptionalLong.empty();
     }
-    double intervalMillis =
-        MILLIS_PER_SECOND / ratePerSecond(limitByService.get(server.service()), nowMillis);
-    return OptionalLong.of(
-        Math.max(0, turnMillis - nowMillis) + (long) Math.ceil(ahead * intervalMillis));
+    long intervalMillis = intervalMillis(limitByService.get(server.service()), nowMillis);
+    return OptionalLong.of(Math.max(0, turnMillis - nowMillis) + ahead * intervalMillis);
   }
 
   private long turnMillis(ServerEntry server, long nowMillis) {
@@ -209,12 +207,17 @@
     if (cold.shareSinceMillis < 0) {
       cold.shareSinceMillis = nowMillis;
     }
-    long intervalMillis = (long) Math.ceil(MILLIS_PER_SECOND / ratePerSecond);
+    long intervalMillis = intervalMillis(limit, nowMillis);
     // Without the random part, all nodes whose shares begin at one time would send at once.
     long firstTurnMillis = cold.shareSinceMillis + (long) (cold.phase * intervalMillis);
     return Math.max(firstTurnMillis, cold.lastSentMillis + intervalMillis);
   }
 
+  /** Returns the time between two turns of this node at a cold server; it must have a share. */
+  private long intervalMillis(ServiceLimit limit, long nowMillis) {
+    return (long) Math.ceil(MILLIS_PER_SECOND / ratePerSecond(limit, nowMillis));
+  }
+
   /** Returns the rate at which this node may send to each cold server of a service. */
   private double ratePerSecond(ServiceLimit limit, long nowMillis) {
     return limit.requestsPerSecond() * SHARED_PART * shareOf(limit, nowMillis);
--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -90,6 +90,11 @@
     return remainingMillis(nowMillis) >= MIN_ATTEMPT_MILLIS;
   }
 
+  /** Returns the latest time at which an attempt may be sent. */
+  public long latestAttemptMillis(long nowMillis) {
+    return nowMillis + remainingMillis(nowMillis) - MIN_ATTEMPT_MILLIS;
+  }
+
   /** Returns whether the request was sent to the given server. */
   public boolean hasTried(ServerIncarnation server) {
     return triedServers.contains(server);
--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.coldstart.ColdStartLimiter;
@@ -87,7 +88,13 @@
 
   /** Returns the server for an item; empty if no allowed server has a free slot. */
   Optional<ServerEntry> choose(ItemExecution execution, long nowMillis) {
+    return choose(execution, server -> true, nowMillis);
+  }
+
+  private Optional<ServerEntry> choose(
+      ItemExecution execution, Predicate<ServerEntry> isAllowed, long nowMillis) {
     return servers.of(execution.jobExecution.policy.service()).stream()
+        .filter(isAllowed)
         .filter(server -> canServe(execution, server, nowMillis))
         .min(
             Comparator.comparingDouble((ServerEntry server) -> cost(execution, server, nowMillis))
@@ -147,10 +154,9 @@
     if (currentIntervalMillis == 0) {
       return Optional.empty();
     }
-    return choose(execution, nowMillis)
+    return choose(execution, server -> !coldStarts.isLimited(server, nowMillis), nowMillis)
         .filter(server -> !server.incarnation().equals(execution.server))
         .filter(server -> isNotLoading(execution, server))
-        .filter(server -> !coldStarts.isLimited(server, nowMillis))
         .filter(
             server ->
                 currentIntervalMillis
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -34,6 +34,10 @@
   private static final long NEXT_EVENT_TIMEOUT_MILLIS = 700;
   private static final long STALLED_SERVER_AVOIDANCE_MILLIS = 600;
   private static final long MISDIRECTED_SERVER_AVOIDANCE_MILLIS = 1_000;
+
+  /** Lets the items of the next rounds go to other servers. */
+  private static final long HELD_BACK_SERVER_AVOIDANCE_MILLIS = 50;
+
   private static final long RETRY_DELAY_MILLIS = 40;
 
   /** Reason why a generation ended without its complete text. */
@@ -393,7 +397,8 @@
     execution.retryAtMillis = nowMillis + RETRY_DELAY_MILLIS;
     switch (failure) {
       case REFUSED -> picker.onRefused(execution, nowMillis);
-      case HELD_BACK -> {}
+      case HELD_BACK ->
+          health.avoid(execution.server, HELD_BACK_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case MISDIRECTED ->
           health.avoid(execution.server, MISDIRECTED_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case CONNECTION_LOST -> health.onFailure(execution.server, nowMillis);
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -208,6 +208,16 @@
     decideSingleStart(servers, 320);
   }
 
+  @Test
+  void anItemThatThisNodeHeldBackGoesToAnotherServer() {
+    List<ServerEntry> servers = List.of(server("a", 1), server("b", 1));
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 2, false)), POLICY, NO_SAVED_TEXTS);
+    JobAction.Start first = decideSingleStart(servers, 0);
+    scheduler.onFailed(first.attempt(), Failure.HELD_BACK, 1);
+    JobAction.Start second = decideSingleStart(servers, 45);
+    assertThat(second.server().incarnation(), not(equalTo(first.server().incarnation())));
+  }
+
   @Test
   void aServerIsNotAvoidedAfterARequestThatThisNodeHeldBack() {
     List<ServerEntry> servers = List.of(server("a", 1));
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -217,8 +217,9 @@
 
     /** Waits for a turn at a cold server; returns false if there is none within the objective. */
     private boolean awaitColdTurn() {
+      long latestMillis = Math.min(objectiveMillis, plan.latestAttemptMillis(context.nowMillis()));
       Optional<Timers.Timer> turn =
-          coldTurns.await(service, call.restriction(), objectiveMillis, this::tryNextOrFail);
+          coldTurns.await(service, call.restriction(), latestMillis, this::tryNextOrFail);
       turn.ifPresent(timer -> coldTurn = timer);
       return turn.isPresent();
     }
--- a/node/src/test/java/org/passhaven/node/gateway/ColdServerForwardTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ColdServerForwardTest.java
@@ -141,8 +141,12 @@
   }
 
   private void submit(int requests) {
+    submit(requests, DEADLINE_MILLIS);
+  }
+
+  private void submit(int requests, long deadlineMillis) {
     for (int i = 0; i < requests; i++) {
-      Call call = new Call("id", "", "GET", "/p", "h", List.of(), new byte[0], DEADLINE_MILLIS);
+      Call call = new Call("id", "", "GET", "/p", "h", List.of(), new byte[0], deadlineMillis);
       forwarder.forward(ROUTE, call).subscribe().with(outcomes::add);
     }
     timers.advance(1);
@@ -186,6 +190,15 @@
     assertThat(outcomes, hasSize(10));
   }
 
+  @Test
+  void aRequestIsRefusedAtOnceIfItsTurnComesAfterItsDeadline() {
+    list("cold", 60_000);
+    submit(2, INTERVAL_MILLIS - 5);
+    assertThat(sent, hasSize(1));
+    assertThat(outcomes, hasSize(2));
+    assertThat(outcomes.get(1), instanceOf(ForwardOutcome.NotRun.class));
+  }
+
   @Test
   void aRequestWaitsNoLongerOnceTheServerIsWarm() {
     list("cold", 60_000);
