A planned stop releases the lease also after an unanswered call

Cause: after a call without an answer, releaseIfDone was not run again, so a node that stopped soon after it never released the lease, and its successor waited for the full takeover time.

Change: an unanswered call has the release looked at again once it can't arrive any more; the release is written once.

Result: DutyAgentTest, 3 tests: without the change two of them failed (no release was ever written), with it all three pass. No other test was run for it.

--- a/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
@@ -45,6 +45,7 @@
   private long lastDecisionMillis = Long.MIN_VALUE / 2;
   private boolean wasHolder;
   private boolean isStopping;
+  private boolean isReleased;
   private int callsInFlight;
   private long lastUnansweredMillis = Long.MIN_VALUE / 2;
 
@@ -116,12 +117,14 @@
   void onCallUnanswered() {
     callsInFlight--;
     lastUnansweredMillis = context.nowMillis();
+    context.timers().after(context.settings().lease().handoverMillis(), this::releaseIfDone);
   }
 
   private void releaseIfDone() {
     long sinceUnanswered = context.nowMillis() - lastUnansweredMillis;
     boolean allArrived = sinceUnanswered >= context.settings().lease().handoverMillis();
-    if (isStopping && callsInFlight == 0 && allArrived) {
+    if (isStopping && !isReleased && callsInFlight == 0 && allArrived) {
+      isReleased = true;
       lease.releaseRecord().ifPresent(this::append);
     }
   }
