Decisions on the number of servers of a service

Cause: services may be scaled, and nothing decided how many servers they need.

Change: core.scale: what a node has seen of a service's servers (ServiceFleet), how fast they finish items (CompletionRate), how many the load needs (BacklogPolicy), where they are ordered (ScalingPlanner), and the whole of it (ServiceScaler). DutyRecord gets ScalingFigures, the orders that stand. Not wired into a node yet.

--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
@@ -0,0 +1,250 @@
+package org.passhaven.core.scale;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.passhaven.core.backend.ServerEntry;
+import org.passhaven.core.scale.ScalingDecision.Reason;
+import org.passhaven.core.service.Scaling;
+import org.passhaven.core.service.ServiceSpec;
+import org.passhaven.protocol.duty.ServiceFigures;
+
+/**
+ * Decides on the orders for the servers of one service. Must be updated regularly while the views
+ * of servers and jobs are current. Not thread-safe.
+ */
+public final class ServiceScaler {
+  /** Allowance for the platform's delay before a server boots, and for its entry to be read. */
+  private static final long DELIVERY_MARGIN_MILLIS = 6_000;
+
+  /**
+   * A server too many costs little beside late work, so servers are taken away after a long calm.
+   */
+  static final long CALM_MILLIS = 60_000;
+
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+  private final int survivedZoneLosses;
+  private final CapacityPolicy policy;
+  private final ServiceFleet fleet = new ServiceFleet();
+  private final CompletionRate rate = new CompletionRate();
+  private final Map<String, Standing> standing = new HashMap<>();
+  private long calmSinceMillis = NEVER_MILLIS;
+  private int slots;
+
+  /** What this node has seen of an order: since when it stands, and whether it was carried out. */
+  private record Standing(ServiceFigures.Order order, long sinceMillis, boolean isDelivered) {}
+
+  /** Creates a scaler of one service. */
+  public ServiceScaler(int survivedZoneLosses, CapacityPolicy policy) {
+    this.survivedZoneLosses = survivedZoneLosses;
+    this.policy = Objects.requireNonNull(policy, "policy");
+  }
+
+  /** Counts items that servers of the service finished. */
+  public void onFinished(int items) {
+    rate.onFinished(items);
+  }
+
+  /** Handles a time in which the servers or the results could not be read. */
+  public void onBlind() {
+    rate.restart();
+    policy.onBlind();
+    calmSinceMillis = NEVER_MILLIS;
+  }
+
+  /**
+   * Applies the servers listed now and the items without a result.
+   *
+   * @param figures orders that stand
+   */
+  public void observe(
+      Collection<ServerEntry> servers, int openItems, ServiceFigures figures, long nowMillis) {
+    fleet.observe(servers, nowMillis);
+    double busyServers = 0;
+    double unplaced = openItems;
+    slots = 0;
+    for (ServerEntry server : servers) {
+      if (server.ready()) {
+        double placed = Math.min(unplaced, server.slots());
+        busyServers += placed / server.slots();
+        unplaced -= placed;
+        slots += server.slots();
+      }
+    }
+    rate.sample(busyServers, nowMillis);
+    standing.keySet().retainAll(figures.zones().keySet());
+    Map<String, ZoneServers> zones = fleet.zones(nowMillis);
+    figures.zones().forEach((zone, order) -> observe(zone, order, zones, nowMillis));
+  }
+
+  private void observe(
+      String zone, ServiceFigures.Order order, Map<String, ZoneServers> zones, long nowMillis) {
+    Standing before = standing.get(zone);
+    if (before == null || !before.order().equals(order)) {
+      before = new Standing(order, nowMillis, false);
+    }
+    int available = zones.getOrDefault(zone, ZoneServers.NONE).available();
+    boolean isDelivered =
+        before.isDelivered() || (order.isAccepted() && available >= order.servers());
+    standing.put(zone, new Standing(order, before.sinceMillis(), isDelivered));
+  }
+
+  /** Returns the number of servers present, if it has not changed for some time. */
+  public OptionalInt settledServers(long nowMillis) {
+    return fleet.isSettled(nowMillis)
+        ? OptionalInt.of(
+            fleet.zones(nowMillis).values().stream().mapToInt(ZoneServers::available).sum())
+        : OptionalInt.empty();
+  }
+
+  /**
+   * Returns the orders to change.
+   *
+   * @param blocked zones in which no servers are to be had now
+   */
+  public ScalingDecision decide(
+      ServiceSpec service,
+      ServiceFigures figures,
+      Set<String> blocked,
+      int openItems,
+      long nowMillis) {
+    Scaling scaling = service.scaling().orElseThrow();
+    long leadMillis =
+        scaling.bootMillis() + service.coldStart().map(cold -> cold.coldMillis()).orElse(0L);
+    Map<String, ScalingPlanner.Zone> zones = zones(figures, leadMillis, nowMillis);
+    int expected = ScalingPlanner.expected(zones);
+    int floor = figures.floor();
+    Load load =
+        new Load(
+            openItems,
+            zones.values().stream().mapToInt(zone -> zone.servers().available()).sum(),
+            slots,
+            zones.values().stream().mapToInt(ScalingPlanner.Zone::coming).sum(),
+            rate.itemsPerServerSecond(),
+            leadMillis);
+    int required = policy.requiredServers(load, nowMillis);
+    int wanted = Math.max(floor, required);
+    Map<String, Integer> overdue = overdue(figures, blocked, leadMillis, nowMillis);
+    if (!overdue.isEmpty()) {
+      return new ScalingDecision(overdue, Reason.NOT_DELIVERED, expected, wanted);
+    }
+    if (!figures.areAccepted()) {
+      return new ScalingDecision(Map.of(), Reason.REPLACEMENT, expected, wanted);
+    }
+    if (wanted > expected) {
+      calmSinceMillis = NEVER_MILLIS;
+      Reason reason = expected < floor ? Reason.REPLACEMENT : Reason.BACKLOG;
+      Set<String> closed = new HashSet<>(blocked);
+      closed.addAll(undelivered());
+      return new ScalingDecision(
+          ScalingPlanner.raise(scaling, zones, wanted - expected, closed),
+          reason,
+          expected,
+          wanted);
+    }
+    return new ScalingDecision(
+        lowered(scaling, zones, floor, required, blocked, nowMillis),
+        Reason.CALM,
+        expected,
+        wanted);
+  }
+
+  private Map<String, ScalingPlanner.Zone> zones(
+      ServiceFigures figures, long leadMillis, long nowMillis) {
+    Map<String, ZoneServers> seen = fleet.zones(nowMillis);
+    Set<String> names = new TreeSet<>(seen.keySet());
+    names.addAll(figures.zones().keySet());
+    Map<String, ScalingPlanner.Zone> zones = new TreeMap<>();
+    for (String name : names) {
+      ZoneServers servers = seen.getOrDefault(name, ZoneServers.NONE);
+      Standing order = standing.get(name);
+      boolean isComing =
+          order != null
+              && !order.isDelivered()
+              && nowMillis - order.sinceMillis() < leadMillis + DELIVERY_MARGIN_MILLIS;
+      int ordered = order == null ? 0 : order.order().servers();
+      int coming = isComing ? Math.max(0, ordered - servers.available()) : 0;
+      zones.put(name, new ScalingPlanner.Zone(servers, ordered, coming));
+    }
+    return zones;
+  }
+
+  private Set<String> undelivered() {
+    Set<String> zones = new HashSet<>();
+    standing.forEach(
+        (zone, order) -> {
+          if (!order.isDelivered()) {
+            zones.add(zone);
+          }
+        });
+    return zones;
+  }
+
+  /** Returns the accepted orders that should have been carried out by now, by zone. */
+  private Map<String, Integer> overdue(
+      ServiceFigures figures, Set<String> blocked, long leadMillis, long nowMillis) {
+    Map<String, Integer> overdue = new TreeMap<>();
+    standing.forEach(
+        (zone, order) -> {
+          boolean isLate = nowMillis - order.sinceMillis() >= leadMillis + DELIVERY_MARGIN_MILLIS;
+          if (order.order().isAccepted()
+              && !order.isDelivered()
+              && isLate
+              && !blocked.contains(zone)) {
+            overdue.put(zone, order.order().servers());
+          }
+        });
+    overdue.keySet().retainAll(figures.zones().keySet());
+    return overdue;
+  }
+
+  private Map<String, Integer> lowered(
+      Scaling scaling,
+      Map<String, ScalingPlanner.Zone> zones,
+      int floor,
+      int required,
+      Set<String> blocked,
+      long nowMillis) {
+    boolean isCalm =
+        required == 0
+            && floor > 0
+            && blocked.isEmpty()
+            && undelivered().isEmpty()
+            && zones.values().stream().allMatch(ServiceScaler::isQuiet);
+    int available = zones.values().stream().mapToInt(zone -> zone.servers().available()).sum();
+    if (!isCalm || available <= floor) {
+      calmSinceMillis = NEVER_MILLIS;
+      return Map.of();
+    }
+    if (calmSinceMillis == NEVER_MILLIS) {
+      calmSinceMillis = nowMillis;
+    }
+    if (nowMillis - calmSinceMillis < CALM_MILLIS) {
+      return Map.of();
+    }
+    int busyServers = (int) Math.ceil(rate.meanBusyServers());
+    Map<String, Integer> orders =
+        ScalingPlanner.lower(scaling, zones, floor, busyServers, survivedZoneLosses);
+    orders.entrySet().removeIf(order -> order.getValue() == zones.get(order.getKey()).ordered());
+    return orders;
+  }
+
+  private static boolean isQuiet(ScalingPlanner.Zone zone) {
+    return zone.coming() == 0
+        && zone.servers().draining() == 0
+        && zone.servers().available() == zone.servers().counted();
+  }
+
+  /** Records that an order of the last decision was taken up. */
+  public void onOrdered(Reason reason, long nowMillis) {
+    if (reason == Reason.BACKLOG) {
+      policy.onIncrease(nowMillis);
+    }
+  }
+}
--- a/protocol/src/main/java/org/passhaven/protocol/duty/DutyRecord.java
+++ b/protocol/src/main/java/org/passhaven/protocol/duty/DutyRecord.java
@@ -15,7 +15,8 @@
   @JsonSubTypes.Type(value = DutyRecord.Released.class, name = "ol"),
   @JsonSubTypes.Type(value = DutyRecord.Reached.class, name = "or"),
   @JsonSubTypes.Type(value = DutyRecord.UsageFixed.class, name = "uf"),
-  @JsonSubTypes.Type(value = DutyRecord.UsageReported.class, name = "ur")
+  @JsonSubTypes.Type(value = DutyRecord.UsageReported.class, name = "ur"),
+  @JsonSubTypes.Type(value = DutyRecord.ScalingFigures.class, name = "sf")
 })
 public sealed interface DutyRecord {
   /** Returns the epoch of the lease under which the record was written. */
@@ -85,4 +86,19 @@
   /** Confirmation that the usage of a window was reported. */
   record UsageReported(long epoch, String node, long incarnation, long window)
       implements DutyRecord {}
+
+  /**
+   * All numbers of servers that stand as ordered; replaces earlier records. An order is sent only
+   * after the record that contains it was read back.
+   *
+   * @param number number of the record within one incarnation of the node
+   * @param services figures by service
+   */
+  record ScalingFigures(
+      long epoch, String node, long incarnation, long number, Map<String, ServiceFigures> services)
+      implements DutyRecord {
+    public ScalingFigures {
+      services = Map.copyOf(services);
+    }
+  }
 }
