The lease holder orders the number of servers of scaled services

Cause: the duty to scale was ours and nothing was ordered; servers that were taken away were not replaced.

Change: ScalingDuty on all nodes that may scale: records the orders that stand (read back before the call), sends them through DutyService.scale, repeats the same figure until it is answered, leaves a zone without servers out for a while. An order's wasAccepted is no bean property: as isAccepted it made the records unreadable, which ScalingDutyTest showed.

--- /dev/null
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
@@ -0,0 +1,136 @@
+package org.passhaven.core.scale;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.passhaven.protocol.duty.DutyRecord.ScalingFigures;
+import org.passhaven.protocol.duty.ServiceFigures;
+
+/**
+ * The orders for servers that stand according to the log, and this node's changes to them that are
+ * not in the log yet. An order may be sent only once all changes were read back, so that a
+ * successor knows of each order that may be under way. Not thread-safe.
+ */
+public final class ScalingOrders {
+  /** What an order is about. */
+  public record Subject(String service, String zone) {
+    public Subject {
+      Objects.requireNonNull(service, "service");
+      Objects.requireNonNull(zone, "zone");
+    }
+  }
+
+  /** An order to send. */
+  public record Due(Subject subject, ServiceFigures.Order order) {}
+
+  private static final ServiceFigures NO_FIGURES = new ServiceFigures(0, Map.of());
+  private Map<String, ServiceFigures> recorded = Map.of();
+  private Map<String, ServiceFigures> current = Map.of();
+  private long lastOwnNumber;
+
+  /**
+   * Applies a record of the lease holder; a record that another one has replaced before it was read
+   * is ignored.
+   *
+   * @param epoch epoch of the newest claim of the lease
+   * @param isOwn whether this incarnation of this node wrote the record
+   */
+  public boolean onRecord(ScalingFigures record, long epoch, boolean isOwn) {
+    if (record.epoch() < epoch || (isOwn && record.number() <= lastOwnNumber)) {
+      return false;
+    }
+    recorded = record.services();
+    if (isOwn) {
+      lastOwnNumber = record.number();
+    } else {
+      current = recorded;
+    }
+    return true;
+  }
+
+  /** Discards the changes that are not in the log, since this node is not the holder any more. */
+  public void reset() {
+    current = recorded;
+  }
+
+  /** Returns whether all changes were read back from the log. */
+  public boolean isRecorded() {
+    return current.equals(recorded);
+  }
+
+  /** Returns the figures of all services, with this node's changes. */
+  public Map<String, ServiceFigures> figures() {
+    return current;
+  }
+
+  /** Returns the figures of a service, with this node's changes. */
+  public ServiceFigures of(String service) {
+    return current.getOrDefault(service, NO_FIGURES);
+  }
+
+  /** Sets the number of servers of a service that is kept up. */
+  public void setFloor(String service, int floor) {
+    put(service, new ServiceFigures(floor, of(service).zones()));
+  }
+
+  /** Changes an order; it is due once the change was recorded. */
+  public void order(Subject subject, int servers) {
+    ServiceFigures.Order before = of(subject.service()).zones().get(subject.zone());
+    // An order that is given again although it was accepted must be sent again.
+    int accepted = before == null || before.accepted() == servers ? 0 : before.accepted();
+    put(subject, new ServiceFigures.Order(servers, accepted));
+  }
+
+  /** Records that the platform has accepted an order. */
+  public void onAccepted(Subject subject, int servers) {
+    put(subject, new ServiceFigures.Order(servers, servers));
+  }
+
+  /** Takes back an order that the platform can't carry out; the one accepted before stands. */
+  public void onUnavailable(Subject subject) {
+    ServiceFigures.Order order = of(subject.service()).zones().get(subject.zone());
+    if (order != null) {
+      put(
+          subject,
+          order.accepted() == 0
+              ? null
+              : new ServiceFigures.Order(order.accepted(), order.accepted()));
+    }
+  }
+
+  private void put(Subject subject, ServiceFigures.Order order) {
+    put(subject.service(), of(subject.service()).with(subject.zone(), order));
+  }
+
+  private void put(String service, ServiceFigures figures) {
+    Map<String, ServiceFigures> changed = new HashMap<>(current);
+    changed.put(service, figures);
+    current = Map.copyOf(changed);
+  }
+
+  /** Returns the orders that the platform has not accepted, in a fixed order. */
+  public List<Due> due() {
+    return current.entrySet().stream()
+        .flatMap(
+            service ->
+                service.getValue().zones().entrySet().stream()
+                    .filter(zone -> !zone.getValue().wasAccepted())
+                    .map(
+                        zone ->
+                            new Due(new Subject(service.getKey(), zone.getKey()), zone.getValue())))
+        .sorted(
+            Comparator.comparing((Due due) -> due.subject().service())
+                .thenComparing(due -> due.subject().zone()))
+        .toList();
+  }
+
+  /** Returns the first order to send whose retry may be made now; empty if none may be sent. */
+  public Optional<Due> nextToSend(Backoff<Subject> retries, long nowMillis) {
+    return isRecorded()
+        ? due().stream().filter(due -> !retries.isWaiting(due.subject(), nowMillis)).findFirst()
+        : Optional.empty();
+  }
+}
--- a/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
@@ -91,7 +91,7 @@
     }
     int available = zones.getOrDefault(zone, ZoneServers.NONE).available();
     boolean isDelivered =
-        before.isDelivered() || (order.isAccepted() && available >= order.servers());
+        before.isDelivered() || (order.wasAccepted() && available >= order.servers());
     standing.put(zone, new Standing(order, before.sinceMillis(), isDelivered));
   }
 
@@ -193,7 +193,7 @@
     standing.forEach(
         (zone, order) -> {
           boolean isLate = nowMillis - order.sinceMillis() >= leadMillis + DELIVERY_MARGIN_MILLIS;
-          if (order.order().isAccepted()
+          if (order.order().wasAccepted()
               && !order.isDelivered()
               && isLate
               && !blocked.contains(zone)) {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -90,6 +90,7 @@
     this.runner = new JobRunner(context, directory, members, jobLog, forwarder, crashes);
     this.duties = new DutyAgent(context, members, jobLog);
     new VersionOrderDuty(context, directory, jobLog, duties);
+    new ScalingDuty(context, directory, jobLog, duties);
     meter.ifPresent(usageMeter -> new UsageReporter(context, duties, usageMeter));
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -190,6 +190,11 @@
     registry.counter("passhaven.gateway.requests.ineligible", "reason", tag).increment();
   }
 
+  /** Counts an order for servers that this node sent. */
+  void onScaleOrder(String outcome) {
+    registry.counter("passhaven.gateway.scaling.orders", "outcome", outcome).increment();
+  }
+
   /** Counts a generation that this node stopped. */
   public void onGenerationStopped(String why) {
     generationsStopped.increment();
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -278,6 +278,19 @@
     return laggingStreams;
   }
 
+  /** Returns the time since all partitions were last read; empty if one was not read yet. */
+  public OptionalLong ageMillis() {
+    long oldestMillis = 0;
+    for (LogTail tail : tails) {
+      OptionalLong silent = tail.millisSinceLastRead();
+      if (silent.isEmpty() || !tail.isCaughtUp()) {
+        return OptionalLong.empty();
+      }
+      oldestMillis = Math.max(oldestMillis, silent.getAsLong());
+    }
+    return OptionalLong.of(oldestMillis);
+  }
+
   /** Returns the number of items without a result in open jobs, by model. */
   public Map<String, Integer> openItemsByModel() {
     Map<String, Integer> open = new HashMap<>();
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -137,6 +137,16 @@
     return servers;
   }
 
+  /** Returns the time since the servers were last read; empty if they were not read yet. */
+  OptionalLong serversAgeMillis() {
+    return serverEntries.millisSinceLastRead();
+  }
+
+  /** Returns whether the operator has evacuated a zone. */
+  boolean isEvacuated(String zone) {
+    return evacuations.contains(zone);
+  }
+
   /** Returns the check that every request to a server must pass. */
   ServerEligibility eligibility() {
     return eligibility;
--- a/protocol/src/main/java/org/passhaven/protocol/duty/ServiceFigures.java
+++ b/protocol/src/main/java/org/passhaven/protocol/duty/ServiceFigures.java
@@ -22,7 +22,7 @@
    */
   public record Order(int servers, int accepted) {
     /** Returns whether the platform has accepted the order. */
-    public boolean isAccepted() {
+    public boolean wasAccepted() {
       return servers == accepted;
     }
   }
@@ -40,6 +40,6 @@
 
   /** Returns whether the platform has accepted all orders. */
   public boolean areAccepted() {
-    return zones.values().stream().allMatch(Order::isAccepted);
+    return zones.values().stream().allMatch(Order::wasAccepted);
   }
 }
