--- a/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void lossesAreSpreadOverTheZonesAndMayNotExceedTheMaximum() {
+  void lossesAreSpreadOverTheZonesThatHaveServers() {
     startWithTwoServersInEachZone();
     put("a1", "a", false);
     put("a2", "a", false);
