Scaling: no order for fewer servers than the zone counts, none on a stale view

Cause: a raise without an answer was repeated unchanged although its zone had outgrown it meanwhile, which takes servers away (withdrawn held back where the rest sufficed); a repeated order that wasn't delivered had the same fault. Orders were sent while the server table couldn't be read. Change: an unanswered order below the number counted is always replaced by that number (reason OUTGROWN), or withdrawn beyond the zone's bound; a repeat is for the number counted at least. Each order is compared with the servers when it is sent, and nothing is taken up or sent while the table is older than its limit. ScalingReplayTest, ServiceScalerTest, ScalingPlannerTest, ScalingOrdersTest and ScalingDutyTest: 44 tests, all green.

--- a/core/src/main/java/org/passhaven/core/scale/ScalingDecision.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingDecision.java
@@ -18,6 +18,8 @@
     REPLACEMENT,
     /** More items are open than the servers can finish in time. */
     BACKLOG,
+    /** An unanswered order is for fewer servers than are there now. */
+    OUTGROWN,
     /** An accepted order was not carried out. */
     NOT_DELIVERED
   }
--- a/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.passhaven.protocol.duty.DutyRecord.ScalingFigures;
 import org.passhaven.protocol.duty.ServiceFigures;
 
@@ -89,8 +90,8 @@
     put(subject, new ServiceFigures.Order(servers, servers));
   }
 
-  /** Takes back an order that the platform can't carry out; the one accepted before stands. */
-  public void onUnavailable(Subject subject) {
+  /** Takes back an order that can't be carried out; the one accepted before stands. */
+  public void withdraw(Subject subject) {
     ServiceFigures.Order order = of(subject.service()).zones().get(subject.zone());
     if (order != null) {
       put(
@@ -127,10 +128,8 @@
         .toList();
   }
 
-  /** Returns the first order to send whose retry may be made now; empty if none may be sent. */
-  public Optional<Due> nextToSend(Backoff<Subject> retries, long nowMillis) {
-    return isRecorded()
-        ? due().stream().filter(due -> !retries.isWaiting(due.subject(), nowMillis)).findFirst()
-        : Optional.empty();
+  /** Returns the first order to send that may be sent now; empty if there is none. */
+  public Optional<Due> nextToSend(Predicate<Due> maySend) {
+    return isRecorded() ? due().stream().filter(maySend).findFirst() : Optional.empty();
   }
 }
--- a/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
@@ -120,14 +120,15 @@
             leadMillis);
     int required = policy.requiredServers(load, nowMillis);
     int wanted = Math.max(floor, required);
-    Map<String, Integer> overdue = overdue(figures, blocked, leadMillis, nowMillis);
+    Map<String, Integer> outgrown = outgrown(zones);
+    if (!outgrown.isEmpty()) {
+      return new ScalingDecision(outgrown, Reason.OUTGROWN, expected, wanted);
+    }
+    Map<String, Integer> overdue =
+        overdue(figures, zones, scaling.maxServers(), blocked, leadMillis, nowMillis);
     if (!overdue.isEmpty()) {
       return new ScalingDecision(overdue, Reason.NOT_DELIVERED, expected, wanted);
     }
-    Map<String, Integer> withdrawn = withdrawn(zones, expected, wanted);
-    if (!withdrawn.isEmpty()) {
-      return new ScalingDecision(withdrawn, Reason.REPLACEMENT, expected, wanted);
-    }
     if (!figures.areAccepted() || wanted <= expected) {
       return new ScalingDecision(Map.of(), Reason.REPLACEMENT, expected, wanted);
     }
@@ -171,16 +172,23 @@
 
   /** Returns the accepted orders that should have been carried out by now, by zone. */
   private Map<String, Integer> overdue(
-      ServiceFigures figures, Set<String> blocked, long leadMillis, long nowMillis) {
+      ServiceFigures figures,
+      Map<String, ScalingPlanner.Zone> zones,
+      int maxServers,
+      Set<String> blocked,
+      long leadMillis,
+      long nowMillis) {
     Map<String, Integer> overdue = new TreeMap<>();
     standing.forEach(
         (zone, order) -> {
+          int again = Math.max(order.order().servers(), zones.get(zone).servers().counted());
           boolean isLate = nowMillis - order.sinceMillis() >= leadMillis + DELIVERY_MARGIN_MILLIS;
           if (order.order().wasAccepted()
               && !order.isDelivered()
               && isLate
-              && !blocked.contains(zone)) {
-            overdue.put(zone, order.order().servers());
+              && !blocked.contains(zone)
+              && again <= Math.max(order.order().servers(), maxServers)) {
+            overdue.put(zone, again);
           }
         });
     overdue.keySet().retainAll(figures.zones().keySet());
@@ -188,22 +196,24 @@
   }
 
   /**
-   * Returns orders that take the place of those that would take servers away, were not answered and
-   * are no longer right, by zone.
+   * Returns the numbers that take the place of unanswered orders for fewer servers than the zone
+   * may count meanwhile, by zone.
    */
-  private Map<String, Integer> withdrawn(
-      Map<String, ScalingPlanner.Zone> zones, int expected, int wanted) {
+  private Map<String, Integer> outgrown(Map<String, ScalingPlanner.Zone> zones) {
     Map<String, Integer> orders = new TreeMap<>();
-    int leaving = 0;
-    for (Map.Entry<String, Standing> entry : standing.entrySet()) {
-      ZoneServers servers = zones.get(entry.getKey()).servers();
-      ServiceFigures.Order order = entry.getValue().order();
-      if (!order.wasAccepted() && order.servers() < servers.available()) {
-        leaving += servers.available() - order.servers();
-        orders.put(entry.getKey(), servers.counted());
-      }
-    }
-    return expected - leaving < wanted ? orders : Map.of();
+    standing.forEach(
+        (zone, order) -> {
+          int counted = zones.get(zone).servers().counted();
+          if (!order.order().wasAccepted() && order.order().servers() < counted) {
+            orders.put(zone, counted);
+          }
+        });
+    return orders;
+  }
+
+  /** Returns the servers of a zone that the platform may count, as observed last. */
+  public int countedServers(String zone, long nowMillis) {
+    return fleet.zones(nowMillis).getOrDefault(zone, ZoneServers.NONE).counted();
   }
 
   /** Records that an order of the last decision was taken up. */
--- a/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
@@ -21,7 +21,9 @@
   }
 
   private Optional<Integer> nextToSend() {
-    return orders.nextToSend(retries, 0).map(due -> due.order().servers());
+    return orders
+        .nextToSend(due -> !retries.isWaiting(due.subject(), 0))
+        .map(due -> due.order().servers());
   }
 
   @Test
@@ -48,10 +50,10 @@
     orders.order(SUBJECT, 3);
     orders.onAccepted(SUBJECT, 3);
     orders.order(SUBJECT, 4);
-    orders.onUnavailable(SUBJECT);
+    orders.withdraw(SUBJECT);
     assertThat(orders.of("llm").zones(), equalTo(Map.of("a", new ServiceFigures.Order(3, 3))));
     orders.order(new Subject("llm", "b"), 2);
-    orders.onUnavailable(new Subject("llm", "b"));
+    orders.withdraw(new Subject("llm", "b"));
     assertThat(orders.of("llm").zones().containsKey("b"), equalTo(false));
   }
 
--- a/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
@@ -190,4 +190,42 @@
     put("b3", "b", true);
     assertThat(advance(300_000), equalTo(false));
   }
+
+  @Test
+  void anUnansweredOrderThatItsZoneHasOutgrownIsReplacedByTheNumberThere() {
+    startWithTwoServersInEachZone();
+    put("a1", "a", false);
+    assertThat(advance(TICK_MILLIS), equalTo(true));
+    assertThat(decision.orders(), equalTo(Map.of("c", 3)));
+    figures = figures.with("c", new ServiceFigures.Order(3, 0));
+    for (String server : Set.of("c3", "c4", "c5")) {
+      put(server, "c", true);
+    }
+    assertThat(advance(TICK_MILLIS), equalTo(true));
+    assertThat(decision.orders(), equalTo(Map.of("c", 5)));
+  }
+
+  @Test
+  void anOrderThatIsRepeatedIsNotForFewerThanTheZoneMayCount() {
+    startWithTwoServersInEachZone();
+    put("a1", "a", false);
+    advance(TICK_MILLIS);
+    accept();
+    // Two servers come and, with two that were there, vanish without a word.
+    put("c4", "c", true);
+    now += TICK_MILLIS;
+    scaler.observe(servers.values(), openItems, new ServiceFigures(6, Map.of()), now);
+    put("c5", "c", true);
+    scaler.observe(servers.values(), openItems, new ServiceFigures(6, Map.of()), now);
+    for (String server : Set.of("c1", "c2", "c4")) {
+      servers.remove(server);
+    }
+    now += 3_500;
+    scaler.observe(servers.values(), openItems, new ServiceFigures(6, Map.of()), now);
+    now += 3_500;
+    scaler.observe(servers.values(), openItems, figures, now);
+    assertThat(advance(11_000), equalTo(true));
+    assertThat(decision.reason(), equalTo(Reason.NOT_DELIVERED));
+    assertThat(decision.orders(), equalTo(Map.of("c", 4)));
+  }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
@@ -175,7 +175,7 @@
     }
     lastDecisionMillis = nowMillis;
     decisions.clear();
-    boolean areServersKnown = isAtMost(directory.serversAgeMillis(), MAX_SERVERS_AGE_MILLIS);
+    boolean areServersKnown = areServersKnown();
     boolean areJobsKnown = isAtMost(jobs.ageMillis(), MAX_JOBS_AGE_MILLIS);
     Map<String, Integer> openItems = areJobsKnown ? jobs.openItemsByModel() : Map.of();
     for (ServiceSpec service : services()) {
@@ -191,6 +191,10 @@
     finishedByModel.clear();
   }
 
+  private boolean areServersKnown() {
+    return isAtMost(directory.serversAgeMillis(), MAX_SERVERS_AGE_MILLIS);
+  }
+
   private static boolean isAtMost(OptionalLong ageMillis, long maxMillis) {
     return ageMillis.isPresent() && ageMillis.getAsLong() <= maxMillis;
   }
@@ -239,13 +243,13 @@
       return;
     }
     decide(nowMillis);
-    if (orders.isRecorded()) {
+    if (orders.isRecorded() && areServersKnown()) {
       services().forEach(service -> apply(service, nowMillis));
     }
     if (!orders.isRecorded() || isRenewalDue(nowMillis)) {
       record(nowMillis);
     } else if (nowMillis - lastCallMillis >= CALL_INTERVAL_MILLIS) {
-      orders.nextToSend(retries, nowMillis).ifPresent(due -> send(due, nowMillis));
+      orders.nextToSend(due -> maySend(due, nowMillis)).ifPresent(due -> send(due, nowMillis));
     }
   }
 
@@ -262,7 +266,11 @@
             (zone, servers) -> {
               Subject subject = new Subject(service.name(), zone);
               logOrder(subject, servers, decision);
-              orders.order(subject, servers);
+              if (servers > service.scaling().orElseThrow().maxServers()) {
+                orders.withdraw(subject);
+              } else {
+                orders.order(subject, servers);
+              }
               if (decision.reason() == Reason.NOT_DELIVERED) {
                 unavailable.onFailed(subject, nowMillis);
               }
@@ -301,6 +309,22 @@
             orders.figures()));
   }
 
+  /** Servers may have come since the order was decided, and must not be taken away by it. */
+  private boolean maySend(Due due, long nowMillis) {
+    String service = due.subject().service();
+    String zone = due.subject().zone();
+    ServiceScaler scaler = scalers.get(service);
+    if (scaler == null || !areServersKnown() || retries.isWaiting(due.subject(), nowMillis)) {
+      return false;
+    }
+    long ready =
+        directory.servers().all().stream()
+            .filter(server -> server.service().equals(service) && server.zone().equals(zone))
+            .filter(ServerEntry::ready)
+            .count();
+    return due.order().servers() >= Math.max(ready, scaler.countedServers(zone, nowMillis));
+  }
+
   private void send(Due due, long nowMillis) {
     if (!duties.mayAct()) {
       return;
@@ -334,7 +358,7 @@
       if (outcome == ScaleOutcome.ACCEPTED) {
         orders.onAccepted(subject, order.servers());
       } else {
-        orders.onUnavailable(subject);
+        orders.withdraw(subject);
         unavailable.onFailed(subject, context.nowMillis());
       }
     }
--- a/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
@@ -510,4 +510,48 @@
     assertThat(records().get(before).services(), equalTo(records().get(before - 1).services()));
     assertThat(records().get(before).services(), not(equalTo(Map.of())));
   }
+
+  @Test
+  void anUnansweredOrderThatItsZoneHasOutgrownIsNotSentAgain() {
+    startSettled();
+    manner = Manner.LOSES_ANSWERS;
+    drain("a1");
+    timers.advance(3_000);
+    for (String server : List.of("b3", "b4", "b5")) {
+      put("servers", server, "ready");
+    }
+    int before = calls.size();
+    timers.advance(30_000);
+    assertThat(Set.copyOf(callTexts().subList(before, calls.size())), equalTo(Set.of("b5")));
+  }
+
+  @Test
+  void anUnansweredOrderBeyondTheMaximumOfItsZoneIsWithdrawn() {
+    startSettled();
+    manner = Manner.LOSES_ANSWERS;
+    drain("a1");
+    timers.advance(3_000);
+    for (String server : List.of("b3", "b4", "b5", "b6", "b7")) {
+      put("servers", server, "ready");
+    }
+    int before = calls.size();
+    timers.advance(30_000);
+    assertThat(calls.size(), equalTo(before));
+  }
+
+  @Test
+  void nothingIsSentWhileTheServersAreNotKnown() {
+    startSettled();
+    manner = Manner.LOSES_ANSWERS;
+    drain("a1");
+    timers.advance(1_000);
+    isStoreDown = true;
+    timers.advance(6_000);
+    int before = calls.size();
+    timers.advance(20_000);
+    assertThat(calls.size(), equalTo(before));
+    isStoreDown = false;
+    timers.advance(10_000);
+    assertThat(calls.size(), greaterThan(before));
+  }
 }
