Scaling: the floor rises with servers that no order explains, and never falls

Cause: servers that were away for a moment at the start were left out of the floor for good (six servers, two away for 5 s: floor 4). A record of a holder that knew a lower floor replaced a higher one. Change: when more servers are settled than the floor and no order explains them, the floor is raised; in a zone with an order only those beyond its figure count. ScalingOrders keeps the highest floor read of each service, and a record with a lower one is corrected by the holder's next. No floor is taken from a server table older than its limit. Result: serversThatWereAwayAtTheStartRaiseTheFloor (4 for 6) and aRecordDoesNotLowerAFloorThatIsKnown (4 for 6) failed first on; serversThatWereOrderedDoNotRaiseTheFloor fails (7 for 6) if orders are left out of the count.

--- a/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
@@ -30,6 +30,10 @@
   private static final ServiceFigures NO_FIGURES = new ServiceFigures(0, Map.of());
   private Map<String, ServiceFigures> recorded = Map.of();
   private Map<String, ServiceFigures> current = Map.of();
+
+  /** Highest floors read; a record with a lower one is corrected by the next. */
+  private final Map<String, Integer> floors = new HashMap<>();
+
   private long lastOwnNumber;
 
   /**
@@ -44,10 +48,11 @@
       return false;
     }
     recorded = record.services();
+    recorded.forEach((service, figures) -> floors.merge(service, figures.floor(), Math::max));
     if (isOwn) {
       lastOwnNumber = record.number();
     } else {
-      current = recorded;
+      reset();
     }
     return true;
   }
@@ -55,6 +60,7 @@
   /** Discards the changes that are not in the log, since this node is not the holder any more. */
   public void reset() {
     current = recorded;
+    floors.forEach(this::setFloor);
   }
 
   /** Returns whether all changes were read back from the log. */
@@ -72,9 +78,12 @@
     return current.getOrDefault(service, NO_FIGURES);
   }
 
-  /** Sets the number of servers of a service that is kept up. */
+  /** Raises the number of servers of a service that is kept up; a lower one changes nothing. */
   public void setFloor(String service, int floor) {
-    put(service, new ServiceFigures(floor, of(service).zones()));
+    ServiceFigures before = of(service);
+    if (floor > before.floor()) {
+      put(service, new ServiceFigures(floor, before.zones()));
+    }
   }
 
   /** Changes an order; it is due once the change was recorded. */
--- a/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
@@ -85,12 +85,22 @@
     standing.put(zone, new Standing(order, before.sinceMillis(), isDelivered));
   }
 
-  /** Returns the number of servers present, if it has not changed for some time. */
-  public OptionalInt settledServers(long nowMillis) {
-    return fleet.isSettled(nowMillis)
-        ? OptionalInt.of(
-            fleet.zones(nowMillis).values().stream().mapToInt(ZoneServers::available).sum())
-        : OptionalInt.empty();
+  /**
+   * Returns the number of servers present that no order explains, if it has not changed for some
+   * time. How many servers a zone had before its order isn't known, so all up to its figure count
+   * as ordered.
+   */
+  public OptionalInt settledServers(ServiceFigures figures, long nowMillis) {
+    if (!fleet.isSettled(nowMillis)) {
+      return OptionalInt.empty();
+    }
+    int servers = 0;
+    for (Map.Entry<String, ZoneServers> zone : fleet.zones(nowMillis).entrySet()) {
+      ServiceFigures.Order order = figures.zones().get(zone.getKey());
+      int ordered = order == null ? 0 : order.servers();
+      servers += Math.max(0, zone.getValue().available() - ordered);
+    }
+    return OptionalInt.of(servers);
   }
 
   /**
--- a/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
@@ -70,4 +70,21 @@
     orders.reset();
     assertThat(orders.of("llm").zones(), equalTo(Map.of()));
   }
+
+  private static ScalingFigures recordOf(long epoch, String node, long number, int floor) {
+    return new ScalingFigures(
+        epoch, node, 1, number, Map.of("llm", new ServiceFigures(floor, Map.of())));
+  }
+
+  @Test
+  void aRecordDoesNotLowerAFloorThatIsKnown() {
+    orders.onRecord(recordOf(5, "n", 1, 6), 5, false);
+    orders.onRecord(recordOf(6, "m", 1, 4), 6, false);
+    assertThat(orders.of("llm").floor(), equalTo(6));
+    assertThat(orders.isRecorded(), equalTo(false));
+    orders.reset();
+    assertThat(orders.of("llm").floor(), equalTo(6));
+    orders.setFloor("llm", 4);
+    assertThat(orders.of("llm").floor(), equalTo(6));
+  }
 }
--- a/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ServiceScalerTest.java
@@ -59,9 +59,9 @@
       put(zone + "2", zone, true);
     }
     assertThat(advance(4_000), equalTo(false));
-    assertThat(scaler.settledServers(now), equalTo(OptionalInt.empty()));
+    assertThat(scaler.settledServers(figures, now), equalTo(OptionalInt.empty()));
     advance(3_000);
-    assertThat(scaler.settledServers(now), equalTo(OptionalInt.of(6)));
+    assertThat(scaler.settledServers(figures, now), equalTo(OptionalInt.of(6)));
     figures = new ServiceFigures(6, Map.of());
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
@@ -160,12 +160,17 @@
         && nowMillis - lastRecordMillis >= context.settings().lease().renewAfterMillis();
   }
 
-  /** Returns the floor to record for a service; empty if it has one or its servers still change. */
+  /** Returns the floor to record for a service; empty if it stays or its servers still change. */
   private OptionalInt newFloor(ServiceSpec service, long nowMillis) {
     ServiceScaler scaler = scalers.get(service.name());
-    return scaler == null || orders.of(service.name()).floor() > 0
-        ? OptionalInt.empty()
-        : scaler.settledServers(nowMillis);
+    if (scaler == null || !areServersKnown()) {
+      return OptionalInt.empty();
+    }
+    ServiceFigures figures = orders.of(service.name());
+    OptionalInt settled = scaler.settledServers(figures, nowMillis);
+    return settled.isPresent() && settled.getAsInt() > figures.floor()
+        ? settled
+        : OptionalInt.empty();
   }
 
   /** Updates the decisions from the present view of servers and jobs, if it is current. */
--- a/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
@@ -554,4 +554,34 @@
     timers.advance(10_000);
     assertThat(calls.size(), greaterThan(before));
   }
+
+  private int lastFloor() {
+    return records().get(records().size() - 1).services().get("llm").floor();
+  }
+
+  @Test
+  void serversThatWereAwayAtTheStartRaiseTheFloor() {
+    configure("scaled");
+    for (String server : List.of("a2", "b2", "c1", "c2")) {
+      put("servers", server, "ready");
+    }
+    new Node("n", true);
+    timers.advance(12_000);
+    assertThat(lastFloor(), equalTo(4));
+    put("servers", "a1", "ready");
+    put("servers", "b1", "ready");
+    timers.advance(12_000);
+    assertThat(lastFloor(), equalTo(6));
+  }
+
+  @Test
+  void serversThatWereOrderedDoNotRaiseTheFloor() {
+    startSettled();
+    drain("a1");
+    timers.advance(3_000);
+    put("servers", "b3", "ready");
+    put("servers", "a1", "ready");
+    timers.advance(30_000);
+    assertThat(lastFloor(), equalTo(6));
+  }
 }
