Scaling: records out of order are ignored at all readers

Cause: only the writer itself ignored a record older than its last; all other readers went back to the older figures when a retried append came late. Change: ScalingOrders keeps the last number of each epoch, node and incarnation, and ignores a record whose number isn't above it. Result: aRecordThatANewerOneOfTheSameWriterHasOvertakenIsIgnored failed first on (taken in, not ignored); ScalingReplayTest, ServiceScalerTest, ScalingPlannerTest, ScalingOrdersTest, ScalingDutyTest and DutyAgentTest: 53 tests, all green.

--- a/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
@@ -24,6 +24,8 @@
     }
   }
 
+  private record Writer(long epoch, String node, long incarnation) {}
+
   /** An order to send. */
   public record Due(Subject subject, ServiceFigures.Order order) {}
 
@@ -34,24 +36,30 @@
   /** Highest floors read; a record with a lower one is corrected by the next. */
   private final Map<String, Integer> floors = new HashMap<>();
 
-  private long lastOwnNumber;
+  /** Numbers of the newest records read, since a writer's records may arrive out of order. */
+  private final Map<Writer, Long> lastNumbers = new HashMap<>();
 
   /**
-   * Applies a record of the lease holder; a record that another one has replaced before it was read
-   * is ignored.
+   * Applies a record of the lease holder; one that is not newer than the last of the same writer is
+   * ignored.
    *
    * @param epoch epoch of the newest claim of the lease
    * @param isOwn whether this incarnation of this node wrote the record
    */
   public boolean onRecord(ScalingFigures record, long epoch, boolean isOwn) {
-    if (record.epoch() < epoch || (isOwn && record.number() <= lastOwnNumber)) {
+    if (record.epoch() < epoch) {
+      return false;
+    }
+    Writer writer = new Writer(record.epoch(), record.node(), record.incarnation());
+    Long before = lastNumbers.get(writer);
+    if (before != null && record.number() <= before) {
       return false;
     }
+    lastNumbers.keySet().removeIf(known -> known.epoch() < epoch);
+    lastNumbers.put(writer, record.number());
     recorded = record.services();
     recorded.forEach((service, figures) -> floors.merge(service, figures.floor(), Math::max));
-    if (isOwn) {
-      lastOwnNumber = record.number();
-    } else {
+    if (!isOwn) {
       reset();
     }
     return true;
--- a/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
@@ -87,4 +87,18 @@
     orders.setFloor("llm", 4);
     assertThat(orders.of("llm").floor(), equalTo(6));
   }
+
+  @Test
+  void aRecordThatANewerOneOfTheSameWriterHasOvertakenIsIgnored() {
+    Map<String, ServiceFigures> three =
+        Map.of("llm", new ServiceFigures(6, Map.of("a", new ServiceFigures.Order(3, 0))));
+    Map<String, ServiceFigures> four =
+        Map.of("llm", new ServiceFigures(6, Map.of("a", new ServiceFigures.Order(4, 0))));
+    orders.onRecord(new ScalingFigures(5, "n", 1, 2, four), 5, false);
+    assertThat(orders.onRecord(new ScalingFigures(5, "n", 1, 1, three), 5, false), equalTo(false));
+    assertThat(orders.onRecord(new ScalingFigures(5, "n", 1, 2, three), 5, false), equalTo(false));
+    assertThat(orders.of("llm").zones(), equalTo(four.get("llm").zones()));
+    assertThat(orders.onRecord(new ScalingFigures(6, "n", 1, 1, three), 6, false), equalTo(true));
+    assertThat(orders.onRecord(new ScalingFigures(6, "m", 1, 1, four), 6, false), equalTo(true));
+  }
 }
