--- a/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
@@ -45,6 +45,7 @@
   private long lastDecisionMillis = Long.MIN_VALUE / 2;
   private boolean wasHolder;
   private boolean isStopping;
+  private boolean isReleased;
   private int callsInFlight;
   private long lastUnansweredMillis = Long.MIN_VALUE / 2;
 
@@ -82,6 +83,14 @@
     return lease.isHolder();
   }
 
+  /** Returns whether the node that holds the lease is alive as far as this node knows. */
+  boolean isHolderAlive(long nowMillis) {
+    HeartbeatTable heartbeats = members.heartbeats();
+    return heartbeats.isAccepting(lease.holder(), lease.holderIncarnation())
+        || (lease.isRecentlyActive(nowMillis)
+            && !heartbeats.hasEnded(lease.holder(), lease.holderIncarnation()));
+  }
+
   /** Returns whether the lease is valid now, so that a call may be sent. */
   boolean mayAct() {
     return !isStopping && lease.mayOrder(nowMillis());
@@ -116,12 +125,14 @@
   void onCallUnanswered() {
     callsInFlight--;
     lastUnansweredMillis = context.nowMillis();
+    context.timers().after(context.settings().lease().handoverMillis(), this::releaseIfDone);
   }
 
   private void releaseIfDone() {
     long sinceUnanswered = context.nowMillis() - lastUnansweredMillis;
     boolean allArrived = sinceUnanswered >= context.settings().lease().handoverMillis();
-    if (isStopping && callsInFlight == 0 && allArrived) {
+    if (isStopping && !isReleased && callsInFlight == 0 && allArrived) {
+      isReleased = true;
       lease.releaseRecord().ifPresent(this::append);
     }
   }
@@ -207,12 +218,7 @@
     boolean isFormerHolder = lease.holder().equals(context.settings().node());
     boolean mayClaim = members.isMembershipKnown() || (isFormerHolder && members.isLogReachable());
     boolean needed = mayClaim && duties.stream().anyMatch(duty -> duty.isNeeded(now));
-    HeartbeatTable heartbeats = members.heartbeats();
-    boolean holderAlive =
-        heartbeats.isAccepting(lease.holder(), lease.holderIncarnation())
-            || (lease.isRecentlyActive(now)
-                && !heartbeats.hasEnded(lease.holder(), lease.holderIncarnation()));
-    lease.nextRecord(needed, holderAlive, candidateRank(), now).ifPresent(this::append);
+    lease.nextRecord(needed, isHolderAlive(now), candidateRank(), now).ifPresent(this::append);
     if (lease.mayOrder(now)) {
       duties.forEach(duty -> duty.act(now));
     }
