--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -16,9 +16,7 @@
 public final class LogTail {
   private static final Logger LOG = LoggerFactory.getLogger(LogTail.class);
   private static final int MAX_RECORDS_PER_READ = 2_000;
-
-  /** Usual time for which the log holds a read open until there are records. */
-  public static final long READ_WAIT_MILLIS = 2_200;
+  private static final long READ_WAIT_MILLIS = 2_200;
 
   /** Receives the records of a stream. */
   public interface Listener {
@@ -44,8 +42,6 @@
   private final CoalescedRefresh refresh = new CoalescedRefresh(this::readAvailable);
   private final LatestRead latestRead = new LatestRead();
   private final ReadPause pause;
-  private LongSupplier quietWaitMillis = () -> READ_WAIT_MILLIS;
-  private long inFlightWaitMillis;
   private long nextOffset;
   private boolean caughtUp;
   private boolean closed;
@@ -93,14 +89,6 @@
     readNext();
   }
 
-  /**
-   * Sets how long the log may hold a read open until there are records; queried before each read. A
-   * longer wait costs fewer calls, and a read that is lost is noticed later.
-   */
-  public void setQuietWait(LongSupplier millis) {
-    quietWaitMillis = Objects.requireNonNull(millis, "millis");
-  }
-
   /** Returns whether the end of the stream has been reached at least once. */
   public boolean isCaughtUp() {
     return caughtUp;
@@ -132,10 +120,9 @@
     if (closed) {
       return;
     }
-    inFlightWaitMillis = caughtUp ? waitMillis() : 0;
     Uni<LogService.Batch> read =
         caughtUp
-            ? log.read(stream, nextOffset, MAX_RECORDS_PER_READ, inFlightWaitMillis)
+            ? log.read(stream, nextOffset, MAX_RECORDS_PER_READ, waitMillis())
             : history.read(stream, nextOffset);
     latestRead.start(read, this::onBatch, this::onFailure);
   }
@@ -146,7 +133,7 @@
    * sooner.
    */
   private long waitMillis() {
-    return outage.isDown() ? 0 : quietWaitMillis.getAsLong();
+    return outage.isDown() ? 0 : READ_WAIT_MILLIS;
   }
 
   /** Ends the pause, or replaces a pending read that may never be answered. */
@@ -172,17 +159,6 @@
     pause.endNow();
   }
 
-  /**
-   * Replaces a read in flight by one with the present wait if that is shorter, since the one in
-   * flight may never be answered.
-   */
-  public void shortenWait() {
-    boolean isShorter = waitMillis() < inFlightWaitMillis;
-    if (!closed && caughtUp && latestRead.isInFlight() && isShorter) {
-      readNext();
-    }
-  }
-
   /** Delivers the records not delivered before; returns whether there were any. */
   private boolean deliver(LogService.Batch batch) {
     lastReadMillis = timers.nowMillis();
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -43,9 +43,6 @@
   /** Poll interval where this node has no recent callers and is not on standby. */
   private static final long IDLE_POLL_INTERVAL_MILLIS = 2_000;
 
-  /** Wait of a read where this node has no recent callers and is not on standby. */
-  private static final long IDLE_WAIT_MILLIS = 8_000;
-
   /** Time after a call for which the caller is expected to wait here or to call again. */
   private static final long RECENT_CALL_MILLIS = 1_200;
 
@@ -97,7 +94,6 @@
               STREAM_PREFIX + partition,
               () -> pollIntervalMillis(followed),
               new PartitionReader(followed)));
-      tails.get(followed).setQuietWait(() -> waitMillis(followed));
     }
     this.startScheduler = new PartitionStartScheduler(context, tails);
   }
@@ -135,13 +131,6 @@
         : IDLE_POLL_INTERVAL_MILLIS;
   }
 
-  /** Returns the wait of a read of a partition, the usual one where this node needs its records. */
-  private long waitMillis(int partition) {
-    return pollIntervalMillis(partition) == IDLE_POLL_INTERVAL_MILLIS
-        ? IDLE_WAIT_MILLIS
-        : LogTail.READ_WAIT_MILLIS;
-  }
-
   /** Returns whether this node owns any run. */
   boolean ownsAnyRun() {
     return !ownStreams.isEmpty();
@@ -183,7 +172,6 @@
     int partition = partitionOf(run);
     lastCallAtMillis[partition] = context.nowMillis();
     tails.get(partition).endReadPause();
-    tails.get(partition).shortenWait();
   }
 
   /**
@@ -200,8 +188,6 @@
     startScheduler.schedule(heartbeats);
     context.timers().every(CLEANUP_PERIOD_MILLIS, this::removeExpiredJobs);
     context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
-    // A node may become a standby while one of its reads waits.
-    context.timers().every(RANKING_PERIOD_MILLIS, () -> tails.forEach(LogTail::shortenWait));
   }
 
   /** Ranks the candidates again and starts or polls earlier, after other nodes were lost. */
@@ -210,7 +196,6 @@
       lastRankedAtMillis = NEVER_MILLIS;
       startScheduler.schedule(heartbeats);
       tails.forEach(LogTail::endReadPause);
-      tails.forEach(LogTail::shortenWait);
     }
   }
 
--- a/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
@@ -74,54 +74,6 @@
     assertThat(delivered, contains("a"));
   }
 
-  /** Records the waits of reads and answers none of them, once told so. */
-  private static final class UnansweredLog implements LogService {
-    private final LogService log;
-    private final List<Long> waits = new ArrayList<>();
-
-    UnansweredLog(LogService log) {
-      this.log = log;
-    }
-
-    @Override
-    public Uni<Long> append(String stream, List<byte[]> records) {
-      return log.append(stream, records);
-    }
-
-    @Override
-    public Uni<Batch> read(String stream, long from, int most, long waitMillis) {
-      waits.add(waitMillis);
-      return Uni.createFrom().nothing();
-    }
-
-    @Override
-    public Uni<Batch> readHistory(String stream, long from, int maxBytes) {
-      return log.readHistory(stream, from, maxBytes);
-    }
-
-    @Override
-    public Uni<Void> trim(String stream, long before) {
-      return log.trim(stream, before);
-    }
-  }
-
-  @Test
-  void aLongReadIsReplacedOnceTheNodeNeedsTheRecords() {
-    UnansweredLog unanswered = new UnansweredLog(log);
-    LogTail quiet = new LogTail(unanswered, timers, "s.0", () -> 0, record -> {});
-    List<Long> wanted = new ArrayList<>(List.of(8_000L));
-    quiet.setQuietWait(() -> wanted.get(0));
-    quiet.start(0);
-    timers.advance(100);
-    assertThat(unanswered.waits, contains(8_000L));
-    quiet.shortenWait();
-    assertThat(unanswered.waits, contains(8_000L));
-    wanted.set(0, LogTail.READ_WAIT_MILLIS);
-    quiet.shortenWait();
-    quiet.shortenWait();
-    assertThat(unanswered.waits, contains(8_000L, LogTail.READ_WAIT_MILLIS));
-  }
-
   @Test
   void truncatedRecordsAreSkipped() {
     append("a");
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
@@ -19,9 +19,6 @@
   private static final int NODES = 96;
   private static final int SECONDS = 30;
 
-  /** A partition of jobs to which no run of the trainer belongs. */
-  private static final String QUIET_PARTITION = "jobs.1";
-
   @Test
   void aNodeOfALargeFleetMakesFewCallsInCalm() {
     Report report = new GatewayWorld(1, NODES).play(List.of(), SECONDS * 1_000L);
@@ -38,7 +35,5 @@
         "fleet: %.2f calls to the store a node and second %s%n",
         all / (double) (NODES * SECONDS), perNodeSecond);
     assertThat(perNodeSecond.toString(), all / (double) (NODES * SECONDS), lessThan(8.0));
-    double quietPartition = report.storeCalls().get(QUIET_PARTITION) / (double) (NODES * SECONDS);
-    assertThat(perNodeSecond.toString(), quietPartition, lessThan(0.3));
   }
 }
