Soak: evacuated zones, and the promise that they are emptied in time

Cause: a node that went on sending to servers of an evacuated zone was seen by nobody outside it.

SoakIT plays one seed; it needs nodes that honour evacuations.

SoakIT itself not run.

--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -58,7 +58,10 @@
                 Flags.simple(
                     "hard-load",
                     "adds slow readers and floods by one tenant, with uneven servers also to a calm"
-                        + " run"));
+                        + " run"))
+            .addOption(
+                Flags.simple(
+                    "evacuations", "adds zones that the operator evacuates, also to a calm run"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -136,6 +139,7 @@
                         line.hasOption("crashes"),
                         line.hasOption("silent-connections"),
                         line.hasOption("hard-load"),
+                        line.hasOption("evacuations"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/check/Bounds.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Bounds.java
@@ -10,6 +10,7 @@
  * @param ackMillis time after which an end without an answer counts as acknowledged
  * @param drainMillis time after which a drain has reached the senders
  * @param configApplyMillis time after which a configuration is in force
+ * @param evacuateMillis time after which an evacuation has reached the senders
  * @param leaseMillis time between orders of two holders
  * @param thawMillis time after a thaw in which late orders are left out
  * @param lossSlackMillis time after a request was sent by which a node has read it
@@ -26,6 +27,7 @@
     long ackMillis,
     long drainMillis,
     long configApplyMillis,
+    long evacuateMillis,
     long leaseMillis,
     long thawMillis,
     long lossSlackMillis,
@@ -34,7 +36,7 @@
   /** The figures of the example on the platform's page on deployment. */
   public static Bounds usual() {
     return new Bounds(
-        3_000, 1_000, 120_000, 3_000, 4_000, 2_000, 2_000, 3_000, 300, 200, 30_000, 1);
+        3_000, 1_000, 120_000, 3_000, 4_000, 2_000, 2_000, 5_000, 3_000, 300, 200, 30_000, 1);
   }
 
   /** The same with another time for which jobs can be read. */
@@ -47,6 +49,7 @@
         ackMillis,
         drainMillis,
         configApplyMillis,
+        evacuateMillis,
         leaseMillis,
         thawMillis,
         lossSlackMillis,
@@ -64,6 +67,7 @@
         ackMillis,
         drainMillis,
         configApplyMillis,
+        evacuateMillis,
         leaseMillis,
         thawMillis,
         lossSlackMillis,
@@ -81,6 +85,7 @@
         ackMillis,
         drainMillis,
         configApplyMillis,
+        evacuateMillis,
         leaseMillis,
         thawMillis,
         lossSlackMillis,
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -47,6 +47,8 @@
       hands.harmCallers(on.harm(), on.forMillis());
     } else if (fault instanceof Fault.OnRequest on) {
       hands.harmRequest(on.harm());
+    } else if (fault instanceof Fault.Evacuation on) {
+      hands.evacuate(on.zone());
     } else if (fault instanceof Fault.Change change) {
       hands.change(change.change(), change.backEnd());
     }
@@ -66,6 +68,8 @@
       List<Double> left = paces.getOrDefault(on.backEnd(), List.of());
       left.remove(on.factor());
       hands.pace(on.backEnd(), newest(left).orElse(1.0));
+    } else if (fault instanceof Fault.Evacuation on) {
+      hands.endEvacuation(on.zone());
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -62,6 +62,12 @@
   /** Suspends a node's machine: its steady clock doesn't count the time until it goes on. */
   void suspend(int node);
 
+  /** The operator evacuates a zone. */
+  void evacuate(int zone);
+
+  /** The operator takes a zone's evacuation back. */
+  void endEvacuation(int zone);
+
   /** Does planned work. */
   void change(OperatorChange change, int backEnd);
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -149,6 +149,24 @@
     }
   }
 
+  /** The operator evacuates a zone, given by its index, and takes it back. */
+  record Evacuation(long atMillis, long forMillis, int zone) implements Fault {
+    /** Checks. */
+    public Evacuation {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "evacuate-ZONE";
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -96,6 +96,10 @@
     if (settings.hasHardLoad()) {
       faults.addAll(HardLoadPlan.callers(seed, CALM_START_MILLIS, lastMillis));
     }
+    if (settings.hasEvacuations()) {
+      faults.addAll(
+          EvacuationPlan.evacuations(seed, settings.nodeCount(), CALM_START_MILLIS, lastMillis));
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -12,6 +12,7 @@
  * @param hasSilentConnections whether open connections to the store and to back ends go silent for
  *     good, added to what the seed gives without
  * @param hasHardLoad whether slow readers and floods by one tenant are added
+ * @param hasEvacuations whether zones are evacuated and taken back, one after the other
  */
 public record PlanSettings(
     int nodeCount,
@@ -20,7 +21,8 @@
     boolean isFinalFaultCertain,
     boolean hasCrashesAndSuspensions,
     boolean hasSilentConnections,
-    boolean hasHardLoad) {
+    boolean hasHardLoad,
+    boolean hasEvacuations) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -232,6 +232,21 @@
     nodes.process(node).suspend();
   }
 
+  @Override
+  public void evacuate(int zone) {
+    var unused = platform.operator().evacuate(zone(zone));
+  }
+
+  @Override
+  public void endEvacuation(int zone) {
+    var unused = platform.operator().endEvacuation(zone(zone));
+  }
+
+  private String zone(int index) {
+    List<String> zones = platform.zones();
+    return zones.get(index % zones.size());
+  }
+
   @Override
   public void change(OperatorChange kind, int backEnd) {
     if (kind == OperatorChange.DRAIN) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -85,7 +85,8 @@
                 settings.isFinalFaultCertain(),
                 settings.hasCrashesAndSuspensions(),
                 settings.hasSilentConnections(),
-                settings.hasHardLoad()));
+                settings.hasHardLoad(),
+                settings.hasEvacuations()));
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
@@ -99,6 +100,7 @@
   private static boolean isAskedFor(SoakSettings settings, Fault fault) {
     return (fault instanceof Fault.OnLink on && on.harm() == LinkHarm.MUTE)
         || fault instanceof Fault.OnCallers
+        || fault instanceof Fault.Evacuation
         || (settings.hasHardLoad() && fault instanceof Fault.UnevenBackEnd);
   }
 
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -13,6 +13,7 @@
  * @param hasCrashesAndSuspensions whether some requests crash servers and machines are suspended
  * @param hasSilentConnections whether open connections go silent for good, also in a calm run
  * @param hasHardLoad whether callers read slowly and one tenant floods, also in a calm run
+ * @param hasEvacuations whether zones are evacuated and taken back, also in a calm run
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -26,6 +27,7 @@
     boolean hasCrashesAndSuspensions,
     boolean hasSilentConnections,
     boolean hasHardLoad,
+    boolean hasEvacuations,
     SoakLoad load,
     Path repository,
     Path folder) {
@@ -34,5 +36,8 @@
     if (nodeCount < 1 || trafficMillis < 1) {
       throw new IllegalArgumentException("a soak needs nodes and time");
     }
+    if (hasEvacuations && nodeCount < 2) {
+      throw new IllegalArgumentException("evacuations need two nodes, in two zones");
+    }
   }
 }
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -118,6 +118,14 @@
     assertThat(done, contains("harm 1 HANG 10", "heal 1 HANG"));
   }
 
+  @Test
+  void anEvacuationIsTakenBackAtItsEnd() {
+    Fault.Evacuation evacuation = new Fault.Evacuation(0, 9_000, 2);
+    active.begin(evacuation);
+    active.end(evacuation);
+    assertThat(done, contains("evacuate 2", "endEvacuation 2"));
+  }
+
   @Test
   void aScheduleDoesEachFaultAndStartsATerminatedNodeOnceItIsGone() throws Exception {
     try (FaultSchedule schedule = new FaultSchedule(new RecordingHands(done), fault -> {})) {
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -93,6 +93,16 @@
     done.add("suspend " + node);
   }
 
+  @Override
+  public void evacuate(int zone) {
+    done.add("evacuate " + zone);
+  }
+
+  @Override
+  public void endEvacuation(int zone) {
+    done.add("endEvacuation " + zone);
+  }
+
   @Override
   public void change(OperatorChange change, int backEnd) {
     done.add("change " + change + " " + backEnd);
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -51,9 +51,13 @@
           Promise.ONLY_STALLED_DROPPED,
           Promise.NO_TENANT_STARVED);
 
+  // Two zones evacuated in turn, 10 and 9 s long.
+  private static final long EVACUATING_SEED = 1;
+  private static final long EVACUATING_TRAFFIC_MILLIS = 40_000;
+
   private static Verdict run(long seed, long trafficMillis, boolean hasCrashesAndSuspensions)
       throws Exception {
-    return run(seed, trafficMillis, hasCrashesAndSuspensions, false, false);
+    return run(seed, trafficMillis, hasCrashesAndSuspensions, false, false, false);
   }
 
   private static Verdict run(
@@ -61,7 +65,8 @@
       long trafficMillis,
       boolean hasCrashesAndSuspensions,
       boolean isOnlySilent,
-      boolean isOnlyHard)
+      boolean isOnlyHard,
+      boolean isOnlyEvacuating)
       throws Exception {
     Path module = Path.of("").toAbsolutePath();
     Path folder = module.resolve("target").resolve("soak-ci").resolve("run-" + System.nanoTime());
@@ -71,10 +76,11 @@
             NODES,
             trafficMillis,
             true,
-            isOnlySilent || isOnlyHard,
+            isOnlySilent || isOnlyHard || isOnlyEvacuating,
             hasCrashesAndSuspensions,
             isOnlySilent,
             isOnlyHard,
+            isOnlyEvacuating,
             SoakLoad.small(),
             module.getParent(),
             folder);
@@ -91,18 +97,25 @@
 
   @Test
   void everyPromiseHoldsBesideOpenConnectionsThatGoSilentForGood() throws Exception {
-    Verdict verdict = run(SILENT_SEED, SILENT_TRAFFIC_MILLIS, false, true, false);
+    Verdict verdict = run(SILENT_SEED, SILENT_TRAFFIC_MILLIS, false, true, false, false);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.SERVED_OVER_NEW_CONNECTIONS)));
   }
 
   @Test
   void everyPromiseHoldsBesideSlowReadersAndAFloodByOneTenant() throws Exception {
-    Verdict verdict = run(HARD_SEED, HARD_TRAFFIC_MILLIS, false, false, true);
+    Verdict verdict = run(HARD_SEED, HARD_TRAFFIC_MILLIS, false, false, true, false);
     assertThat(verdict.findings(), empty());
     OF_HARD_LOAD.forEach(promise -> assertThat(verdict.unchecked(), not(hasItem(promise))));
   }
 
+  @Test
+  void everyPromiseHoldsBesideEvacuatedZones() throws Exception {
+    Verdict verdict = run(EVACUATING_SEED, EVACUATING_TRAFFIC_MILLIS, false, false, false, true);
+    assertThat(verdict.findings(), empty());
+    assertThat(verdict.unchecked(), not(hasItem(Promise.ZONE_EMPTIED_IN_TIME)));
+  }
+
   @Test
   void everyPromiseHolds() throws Exception {
     Verdict verdict = run(SEED, TRAFFIC_MILLIS, false);
@@ -110,6 +123,7 @@
     assertThat(verdict.isKept(), equalTo(true));
     Set<Promise> unchecked = EnumSet.copyOf(verdict.unchecked());
     unchecked.removeAll(OF_HARD_LOAD);
+    unchecked.remove(Promise.ZONE_EMPTIED_IN_TIME);
     assertThat(RARE.containsAll(unchecked), equalTo(true));
     assertThat(verdict.counts().getOrDefault("JobAccepted", 0L), greaterThan(5L));
     assertThat(verdict.faults().keySet(), not(empty()));
