--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -1,14 +1,19 @@
 package org.passhaven.core.job;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
+import org.passhaven.core.coldstart.ColdStartLimiter;
 import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.topology.DistanceCosts;
+import org.passhaven.core.topology.Topology;
 
 /**
  * Chooses the model server of a generation among the servers with allowed weights and a free slot.
@@ -19,7 +24,6 @@
  */
 final class GenerationPicker {
   private static final double AFFINITY_GAIN_MILLIS = 60;
-  private static final double OTHER_ZONE_COST_MILLIS = 15;
   private static final double OVERDUE_WEIGHTS_COST_MILLIS = 800;
 
   /** Cost of occupying the last free slot, which a longer text might need. */
@@ -36,30 +40,61 @@
 
   private static final int MAX_GROUPS = 4_096;
   private final String node;
-  private final String zone;
+  private final Topology topology;
   private final ServerView view;
   private final LengthEstimator lengths;
+  private final CandidateFilter candidates;
+  private final ColdStartLimiter coldStarts;
   private final RefusalTracker refusals = new RefusalTracker();
   private final Map<String, ServerIncarnation> serverByGroup = new LinkedHashMap<>();
+
+  /** Servers chosen in this round, whose requests the cold start limit has not counted yet. */
+  private final Set<ServerIncarnation> chosenThisRound = new HashSet<>();
+
   private ReadyServers servers = new ReadyServers(Set.of(), Map.of());
 
-  GenerationPicker(String node, String zone, ServerView view, LengthEstimator lengths) {
+  /** Creates a picker that may choose all ready servers, in a deployment with a single region. */
+  GenerationPicker(
+      String node,
+      String zone,
+      ServerView view,
+      LengthEstimator lengths,
+      ColdStartLimiter coldStarts) {
+    this(node, Topology.ofZone(zone), view, lengths, (server, restriction) -> true, coldStarts);
+  }
+
+  GenerationPicker(
+      String node,
+      Topology topology,
+      ServerView view,
+      LengthEstimator lengths,
+      CandidateFilter candidates,
+      ColdStartLimiter coldStarts) {
+    this.candidates = Objects.requireNonNull(candidates, "candidates");
     this.node = Objects.requireNonNull(node, "node");
-    this.zone = Objects.requireNonNull(zone, "zone");
+    this.topology = Objects.requireNonNull(topology, "topology");
     this.view = Objects.requireNonNull(view, "view");
     this.lengths = Objects.requireNonNull(lengths, "lengths");
+    this.coldStarts = Objects.requireNonNull(coldStarts, "coldStarts");
   }
 
   /** Begins a scheduling round, during which the servers and their speeds stay the same. */
   void beginRound(ReadyServers readyServers, long nowMillis) {
     servers = readyServers;
+    chosenThisRound.clear();
     refusals.retain(readyServers.incarnations());
     view.beginRound(readyServers, nowMillis);
   }
 
   /** Returns the server for an item; empty if no allowed server has a free slot. */
   Optional<ServerEntry> choose(ItemExecution execution, long nowMillis) {
+    return choose(execution, server -> true, nowMillis);
+  }
+
+  private Optional<ServerEntry> choose(
+      ItemExecution execution, Predicate<ServerEntry> isAllowed, long nowMillis) {
     return servers.of(execution.jobExecution.policy.service()).stream()
+        .filter(isAllowed)
         .filter(server -> canServe(execution, server, nowMillis))
         .min(
             Comparator.comparingDouble((ServerEntry server) -> cost(execution, server, nowMillis))
@@ -84,6 +119,7 @@
   /** Counts a generation that was sent to its server as pending. */
   void onSent(ItemExecution execution) {
     refusals.onSent(execution.server, modelOf(execution));
+    chosenThisRound.add(execution.server);
   }
 
   /** Handles the acceptance of a generation by its server. */
@@ -118,7 +154,7 @@
     if (currentIntervalMillis == 0) {
       return Optional.empty();
     }
-    return choose(execution, nowMillis)
+    return choose(execution, server -> !coldStarts.isLimited(server, nowMillis), nowMillis)
         .filter(server -> !server.incarnation().equals(execution.server))
         .filter(server -> isNotLoading(execution, server))
         .filter(
@@ -156,7 +192,16 @@
         && refusals.maySend(
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
-        && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots());
+        && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots())
+        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
+        && isWarmOrDue(server, nowMillis);
+  }
+
+  /** Returns whether a server is warm or it is this node's turn to send one generation there. */
+  private boolean isWarmOrDue(ServerEntry server, long nowMillis) {
+    return !coldStarts.isLimited(server, nowMillis)
+        || (coldStarts.maySend(server, nowMillis)
+            && !chosenThisRound.contains(server.incarnation()));
   }
 
   /** Returns the expected time of the remaining text at a server, plus penalties. */
@@ -166,9 +211,7 @@
     if (incarnation.equals(serverByGroup.get(execution.item.group()))) {
       cost -= AFFINITY_GAIN_MILLIS;
     }
-    if (!server.zone().equals(zone)) {
-      cost += OTHER_ZONE_COST_MILLIS;
-    }
+    cost += DistanceCosts.ESTIMATED.millis(topology.to(server.zone()));
     if (servers.hasOverdueWeights(server, modelOf(execution), nowMillis)) {
       cost += OVERDUE_WEIGHTS_COST_MILLIS;
     }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -11,6 +11,8 @@
 import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerHealth;
+import org.passhaven.core.coldstart.ColdStartLimiter;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.job.TextRecord.TextPart;
 
 /**
@@ -32,12 +34,18 @@
   private static final long NEXT_EVENT_TIMEOUT_MILLIS = 700;
   private static final long STALLED_SERVER_AVOIDANCE_MILLIS = 600;
   private static final long MISDIRECTED_SERVER_AVOIDANCE_MILLIS = 1_000;
+
+  /** Lets the items of the next rounds go to other servers. */
+  private static final long HELD_BACK_SERVER_AVOIDANCE_MILLIS = 50;
+
   private static final long RETRY_DELAY_MILLIS = 40;
 
   /** Reason why a generation ended without its complete text. */
   public enum Failure {
     /** The server refused the request. */
     REFUSED,
+    /** The request was not sent, since the server must not receive it now. */
+    HELD_BACK,
     /** The response came from another server or weight version than requested. */
     MISDIRECTED,
     /** The server answered with an error. */
@@ -66,10 +74,23 @@
     this("", zone, (job, item) -> true);
   }
 
-  /** Creates the scheduler of {@code node} in {@code zone}. */
+  /**
+   * Creates the scheduler of {@code node} in {@code zone}, in a single region, which may choose all
+   * ready servers without limits for cold ones.
+   */
   public JobScheduler(String node, String zone, ItemGate gate) {
+    this(node, Topology.ofZone(zone), gate, (server, restriction) -> true, ColdStartLimiter.none());
+  }
+
+  /** Creates the scheduler of {@code node}. */
+  public JobScheduler(
+      String node,
+      Topology topology,
+      ItemGate gate,
+      CandidateFilter candidates,
+      ColdStartLimiter coldStarts) {
     this.gate = Objects.requireNonNull(gate, "gate");
-    this.picker = new GenerationPicker(node, zone, view, lengths);
+    this.picker = new GenerationPicker(node, topology, view, lengths, candidates, coldStarts);
   }
 
   /** Returns the load and speed of the servers, as this node and its peers observe them. */
@@ -253,7 +274,8 @@
             execution.jobExecution.job.submission(),
             execution.item,
             execution.text.lastEvent(),
-            priority));
+            priority,
+            execution.jobExecution.policy.restriction()));
   }
 
   /** Stops a stalled generation, and moves one from a slow server if a faster one has a slot. */
@@ -375,6 +397,8 @@
     execution.retryAtMillis = nowMillis + RETRY_DELAY_MILLIS;
     switch (failure) {
       case REFUSED -> picker.onRefused(execution, nowMillis);
+      case HELD_BACK ->
+          health.avoid(execution.server, HELD_BACK_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case MISDIRECTED ->
           health.avoid(execution.server, MISDIRECTED_SERVER_AVOIDANCE_MILLIS, nowMillis);
       case CONNECTION_LOST -> health.onFailure(execution.server, nowMillis);
--- a/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
@@ -1,15 +1,21 @@
 package org.passhaven.core.member;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.passhaven.core.placement.Member;
 import org.passhaven.core.placement.Rendezvous;
+import org.passhaven.core.topology.Topology;
 import org.passhaven.protocol.member.MemberBeat;
 
 /**
@@ -51,6 +57,7 @@
   private static final double RECENT_START_SHARE = 0.75;
 
   private final long silenceMillis;
+  private final boolean spreadsOverZones;
   private final Map<String, LatestHeartbeat> members = new TreeMap<>();
   private final FleetLossDetector lossDetector = new FleetLossDetector();
   private int heartbeatsRead;
@@ -76,7 +83,20 @@
    *     heartbeat intervals
    */
   public HeartbeatTable(long silenceMillis) {
+    this(silenceMillis, false);
+  }
+
+  /**
+   * Creates a table.
+   *
+   * @param silenceMillis minimum silence after which a node is dead; longer for nodes with long
+   *     heartbeat intervals
+   * @param spreadsOverZones whether candidates for work are ranked with every zone used once before
+   *     any zone is used again
+   */
+  public HeartbeatTable(long silenceMillis, boolean spreadsOverZones) {
     this.silenceMillis = silenceMillis;
+    this.spreadsOverZones = spreadsOverZones;
   }
 
   /** Applies a heartbeat; heartbeats are passed in the order of the log. */
@@ -192,7 +212,9 @@
   /**
    * Returns the rank of a node among the live ones that accept work, from zero: large nodes first,
    * and within each group the most recently started first; the number of these nodes if the node is
-   * unknown. During a rolling restart the most recently started node stays the longest.
+   * unknown. During a rolling restart the most recently started node stays the longest. If work is
+   * spread over zones, the next ranks after the first go to other zones, so that nodes which are
+   * lost with the holder do not delay the claim.
    */
   public int rankByStartTime(String node) {
     LargeNodes largeNodes = LargeNodes.among(acceptingNodes());
@@ -203,6 +225,9 @@
                     .largeFirst()
                     .thenComparing(Comparator.comparingLong(MemberBeat::incarnation).reversed()))
             .toList();
+    if (spreadsOverZones) {
+      ranked = spread(ranked, largeNodes);
+    }
     for (int position = 0; position < ranked.size(); position++) {
       if (ranked.get(position).node().equals(node)) {
         return position;
@@ -211,6 +236,49 @@
     return ranked.size();
   }
 
+  /** Reorders nodes with every zone used once before any is used again, large nodes first. */
+  private static List<MemberBeat> spread(List<MemberBeat> ranked, LargeNodes largeNodes) {
+    List<MemberBeat> spread = new ArrayList<>(ranked.size());
+    Set<String> usedZones = new HashSet<>();
+    Map<Boolean, List<MemberBeat>> bySize =
+        ranked.stream().collect(Collectors.partitioningBy(largeNodes::contains));
+    appendAcrossZones(bySize.get(true), usedZones, spread);
+    appendAcrossZones(bySize.get(false), usedZones, spread);
+    return spread;
+  }
+
+  private static void appendAcrossZones(
+      List<MemberBeat> ranked, Set<String> usedZones, List<MemberBeat> spread) {
+    Map<String, Deque<Integer>> positionsByZone = new HashMap<>();
+    for (int position = 0; position < ranked.size(); position++) {
+      positionsByZone
+          .computeIfAbsent(ranked.get(position).zone(), zone -> new ArrayDeque<>())
+          .add(position);
+    }
+    while (!positionsByZone.isEmpty()) {
+      if (usedZones.containsAll(positionsByZone.keySet())) {
+        usedZones.clear();
+      }
+      String zone = firstZone(positionsByZone, usedZones);
+      Deque<Integer> positions = positionsByZone.get(zone);
+      spread.add(ranked.get(positions.poll()));
+      usedZones.add(zone);
+      if (positions.isEmpty()) {
+        positionsByZone.remove(zone);
+      }
+    }
+  }
+
+  /** Returns the zone, of those not used yet, whose next node has the best rank. */
+  private static String firstZone(
+      Map<String, Deque<Integer>> positionsByZone, Set<String> usedZones) {
+    return positionsByZone.entrySet().stream()
+        .filter(entry -> !usedZones.contains(entry.getKey()))
+        .min(Comparator.comparingInt(entry -> entry.getValue().peek()))
+        .map(Map.Entry::getKey)
+        .orElseThrow();
+  }
+
   /**
    * Returns the rank of a node among the candidates for a key, from zero; the number of candidates
    * if the node is unknown.
@@ -254,21 +322,23 @@
     return recentlyStarted.subList(0, Math.min(MAX_FIRST_NODES, recentlyStarted.size()));
   }
 
-  private static List<Member> rank(String key, List<MemberBeat> heartbeats) {
+  private List<Member> rank(String key, List<MemberBeat> heartbeats) {
     LargeNodes largeNodes = LargeNodes.among(heartbeats);
     List<Member> ranked = new ArrayList<>(rankByRendezvous(key, heartbeats, largeNodes::contains));
     ranked.addAll(rankByRendezvous(key, heartbeats, heartbeat -> !largeNodes.contains(heartbeat)));
     return ranked;
   }
 
-  private static List<Member> rankByRendezvous(
+  private List<Member> rankByRendezvous(
       String key, List<MemberBeat> heartbeats, Predicate<MemberBeat> selected) {
     List<Member> candidates =
         heartbeats.stream()
             .filter(selected)
             .map(heartbeat -> new Member(heartbeat.node(), heartbeat.zone()))
             .toList();
-    return Rendezvous.rank(key, candidates, candidates.size());
+    return spreadsOverZones
+        ? Rendezvous.rankAcrossZones(key, candidates, candidates.size())
+        : Rendezvous.rank(key, candidates, candidates.size());
   }
 
   /**
@@ -281,15 +351,49 @@
    * @param maxAddresses maximum number of addresses
    */
   public List<String> addressesFor(String zone, int minInZone, int maxAddresses) {
-    List<MemberBeat> all = acceptingNodes();
+    return addressesFor(zone, "", Topology.ofZone(zone), minInZone, maxAddresses);
+  }
+
+  /**
+   * Returns addresses of live nodes for callers in a deployment of several regions: those of the
+   * caller's zone if they suffice for its share of the region's load, else of its region, and of
+   * all regions only if its own has no live node.
+   *
+   * @param region region of the caller; that of its zone if it is not a known one
+   * @param minInZone minimum number of nodes in the caller's zone that suffice
+   * @param maxAddresses maximum number of addresses
+   */
+  public List<String> addressesFor(
+      String zone, String region, Topology topology, int minInZone, int maxAddresses) {
+    List<MemberBeat> selected = acceptingNodes();
+    double zoneShareOfLoad = 0;
+    if (topology.hasSeveralRegions()) {
+      String callerRegion = topology.regions().contains(region) ? region : topology.regionOf(zone);
+      List<MemberBeat> inRegion =
+          selected.stream()
+              .filter(heartbeat -> topology.regionOf(heartbeat.zone()).equals(callerRegion))
+              .toList();
+      selected = inRegion.isEmpty() ? selected : inRegion;
+      zoneShareOfLoad =
+          requestsPerSecond(selected) / Math.max(1, topology.zonesOf(callerRegion).size());
+    }
     List<MemberBeat> inZone =
-        all.stream().filter(heartbeat -> heartbeat.zone().equals(zone)).toList();
-    List<MemberBeat> selected = inZone.size() >= minInZone ? inZone : all;
-    double requestsPerSecond = selected.stream().mapToDouble(MemberBeat::requestsPerSecond).sum();
+        selected.stream().filter(heartbeat -> heartbeat.zone().equals(zone)).toList();
+    boolean suffices = inZone.size() * REQUESTS_PER_SECOND_PER_NODE >= zoneShareOfLoad;
+    return chooseForCallers(
+        inZone.size() >= minInZone && suffices ? inZone : selected, zone, maxAddresses);
+  }
+
+  private static double requestsPerSecond(List<MemberBeat> heartbeats) {
+    return heartbeats.stream().mapToDouble(MemberBeat::requestsPerSecond).sum();
+  }
+
+  private static List<String> chooseForCallers(
+      List<MemberBeat> selected, String zone, int maxAddresses) {
     long needed =
         Math.max(
             MIN_NODES_FOR_CALLERS,
-            (long) Math.ceil(requestsPerSecond / REQUESTS_PER_SECOND_PER_NODE));
+            (long) Math.ceil(requestsPerSecond(selected) / REQUESTS_PER_SECOND_PER_NODE));
     return selected.stream()
         .sorted(
             LargeNodes.among(selected)
--- a/core/src/main/java/org/passhaven/core/topology/Topology.java
+++ b/core/src/main/java/org/passhaven/core/topology/Topology.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * The regions of the deployment's zones. A zone that is not listed belongs to the region of the
@@ -26,14 +27,20 @@
     return new Topology(zone, Map.of());
   }
 
-  /** Returns the region of this node. */
+  /** Returns the region of this node; the only known one if its zone is not listed. */
   public String region() {
-    return regionsByZone.getOrDefault(zone, DEFAULT_REGION);
+    String listed = regionsByZone.get(zone);
+    if (listed != null) {
+      return listed;
+    }
+    Set<String> regions = regions();
+    return regions.size() == 1 ? regions.iterator().next() : DEFAULT_REGION;
   }
 
   /** Returns the region of a zone. */
   public String regionOf(String otherZone) {
-    return regionsByZone.getOrDefault(otherZone, region());
+    String listed = regionsByZone.get(otherZone);
+    return listed == null ? region() : listed;
   }
 
   /** Returns whether the deployment has more than one region. */
@@ -46,6 +53,14 @@
     return new TreeSet<>(regionsByZone.values());
   }
 
+  /** Returns the known zones of a region. */
+  public Set<String> zonesOf(String region) {
+    return regionsByZone.entrySet().stream()
+        .filter(zoneAndRegion -> zoneAndRegion.getValue().equals(region))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the distance between two zones. */
   public Distance between(String first, String second) {
     if (first.equals(second)) {
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.protocol.member.MemberBeat;
 import org.slf4j.Logger;
@@ -86,6 +87,7 @@
             forwarder::requestsPerSecond,
             this::isDependedOn,
             this::heartbeatReadPauseMillis);
+    limitColdStarts();
     this.jobs = new JobService(context, jobLog);
     this.runner = new JobRunner(context, directory, members, jobLog, forwarder, crashes);
     this.duties = new DutyAgent(context, members, jobLog);
@@ -93,6 +95,19 @@
     meter.ifPresent(usageMeter -> new UsageReporter(context, duties, usageMeter));
   }
 
+  /** Derives this node's share of the load of cold servers from the heartbeats of all nodes. */
+  private void limitColdStarts() {
+    directory.coldStarts().trustSharesWhile(members::isMembershipKnown);
+    members.shareOwnedRuns(
+        () -> directory.coldStarts().isInUse() ? jobLog.owners().ownedRuns().size() : 0);
+    members.onHeartbeatsRead(
+        () -> {
+          if (directory.coldStarts().isInUse()) {
+            directory.coldStartShares().onHeartbeats(acceptingNodes(), context.nowMillis());
+          }
+        });
+  }
+
   /** Starts following the log and the tables, and running jobs and duties. */
   public void start() {
     LOG.atInfo()
@@ -109,6 +124,7 @@
     jobLog.addOwnerListener(directory::endReadPause);
     context.metrics().registerPartitionsBehind(jobLog);
     context.metrics().registerConfigurationAge(directory);
+    context.metrics().registerEvacuatedZones(directory);
     runner.start();
     duties.start();
     meter.ifPresent(UsageMeter::start);
@@ -117,6 +133,7 @@
   /** Restarts reads after a suspension, since pending ones may never complete. */
   private void restartReads() {
     directory.restartReads();
+    directory.coldStartShares().clear();
     crashes.restartReads();
     duties.restartReads();
   }
@@ -127,7 +144,8 @@
         || duties.isHolder()
         || jobLog.hasRecentCallers()
         || forwarder.requestsPerSecond() > 0
-        || announcedAddressesFor(context.settings().zone()).contains(context.settings().address());
+        || announcedAddressesFor(context.settings().zone(), "")
+            .contains(context.settings().address());
   }
 
   private long heartbeatReadPauseMillis() {
@@ -184,16 +202,30 @@
     return jobs;
   }
 
+  /** Returns the check that every request to a server must pass. */
+  ServerEligibility eligibility() {
+    return directory.eligibility();
+  }
+
   /**
    * Returns the addresses that a caller in {@code zone} should use; empty if it should ask another
    * node. Callers cache the answer, so a node returns none before it knows which nodes are alive.
    */
   public List<String> addressesFor(String zone) {
+    return addressesFor(zone, "");
+  }
+
+  /**
+   * Returns the addresses that a caller should use, as {@link #addressesFor(String)} does.
+   *
+   * @param region region of the caller; that of its zone if it is not known
+   */
+  public List<String> addressesFor(String zone, String region) {
     lastDiscoveryMillis = context.nowMillis();
     if (members.isLivenessUnknown()) {
       return List.of();
     }
-    List<String> known = announcedAddressesFor(zone);
+    List<String> known = announcedAddressesFor(zone, region);
     if (known.isEmpty() && isReady()) {
       return List.of(context.settings().address());
     }
@@ -208,8 +240,10 @@
     return members.heartbeats().acceptingNodes();
   }
 
-  private List<String> announcedAddressesFor(String zone) {
-    return members.heartbeats().addressesFor(zone, MIN_NEAR_NODES, MAX_ADDRESSES);
+  private List<String> announcedAddressesFor(String zone, String region) {
+    return members
+        .heartbeats()
+        .addressesFor(zone, region, context.settings().topology(), MIN_NEAR_NODES, MAX_ADDRESSES);
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -6,18 +6,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.core.backend.ServerTable;
+import org.passhaven.core.coldstart.ColdStartLimiter;
+import org.passhaven.core.coldstart.ColdStartShares;
+import org.passhaven.core.eligibility.Ineligibility;
 import org.passhaven.core.eligibility.ServerEligibility;
 import org.passhaven.core.evacuation.ZoneEvacuations;
 import org.passhaven.core.job.AnnouncedVersion;
 import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.follow.TableFollower;
 import org.passhaven.node.gateway.PlatformDocuments.DocumentException;
+import org.passhaven.protocol.region.RegionRestriction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,11 +49,14 @@
   private final ServerTable servers = new ServerTable();
   private final ZoneEvacuations evacuations = new ZoneEvacuations();
   private final ServerEligibility eligibility;
+  private final ColdStartShares coldStartShares;
+  private final ColdStartLimiter coldStarts;
   private final Map<String, AnnouncedVersion> announcedVersions = new HashMap<>();
   private final List<Runnable> listeners = new ArrayList<>();
   private final TableFollower operator;
   private final TableFollower serverEntries;
   private RouteTable routes = RouteTable.EMPTY;
+  private boolean areEvacuationsKnown;
 
   /**
    * Creates a directory; {@link #start} begins to follow the tables.
@@ -58,6 +67,9 @@
     this.context = Objects.requireNonNull(context, "context");
     this.documents = context.documents();
     this.eligibility = new ServerEligibility(servers, evacuations, context.settings().topology());
+    this.coldStartShares = new ColdStartShares(context.settings().node());
+    this.coldStarts = new ColdStartLimiter(coldStartShares, context.randomBelow());
+    eligibility.limitColdStarts(coldStarts);
     this.operator =
         new TableFollower(
             context.tables(),
@@ -103,9 +115,9 @@
     return routes;
   }
 
-  /** Returns whether a configuration was read and the servers were listed. */
+  /** Returns whether a configuration, all evacuations and the servers were read. */
   public boolean isConfigured() {
-    return routes.version() > 0 && serverEntries.isListed();
+    return routes.version() > 0 && areEvacuationsKnown && serverEntries.isListed();
   }
 
   /**
@@ -137,11 +149,52 @@
     return servers;
   }
 
+  /** Returns the ready servers of a service that a request may be sent to. */
+  List<ServerEntry> candidatesOf(String service, RegionRestriction restriction) {
+    if (!areEvacuationsKnown) {
+      return List.of();
+    }
+    List<ServerEntry> ready = servers.readyServersOf(service);
+    return eligibility.mayExclude(restriction)
+        ? ready.stream().filter(server -> isCandidate(server, restriction)).toList()
+        : ready;
+  }
+
+  /**
+   * Returns whether a server may be chosen for a request. None may before the operator's table was
+   * listed, since the rest of it may name an evacuation.
+   */
+  boolean isCandidate(ServerEntry server, RegionRestriction restriction) {
+    return areEvacuationsKnown && eligibility.exclusion(server, restriction).isEmpty();
+  }
+
+  /** Returns why none of a service's ready servers may be chosen; empty if one may, or if none. */
+  Optional<Ineligibility> exclusionOf(String service, RegionRestriction restriction) {
+    return eligibility.mayExclude(restriction)
+        ? eligibility.exclusionOfAll(servers.readyServersOf(service), restriction)
+        : Optional.empty();
+  }
+
+  /** Returns the number of evacuated zones. */
+  int evacuatedZones() {
+    return evacuations.zones().size();
+  }
+
   /** Returns the check that every request to a server must pass. */
   ServerEligibility eligibility() {
     return eligibility;
   }
 
+  /** Returns the limit on requests to cold servers. */
+  ColdStartLimiter coldStarts() {
+    return coldStarts;
+  }
+
+  /** Returns this node's shares of the load that cold servers can take. */
+  ColdStartShares coldStartShares() {
+    return coldStartShares;
+  }
+
   /** Returns the newest announced weight version of each model. */
   public Map<String, AnnouncedVersion> announcedVersions() {
     return announcedVersions;
@@ -170,6 +223,11 @@
   private final class OperatorListener implements TableFollower.Listener {
     @Override
     public void onDocument(String key, byte[] value) {
+      Optional<String> evacuatedZone = documents.evacuatedZone(key);
+      if (evacuatedZone.isPresent()) {
+        onEvacuation(evacuatedZone.get(), value != null);
+        return;
+      }
       if (value == null) {
         return;
       }
@@ -188,6 +246,25 @@
       }
     }
 
+    /** Applies an evacuation; its document's content is irrelevant. */
+    private void onEvacuation(String zone, boolean isEvacuated) {
+      boolean isChange = isEvacuated ? evacuations.add(zone) : evacuations.remove(zone);
+      if (!isChange) {
+        return;
+      }
+      LOG.atInfo()
+          .addKeyValue("zone", zone)
+          .addKeyValue("servers", serversIn(zone))
+          .addKeyValue("source", operator.isListing() ? "listing" : "changes")
+          .addKeyValue("silentMillis", text(operator.millisSinceLastRead()))
+          .log(isEvacuated ? "evacuation: in force" : "evacuation: taken back");
+      notifyListeners();
+    }
+
+    private long serversIn(String zone) {
+      return servers.all().stream().filter(server -> server.zone().equals(zone)).count();
+    }
+
     private void apply(RouteTable table) {
       if (table.version() <= routes.version()) {
         return;
@@ -200,6 +277,7 @@
           .addKeyValue("silentMillis", text(operator.millisSinceLastRead()))
           .log("configuration: in force");
       routes = table;
+      coldStarts.configure(table);
       notifyListeners();
     }
 
@@ -220,7 +298,19 @@
     }
 
     @Override
-    public void onListed(Set<String> keys) {}
+    public void onListed(Set<String> keys) {
+      Set<String> listed =
+          keys.stream()
+              .flatMap(key -> documents.evacuatedZone(key).stream())
+              .collect(Collectors.toSet());
+      evacuations.zones().stream()
+          .filter(zone -> !listed.contains(zone))
+          .forEach(zone -> onEvacuation(zone, false));
+      if (!areEvacuationsKnown) {
+        areEvacuationsKnown = true;
+        notifyListeners();
+      }
+    }
   }
 
   private final class ServerListener implements TableFollower.Listener {
@@ -237,6 +327,9 @@
         parseAndStore(key, value);
       }
       ServerEntry after = servers.getById(key);
+      if (after == null) {
+        coldStarts.remove(key);
+      }
       if (!Objects.equals(before, after)) {
         logChange(key, before, after);
         notifyListeners();
@@ -246,8 +339,12 @@
     /** Stores an entry; an unreadable one removes the earlier entry of the same key. */
     private void parseAndStore(String key, byte[] value) {
       try {
-        servers.put(documents.parseServer(key, value));
+        ServerEntry entry = documents.parseServer(key, value);
+        servers.put(entry);
         unreadable.remove(key);
+        if (servers.get(entry.incarnation()) != null) {
+          noteColdTime(entry);
+        }
       } catch (DocumentException e) {
         servers.remove(key);
         context.metrics().documentsUnreadable.increment();
@@ -255,6 +352,18 @@
       }
     }
 
+    private void noteColdTime(ServerEntry entry) {
+      Optional<ColdStartLimiter.Change> change = coldStarts.onEntry(entry, context.nowMillis());
+      if (change.isPresent() && coldStarts.limits(entry.service())) {
+        LOG.atInfo()
+            .addKeyValue("server", entry.incarnation())
+            .addKeyValue("service", entry.service())
+            .addKeyValue("state", change.get())
+            .addKeyValue("coldMillis", entry.coldMillis())
+            .log("servers: cold time changed");
+      }
+    }
+
     /** Logs a key once for each reason, since servers rewrite their entries with each heartbeat. */
     private void logUnreadable(String key, String reason) {
       boolean isNewReason = !reason.equals(unreadable.get(key));
@@ -284,6 +393,7 @@
     @Override
     public void onListed(Set<String> keys) {
       servers.retain(keys);
+      coldStarts.retain(keys);
       unreadable.keySet().retainAll(keys);
       notifyListeners();
     }
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
@@ -87,7 +87,8 @@
             score.host(),
             List.of(),
             score.body(),
-            SCORE_TIMEOUT_MILLIS);
+            SCORE_TIMEOUT_MILLIS,
+            directory.routes().tenants().restrictionOf(action.job().tenant()));
     forwarder
         .forward(route.get(), call, Source.SCORING)
         .subscribe()
