--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -149,6 +149,42 @@
     }
   }
 
+  /** A back end crashes and starts again, cold where that is configured. */
+  record ColdRestart(long atMillis, long forMillis, int backEnd) implements Fault {
+    /** Checks. */
+    public ColdRestart {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "cold-RESTART";
+    }
+  }
+
+  /** The operator evacuates a zone, given by its index, and takes it back. */
+  record Evacuation(long atMillis, long forMillis, int zone) implements Fault {
+    /** Checks. */
+    public Evacuation {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "evacuate-ZONE";
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
