Names and comments after a newcomer's reading of the diff

Cause: fifteen places stopped the reader: a query that wrote (ServiceFleet.isForgotten), a setter that ignores lower values (setFloor), one idea under two names (leavesZone, spreadsOverZones), a count that wasn't what it said (nodesOfRegion), comments that said something else than the code.

Change: names, comments, one private method in BacklogPolicy; no behaviour.

--- a/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerPicker.java
@@ -40,6 +40,7 @@
     Objects.requireNonNull(isNear, "isNear");
   }
 
+  // The parameters are in another order, since a lambda would also fit a predicate.
   private ServerPicker(Function<ServerEntry, Distance> distance, ServerHealth health) {
     this.health = Objects.requireNonNull(health, "health");
     this.distance = Objects.requireNonNull(distance, "distance");
--- a/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
+++ b/core/src/main/java/org/passhaven/core/backend/ServerSubset.java
@@ -65,15 +65,15 @@
    *
    * @param nodes live nodes; {@code self} is added if missing
    * @param servers servers of one service that accept new requests
-   * @param leavesZone whether no subset of several servers lies in one zone if there are servers in
-   *     others
+   * @param spreadsOverZones whether a subset of several servers must have servers in at least two
+   *     zones, if there are such
    */
   public static ServerSubset of(
       Member self,
       Collection<Member> nodes,
       Collection<ServerEntry> servers,
       Topology topology,
-      boolean leavesZone) {
+      boolean spreadsOverZones) {
     Objects.requireNonNull(self, "self");
     List<Member> all = new ArrayList<>(nodes);
     if (all.stream().noneMatch(node -> node.name().equals(self.name()))) {
@@ -82,7 +82,7 @@
     int size = sizeFor(all.size(), servers.size());
     List<ServerEntry> ordered =
         new ArrayList<>(
-            new SubsetRounds(all, servers, topology, leavesZone).choose(self.name(), size));
+            new SubsetRounds(all, servers, topology, spreadsOverZones).choose(self.name(), size));
     servers.stream()
         .filter(server -> !ordered.contains(server))
         .sorted(preferenceOrderOf(self, topology))
@@ -201,9 +201,9 @@
   }
 
   /**
-   * Returns the servers to choose from in a deployment of several regions: those that {@link
-   * #candidates(Predicate)} returns as far as they are in the own region, unless that region has no
-   * usable server and others have one; then those that are in the other regions.
+   * Returns the servers to choose from, the first of these that apply: the subset's servers in the
+   * own region if one is good; all of the own region if one is usable; the subset's servers in
+   * other regions if one is good; all of other regions if one is usable; otherwise all.
    *
    * @param isGood whether a server is healthy and has a free slot; a good server must be usable
    * @param isInRegion whether a server is in the own region
--- a/core/src/main/java/org/passhaven/core/backend/SubsetRounds.java
+++ b/core/src/main/java/org/passhaven/core/backend/SubsetRounds.java
@@ -22,7 +22,9 @@
    */
   private static final String NODE_ORDER_KEY = "subset";
 
+  /** Stands for no zone; zones are indices. */
   private static final int NO_ZONE = -1;
+
   private final List<Member> nodes;
   private final List<ServerEntry> servers;
   private final long[][] weights;
@@ -34,20 +36,20 @@
   private final int[] regionOfNode;
   private final int[] regionOfServer;
   private final long[] slotsOfRegion;
-  private final long[] nodesOfRegion;
-  private final boolean leavesZone;
+  private final long[] nodesServedByRegion;
+  private final boolean spreadsOverZones;
 
   /**
    * Creates the rounds.
    *
-   * @param leavesZone whether the last choice of a node lies in another zone if all others lie in
-   *     one
+   * @param spreadsOverZones whether a node whose choices so far all lie in one zone makes its last
+   *     choice in another
    */
   SubsetRounds(
       Collection<Member> nodes,
       Collection<ServerEntry> servers,
       Topology topology,
-      boolean leavesZone) {
+      boolean spreadsOverZones) {
     this.nodes =
         nodes.stream()
             .sorted(
@@ -60,7 +62,7 @@
     this.chosen = new boolean[this.nodes.size()][servers.size()];
     this.nodesOfServer = new int[servers.size()];
     this.maxNodesOfServer = new int[servers.size()];
-    this.leavesZone = leavesZone;
+    this.spreadsOverZones = spreadsOverZones;
     List<String> zones =
         Stream.concat(
                 this.nodes.stream().map(Member::zone), this.servers.stream().map(ServerEntry::zone))
@@ -75,7 +77,7 @@
     this.regionOfNode = IntStream.of(zoneOfNode).map(zone -> regionOfZone[zone]).toArray();
     this.regionOfServer = IntStream.of(zoneOfServer).map(zone -> regionOfZone[zone]).toArray();
     this.slotsOfRegion = new long[regions.size()];
-    this.nodesOfRegion = new long[regions.size()];
+    this.nodesServedByRegion = new long[regions.size()];
     countRegions();
     computeWeights();
   }
@@ -85,9 +87,10 @@
       slotsOfRegion[regionOfServer[server]] += slotsOf(servers.get(server));
     }
     for (int region : regionOfNode) {
-      for (int serving = 0; serving < nodesOfRegion.length; serving++) {
+      for (int serving = 0; serving < nodesServedByRegion.length; serving++) {
+        // The nodes of a region without servers are served by all others.
         boolean hasServers = slotsOfRegion[region] > 0;
-        nodesOfRegion[serving] += serving == region || !hasServers ? 1 : 0;
+        nodesServedByRegion[serving] += serving == region || !hasServers ? 1 : 0;
       }
     }
   }
@@ -114,7 +117,7 @@
         // The order is reversed in every other round, so that no node always chooses last.
         int node = round % 2 == 0 ? position : nodes.size() - 1 - position;
         boolean isLast = round > 0 && round == size - 1;
-        int server = chooseFor(node, leavesZone && isLast ? onlyZoneOf(node) : NO_ZONE);
+        int server = chooseFor(node, spreadsOverZones && isLast ? onlyZoneOf(node) : NO_ZONE);
         if (nodes.get(node).name().equals(self)) {
           own[round] = servers.get(server);
         }
@@ -130,7 +133,7 @@
   private void setNodeLimits(int rounds) {
     for (int server = 0; server < maxNodesOfServer.length; server++) {
       int region = regionOfServer[server];
-      long share = rounds * nodesOfRegion[region] * slotsOf(servers.get(server));
+      long share = rounds * nodesServedByRegion[region] * slotsOf(servers.get(server));
       maxNodesOfServer[server] =
           (int) ((share + slotsOfRegion[region] - 1) / slotsOfRegion[region]);
     }
--- a/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/passhaven/core/coldstart/ColdStartLimiter.java
@@ -39,9 +39,9 @@
 
   /** Change of a server that an entry reports. */
   public enum Change {
-    /** The server was warm and is cold. */
+    /** The server is cold and did not count as cold before; it may be new. */
     COLD,
-    /** The server was cold and is warm. */
+    /** The server is warm and its last entry was cold. */
     WARM
   }
 
@@ -89,7 +89,10 @@
     return new ColdStartLimiter(new ColdStartShares(""), bound -> 0);
   }
 
-  /** Sets the check of whether the view of the heartbeats is current; without it, it is not. */
+  /**
+   * Sets the check of whether the view of the heartbeats is current; until it is set, this node has
+   * no share.
+   */
   public void trustSharesWhile(BooleanSupplier isKnown) {
     isMembershipKnown = Objects.requireNonNull(isKnown, "isKnown");
   }
@@ -123,7 +126,7 @@
 
   /**
    * Handles an entry of a server. It was written before it was read, so a server counts as cold for
-   * longer than it is rather than for shorter.
+   * longer than it is rather than for shorter. Returns the change if there is one, for the log.
    */
   public Optional<Change> onEntry(ServerEntry entry, long nowMillis) {
     ServerIncarnation incarnation = entry.incarnation();
@@ -196,6 +199,10 @@
     return OptionalLong.of(Math.max(0, turnMillis - nowMillis) + ahead * intervalMillis);
   }
 
+  /**
+   * Returns the time of this node's next turn at a server, which must be limited. Also notes since
+   * when this node has a share.
+   */
   private long turnMillis(ServerEntry server, long nowMillis) {
     ColdServer cold = coldServer(server, nowMillis);
     ServiceLimit limit = limitByService.get(server.service());
@@ -227,6 +234,7 @@
     if (limit.users().isEmpty() || !isMembershipKnown.getAsBoolean()) {
       return 0;
     }
+    // Jobs and requests get equal parts, so that the shares of all nodes add up to at most one.
     double sum = 0;
     for (User user : limit.users()) {
       sum += user == User.JOBS ? shares.ofRuns(nowMillis) : shares.ofRequests(nowMillis);
--- a/core/src/main/java/org/passhaven/core/eligibility/Ineligibility.java
+++ b/core/src/main/java/org/passhaven/core/eligibility/Ineligibility.java
@@ -8,7 +8,7 @@
   DRAINING("the server is draining"),
   /** The operator has evacuated the server's zone. */
   ZONE_EVACUATED("the server's zone is evacuated"),
-  /** The request must not leave other regions. */
+  /** The request may be served in other regions only. */
   REGION_NOT_ALLOWED("the request may not be served in the server's region"),
   /** The server has just started, and this node's share of its load limit is used up. */
   COLD_LIMIT_REACHED("the server is cold and has reached its load limit");
--- a/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
+++ b/core/src/main/java/org/passhaven/core/member/HeartbeatTable.java
@@ -247,6 +247,10 @@
     return spread;
   }
 
+  /**
+   * Like {@link Rendezvous#rankAcrossZones}, but keeps the given order and continues with the zones
+   * used so far.
+   */
   private static void appendAcrossZones(
       List<MemberBeat> ranked, Set<String> usedZones, List<MemberBeat> spread) {
     Map<String, Deque<Integer>> positionsByZone = new HashMap<>();
@@ -366,7 +370,8 @@
   public List<String> addressesFor(
       String zone, String region, Topology topology, int minInZone, int maxAddresses) {
     List<MemberBeat> selected = acceptingNodes();
-    double zoneShareOfLoad = 0;
+    // Stays zero in a single region, where the number of nodes alone decides.
+    double zoneRequestsPerSecond = 0;
     if (topology.hasSeveralRegions()) {
       String callerRegion = topology.regions().contains(region) ? region : topology.regionOf(zone);
       List<MemberBeat> inRegion =
@@ -374,12 +379,12 @@
               .filter(heartbeat -> topology.regionOf(heartbeat.zone()).equals(callerRegion))
               .toList();
       selected = inRegion.isEmpty() ? selected : inRegion;
-      zoneShareOfLoad =
+      zoneRequestsPerSecond =
           requestsPerSecond(selected) / Math.max(1, topology.zonesOf(callerRegion).size());
     }
     List<MemberBeat> inZone =
         selected.stream().filter(heartbeat -> heartbeat.zone().equals(zone)).toList();
-    boolean suffices = inZone.size() * REQUESTS_PER_SECOND_PER_NODE >= zoneShareOfLoad;
+    boolean suffices = inZone.size() * REQUESTS_PER_SECOND_PER_NODE >= zoneRequestsPerSecond;
     return chooseForCallers(
         inZone.size() >= minInZone && suffices ? inZone : selected, zone, maxAddresses);
   }
--- a/core/src/main/java/org/passhaven/core/scale/BacklogPolicy.java
+++ b/core/src/main/java/org/passhaven/core/scale/BacklogPolicy.java
@@ -42,8 +42,8 @@
     }
     boolean isSustained = excess > 0 && nowMillis - excessSinceMillis >= SUSTAINED_MILLIS;
     double unserved = Math.max(isSustained ? excess : 0, standing);
-    boolean mayHaveEffect = nowMillis - lastIncreaseMillis >= load.leadMillis();
-    if (itemsPerServer <= 0 || unserved <= 0 || !mayHaveEffect) {
+    boolean hasLastIncreaseArrived = nowMillis - lastIncreaseMillis >= load.leadMillis();
+    if (itemsPerServer <= 0 || unserved <= 0 || !hasLastIncreaseArrived) {
       return 0;
     }
     double needed = present + Math.ceil(unserved / itemsPerServer);
@@ -69,11 +69,16 @@
   @Override
   public void onIncrease(long nowMillis) {
     lastIncreaseMillis = nowMillis;
-    onBlind();
+    forgetLoad();
   }
 
   @Override
   public void onBlind() {
+    forgetLoad();
+  }
+
+  /** Starts to observe the load anew. */
+  private void forgetLoad() {
     queue.clear();
     queueSinceMillis = NEVER_MILLIS;
     excessSinceMillis = NEVER_MILLIS;
--- a/core/src/main/java/org/passhaven/core/scale/ScalingDecision.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingDecision.java
@@ -6,7 +6,7 @@
  * Orders that are to be changed.
  *
  * @param orders number of servers to order, by zone
- * @param reason why they are ordered
+ * @param reason why they are ordered; meaningless if there are no orders
  * @param expected servers that are or will soon be there
  * @param wanted servers that are to be there
  */
--- a/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
+++ b/core/src/main/java/org/passhaven/core/scale/ScalingOrders.java
@@ -45,6 +45,7 @@
    *
    * @param epoch epoch of the newest claim of the lease
    * @param isOwn whether this incarnation of this node wrote the record
+   * @return whether the record was applied
    */
   public boolean onRecord(ScalingFigures record, long epoch, boolean isOwn) {
     if (record.epoch() < epoch) {
@@ -68,7 +69,7 @@
   /** Discards the changes that are not in the log, since this node is not the holder any more. */
   public void reset() {
     current = recorded;
-    floors.forEach(this::setFloor);
+    floors.forEach(this::raiseFloor);
   }
 
   /** Returns whether all changes were read back from the log. */
@@ -86,8 +87,10 @@
     return current.getOrDefault(service, NO_FIGURES);
   }
 
-  /** Raises the number of servers of a service that is kept up; a lower one changes nothing. */
-  public void setFloor(String service, int floor) {
+  /**
+   * Raises the total number of servers that a service is kept at; does nothing if it is not higher.
+   */
+  public void raiseFloor(String service, int floor) {
     ServiceFigures before = of(service);
     if (floor > before.floor()) {
       put(service, new ServiceFigures(floor, before.zones()));
@@ -97,7 +100,7 @@
   /** Changes an order; it is due once the change was recorded. */
   public void order(Subject subject, int servers) {
     ServiceFigures.Order before = of(subject.service()).zones().get(subject.zone());
-    // An order that is given again although it was accepted must be sent again.
+    // Zero marks the order as not accepted, so that one which is given again is sent again.
     int accepted = before == null || before.accepted() == servers ? 0 : before.accepted();
     put(subject, new ServiceFigures.Order(servers, accepted));
   }
--- a/core/src/main/java/org/passhaven/core/scale/ServiceFleet.java
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceFleet.java
@@ -26,7 +26,9 @@
   private final Map<String, Known> known = new HashMap<>();
   private long lastChangeMillis = NEVER_MILLIS;
 
-  /** State of a server id; {@code missingSinceMillis} is negative infinity while it is listed. */
+  /**
+   * State of a server id; {@code missingSinceMillis} is {@link #NEVER_MILLIS} while it is listed.
+   */
   private static final class Known {
     private String zone;
     private boolean isReady;
@@ -54,10 +56,14 @@
         .entrySet()
         .removeIf(
             server ->
-                !listed.contains(server.getKey()) && isForgotten(server.getValue(), nowMillis));
+                !listed.contains(server.getKey()) && noteMissing(server.getValue(), nowMillis));
   }
 
-  private boolean isForgotten(Known server, long nowMillis) {
+  /**
+   * Notes that a server is not listed. Returns whether to forget it: at once if it was draining,
+   * since it announced its end, otherwise once the platform no longer counts it.
+   */
+  private boolean noteMissing(Known server, long nowMillis) {
     if (server.isListed()) {
       server.missingSinceMillis = nowMillis;
       lastChangeMillis = nowMillis;
--- a/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
+++ b/core/src/main/java/org/passhaven/core/scale/ServiceScaler.java
@@ -128,6 +128,7 @@
             zones.values().stream().mapToInt(ScalingPlanner.Zone::coming).sum(),
             rate.itemsPerServerSecond(),
             leadMillis);
+    // Asked also if another reason decides, since the policy follows the load over time.
     int required = policy.requiredServers(load, nowMillis);
     int wanted = Math.max(floor, required);
     Map<String, Integer> outgrown = outgrown(zones);
--- a/core/src/main/java/org/passhaven/core/service/Scaling.java
+++ b/core/src/main/java/org/passhaven/core/service/Scaling.java
@@ -9,7 +9,8 @@
  * @param minServers minimum number of servers in a zone
  * @param maxServers maximum number of servers in a zone, spot servers included
  * @param bootMillis time until an ordered server serves requests
- * @param spotPrice price of a spot server as a fraction of that of another; empty if there are none
+ * @param spotPrice price of a spot server as a fraction of that of another; empty if there are
+ *     none; not used yet, since no spot servers are ordered
  * @param pricesByZone relative price of a server by zone; 1 in zones that are not listed
  */
 public record Scaling(
--- a/core/src/main/java/org/passhaven/core/topology/DistanceCosts.java
+++ b/core/src/main/java/org/passhaven/core/topology/DistanceCosts.java
@@ -9,7 +9,13 @@
  * @param otherRegionMillis cost of another region for a generation, in milliseconds
  */
 public record DistanceCosts(double otherRegionSlots, double otherRegionMillis) {
+  /**
+   * Cost of another zone of the region, as a fraction of the cost of having all slots of a server
+   * in use.
+   */
   private static final double SAME_REGION_SLOTS = 0.15;
+
+  /** Cost of another zone of the region for a generation. */
   private static final double SAME_REGION_MILLIS = 15;
 
   /** Round trip to another region relative to that to another zone, while it is not measured. */
@@ -28,16 +34,16 @@
   /**
    * Returns the costs that follow from measured latencies of the same work.
    *
-   * @param ownRegionMillis latency in the own region; zero if unknown
-   * @param otherRegionMillis latency in other regions; zero if unknown
+   * @param ownLatencyMillis latency in the own region; zero if unknown
+   * @param otherLatencyMillis latency in other regions; zero if unknown
    */
-  public static DistanceCosts measured(double ownRegionMillis, double otherRegionMillis) {
-    if (ownRegionMillis <= 0 || otherRegionMillis <= 0) {
+  public static DistanceCosts measured(double ownLatencyMillis, double otherLatencyMillis) {
+    if (ownLatencyMillis <= 0 || otherLatencyMillis <= 0) {
       return ESTIMATED;
     }
-    double addedMillis = Math.max(0, otherRegionMillis - ownRegionMillis);
+    double addedMillis = Math.max(0, otherLatencyMillis - ownLatencyMillis);
     // A request that takes longer by some fraction occupies its slot longer by that fraction.
-    double slots = SAME_REGION_SLOTS + addedMillis / ownRegionMillis;
+    double slots = SAME_REGION_SLOTS + addedMillis / ownLatencyMillis;
     return new DistanceCosts(
         Math.min(MAX_OTHER_REGION_SLOTS, Math.max(MIN_REGION_FACTOR * SAME_REGION_SLOTS, slots)),
         Math.max(MIN_REGION_FACTOR * SAME_REGION_MILLIS, SAME_REGION_MILLIS + addedMillis));
--- a/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
+++ b/core/src/test/java/org/passhaven/core/scale/ScalingOrdersTest.java
@@ -84,7 +84,7 @@
     assertThat(orders.isRecorded(), equalTo(false));
     orders.reset();
     assertThat(orders.of("llm").floor(), equalTo(6));
-    orders.setFloor("llm", 4);
+    orders.raiseFloor("llm", 4);
     assertThat(orders.of("llm").floor(), equalTo(6));
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -312,6 +312,7 @@
         .addKeyValue("after", start.lastEvent())
         .addKeyValue("estimate", scheduler.serverView().estimate(server, context.nowMillis()))
         .log("job: generation begins");
+    // A placeholder, so that an end or a stop during subscribe() is noticed below.
     generations.put(attempt, () -> {});
     Cancellable generation =
         context
--- a/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
+++ b/node/src/main/java/org/passhaven/node/gateway/PlatformDirectory.java
@@ -162,7 +162,7 @@
 
   /**
    * Returns whether a server may be chosen for a request. None may before the operator's table was
-   * listed, since the rest of it may name an evacuation.
+   * read to its end, since a part not read yet may name an evacuation.
    */
   boolean isCandidate(ServerEntry server, RegionRestriction restriction) {
     return areEvacuationsKnown && eligibility.exclusion(server, restriction).isEmpty();
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -135,7 +135,7 @@
     private final long lostAtStartMillis = lostToClockJumpsMillis();
     private final ForwardAttempts attempts;
     private final RequestLogger log;
-    private final long objectiveMillis;
+    private final long targetAtMillis;
     private Timers.Timer deadlineTimer;
     private Timers.Timer coldTurn;
     private boolean isReportedAsRun;
@@ -155,7 +155,7 @@
       this.slot = admission.newSlot(route, call, service, source, plan.deadlineMillis());
       this.attempts = new ForwardAttempts(context, health, call, plan, this);
       this.log = new RequestLogger(context, directory, route, call, service, startedAtMillis);
-      this.objectiveMillis = startedAtMillis + route.targetMillis();
+      this.targetAtMillis = startedAtMillis + route.targetMillis();
     }
 
     void start() {
@@ -217,7 +217,7 @@
 
     /** Waits for a turn at a cold server; returns false if there is none within the objective. */
     private boolean awaitColdTurn() {
-      long latestMillis = Math.min(objectiveMillis, plan.latestAttemptMillis(context.nowMillis()));
+      long latestMillis = Math.min(targetAtMillis, plan.latestAttemptMillis(context.nowMillis()));
       Optional<Timers.Timer> turn =
           coldTurns.await(service, call.restriction(), latestMillis, this::tryNextOrFail);
       turn.ifPresent(timer -> coldTurn = timer);
--- a/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
@@ -56,7 +56,10 @@
 
   private static final long FIRST_RETRY_MILLIS = 500;
   private static final long MAX_RETRY_MILLIS = 8_000;
+
+  /** Delay before a zone that had no servers to give is asked again. */
   private static final long FIRST_UNAVAILABLE_MILLIS = 5_000;
+
   private static final long MAX_UNAVAILABLE_MILLIS = 60_000;
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
   private final GatewayContext context;
@@ -260,7 +263,7 @@
 
   /** Takes up the decision on a service, which is sent once it was recorded. */
   private void apply(ServiceSpec service, long nowMillis) {
-    newFloor(service, nowMillis).ifPresent(floor -> orders.setFloor(service.name(), floor));
+    newFloor(service, nowMillis).ifPresent(floor -> orders.raiseFloor(service.name(), floor));
     ScalingDecision decision = decisions.remove(service.name());
     if (decision == null || decision.isEmpty()) {
       return;
@@ -343,7 +346,7 @@
             duties.epoch(),
             subject.service(),
             subject.zone(),
-            false,
+            /* spot= */ false,
             due.order().servers());
     duties.onCallSent();
     context
--- a/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ServerCandidates.java
@@ -36,7 +36,10 @@
   private final Member self;
   private final ServerPicker picker;
   private final Map<Requests, Service> services = new HashMap<>();
+
+  /** Subset that {@link #distanceTo} refers to: the one last returned by {@link #of}. */
   private Service lastChosen = new Service();
+
   private List<MemberBeat> lastHeartbeats = List.of();
   private List<Member> nodes = List.of();
 
--- a/soak/src/main/java/org/passhaven/soak/check/Arrivals.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Arrivals.java
@@ -15,7 +15,10 @@
 
   private Arrivals() {}
 
-  /** Those that a server answered 421 after a look at them don't count. */
+  /**
+   * Returns the requests that reached a back end, without those that it answered with 421: it
+   * looked at them and did not take them.
+   */
   static List<RequestArrived> counted(Evidence evidence) {
     Map<String, RequestArrived> last = new HashMap<>();
     Set<RequestArrived> misdirected = new HashSet<>();
--- a/soak/src/main/java/org/passhaven/soak/check/ColdRateCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/ColdRateCheck.java
@@ -17,7 +17,7 @@
  */
 final class ColdRateCheck {
   private static final long WINDOW_MILLIS = 1_000;
-  private static final double OVERAGE = 1.5;
+  private static final double OVERAGE_FACTOR = 1.5;
   private static final double SLACK_REQUESTS = 5;
 
   private final TouchTable links;
@@ -50,7 +50,7 @@
   }
 
   private void judge(TurnedCold turn, Tally tally) {
-    double mostRequests = turn.perSecond() * OVERAGE + SLACK_REQUESTS;
+    double mostRequests = turn.perSecond() * OVERAGE_FACTOR + SLACK_REQUESTS;
     ArrayDeque<Long> window = new ArrayDeque<>();
     int mostSeen = 0;
     for (long atMillis : arrivals.getOrDefault(turn.instance(), List.of())) {
--- a/soak/src/main/java/org/passhaven/soak/check/EvacuationCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/EvacuationCheck.java
@@ -11,8 +11,9 @@
 import org.passhaven.platform.standin.history.ServerObservation.RequestArrived;
 
 /**
- * {@link Promise#ZONE_EMPTIED_IN_TIME}: an evacuation binds from {@code evacuateMs} after its
- * acknowledgement until its taking back is sent, for nodes in touch when a request arrives.
+ * {@link Promise#ZONE_EMPTIED_IN_TIME}: an evacuation binds from {@link Bounds#evacuateMillis}
+ * after its acknowledgement until its taking back is sent, for nodes in touch when a request
+ * arrives.
  */
 final class EvacuationCheck {
   /** An evacuated zone had traffic to lose if a request came this long before. */
--- a/soak/src/main/java/org/passhaven/soak/plan/EvacuationPlan.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/EvacuationPlan.java
@@ -34,6 +34,7 @@
     long atMillis = fromMillis;
     while (atMillis < untilMillis) {
       long forMillis = between(drawing, MIN_MILLIS, MAX_MILLIS);
+      // Taken modulo the number of zones, of which there are at most as many as nodes.
       faults.add(new Fault.Evacuation(atMillis, forMillis, drawing.nextInt(nodeCount)));
       long restartMillis = atMillis + forMillis + RESTART_AFTER_MILLIS;
       int backEnd = drawing.nextInt(backEndCount);
