Only answers of 500 count against an item's reward call

Cause: every answer of 500 or above without Not-Executed was counted, so a server's own 504 at the deadline, 502 and a bare 503 too. Now only 500 is counted; the others are retried and delivered as before, under an outcome of their own. Evidence: RequestForwarderTest.onlyAnswersOf500AreCountedAsServerErrors (504, 502, 500, 503) failed before with a count of 4 instead of 1. A hedged request whose two attempts both get 500 counts two runs; that case passed before as well. Not shown: that this is what the users saw.

--- a/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
+++ b/core/src/main/java/org/passhaven/core/forward/ForwardPlan.java
@@ -26,8 +26,10 @@
     SUCCESS,
     /** The server did not run the request or was not reached. */
     NOT_RUN,
-    /** The server ran the request and failed, for example with status 500. */
+    /** The server ran the request and failed, with status 500. */
     SERVER_ERROR,
+    /** The server may have run the request and answered with another status above 500. */
+    OTHER_SERVER_ERROR,
     /** The server returned an unsuccessful response that must not be retried. */
     FINAL,
     /** The request may have run. */
@@ -152,7 +154,7 @@
         possibleRuns++;
         serverErrors++;
       }
-      case UNKNOWN -> possibleRuns++;
+      case OTHER_SERVER_ERROR, UNKNOWN -> possibleRuns++;
     }
     boolean attemptsLeft = possibleRuns + inProgress < Math.max(1, route.maxAttempts());
     boolean repeatable = mayRepeat || possibleRuns == 0;
@@ -162,7 +164,8 @@
     if (inProgress > 0) {
       return Step.WAIT;
     }
-    return outcome == Outcome.SERVER_ERROR ? Step.DELIVER : Step.GIVE_UP;
+    boolean hasAnswer = outcome == Outcome.SERVER_ERROR || outcome == Outcome.OTHER_SERVER_ERROR;
+    return hasAnswer ? Step.DELIVER : Step.GIVE_UP;
   }
 
   /** Returns whether it is certain that no server has run or will run the request. */
@@ -175,7 +178,7 @@
     return inProgress;
   }
 
-  /** Returns the number of server errors so far. */
+  /** Returns the number of answers of 500 so far. */
   public int serverErrors() {
     return serverErrors;
   }
--- a/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
+++ b/core/src/test/java/org/passhaven/core/forward/ForwardPlanTest.java
@@ -103,6 +103,17 @@
     assertThat(plan.serverErrors(), is(1));
   }
 
+  @Test
+  void anotherServerErrorIsRetriedAndDeliveredButNotCounted() {
+    ForwardPlan plan = plan(Route.Kind.REPEATABLE, 2);
+    next(plan, 0);
+    assertThat(plan.onEnded(Outcome.OTHER_SERVER_ERROR, 10), is(Step.TRY_NEXT));
+    next(plan, 10);
+    assertThat(plan.onEnded(Outcome.OTHER_SERVER_ERROR, 20), is(Step.DELIVER));
+    assertThat(plan.serverErrors(), is(0));
+    assertThat(plan.hasDefinitelyNotRun(), is(false));
+  }
+
   @Test
   void noAttemptStartsTooCloseToTheDeadline() {
     ForwardPlan plan = plan(Route.Kind.REPEATABLE, 3);
--- a/node/src/main/java/org/passhaven/node/gateway/ForwardOutcome.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardOutcome.java
@@ -4,7 +4,7 @@
 
 /** The final outcome of a forwarded request. */
 public sealed interface ForwardOutcome {
-  /** Returns the number of attempts that servers answered with status 500 or above. */
+  /** Returns the number of attempts that servers answered with status 500. */
   int serverErrors();
 
   /** A server answered, and its complete answer is returned to the caller. */
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -32,7 +32,7 @@
   /** Pause after an attempt that no server ran. */
   private static final long RETRY_PAUSE_MILLIS = 10;
 
-  private static final int MIN_SERVER_ERROR_STATUS = 500;
+  private static final int SERVER_ERROR_STATUS = 500;
   private static final int MISDIRECTED_STATUS = 421;
 
   /** Time for which a server that answered 421 (Misdirected Request) is avoided. */
@@ -403,6 +403,9 @@
     } else if (answer.isSuccess()) {
       return Outcome.SUCCESS;
     }
-    return answer.status() >= MIN_SERVER_ERROR_STATUS ? Outcome.SERVER_ERROR : Outcome.FINAL;
+    if (answer.status() == SERVER_ERROR_STATUS) {
+      return Outcome.SERVER_ERROR;
+    }
+    return answer.status() > SERVER_ERROR_STATUS ? Outcome.OTHER_SERVER_ERROR : Outcome.FINAL;
   }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -52,6 +52,10 @@
       answer.complete(new Answer(200, false, "signed", List.of(), new byte[0]));
     }
 
+    void answer(int status) {
+      answer.complete(new Answer(status, false, "signed", List.of(), new byte[0]));
+    }
+
     void refuse() {
       answer.complete(new Answer(503, true, "", List.of(), new byte[0]));
     }
@@ -329,4 +333,28 @@
     submit("/q");
     assertThat(last().server(), equalTo(server));
   }
+
+  @Test
+  void onlyAnswersOf500AreCountedAsServerErrors() {
+    submit("/p");
+    for (int status : new int[] {504, 502, 500, 503}) {
+      last().answer(status);
+      timers.advance(5);
+    }
+    assertThat(sent, hasSize(4));
+    ForwardOutcome.Answered answered = (ForwardOutcome.Answered) outcomes.get(0);
+    assertThat(answered.answer().status(), equalTo(503));
+    assertThat(answered.serverErrors(), equalTo(1));
+  }
+
+  @Test
+  void twoAnswersOf500ToAHedgedRequestAreTwoServerErrors() {
+    submit("/p");
+    timers.advance(HEDGE_MILLIS);
+    assertThat(sent, hasSize(2));
+    sent.get(0).answer(500);
+    sent.get(1).answer(500);
+    timers.advance(DEADLINE_MILLIS);
+    assertThat(((ForwardOutcome.Unknown) outcomes.get(0)).serverErrors(), equalTo(2));
+  }
 }
