A reward call that wasn't sent doesn't give its item up

Trainers could see: an item errored after a single answer of 500 of its reward call. Cause: when no route is found for the reward call (a configuration that moves or drops it), the failure is reported with a maximum of one, and any earlier answer of 500 reaches that. Now a failure without an answer of 500 never ends an item. Evidence: JobSchedulerTest.aScoreCallThatNoServerFailedDoesNotAbandonItsItem failed before (the item was finished as errored).

--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -69,7 +69,8 @@
       return actions;
     }
     execution.scoreErrors += serverErrors;
-    if (execution.scoreErrors >= maxServerErrors) {
+    // A call that was not sent has no maximum of its own, so it ends nothing.
+    if (serverErrors > 0 && execution.scoreErrors >= maxServerErrors) {
       finish(execution, false, "", actions);
     } else {
       execution.phase = ItemExecution.Phase.WAITING_FOR_SCORE;
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -435,4 +435,16 @@
     List<JobAction> last = scheduler.onScoreFailed("j", "x", 2, 4, 0, 230);
     assertThat(((JobAction.Finish) last.get(0)).result().completed(), is(false));
   }
+
+  @Test
+  void aScoreCallThatNoServerFailedDoesNotAbandonItsItem() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    assertThat(scheduler.onScoreFailed("j", "x", 1, 4, 0, 30), empty());
+    scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
+    assertThat(scheduler.onScoreFailed("j", "x", 0, 1, 0, 230), empty());
+  }
 }
