Fewer timers wake a node that runs no job

Cause: where nothing runs, timers wake a node more often than answers of the store do: decisions of jobs and of duties at 100 ms each on a timer of its own, the saving of texts at 250 ms, the renewal of claims at 1 s, and with usage the check for counts to publish at 250 ms, on all nodes.

The tests of DutyAgent and ScalingDuty pass the tick to start(); nothing else in them changes.

Ruled out: the heartbeat's timer on the shared tick. Its check runs exactly one period after the last beat was sent; on the tick the first one would come up to 100 ms late, and a start waits for the second beat.

--- a/core/src/main/java/org/passhaven/core/usage/UsageCounter.java
+++ b/core/src/main/java/org/passhaven/core/usage/UsageCounter.java
@@ -40,6 +40,11 @@
     }
   }
 
+  /** Returns whether counts have changed since they were last taken. */
+  public boolean hasUnpublished() {
+    return !unpublishedWindows.isEmpty();
+  }
+
   /**
    * Returns records of the counts that have changed since the last call, and marks them as
    * published.
--- a/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
+++ b/node/src/main/java/org/passhaven/node/gateway/DutyAgent.java
@@ -68,9 +68,9 @@
   }
 
   /** Starts following the lease and, while this node holds it, running the duties. */
-  void start() {
+  void start(DecisionTick tick) {
     tail.start(0);
-    context.timers().every(context.settings().decisionInterval().toMillis(), this::decide);
+    tick.add(this::decide);
     jobs.addOwnerListener(tail::endReadPause);
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -130,8 +130,9 @@
     context.metrics().registerPartitionsBehind(jobLog);
     context.metrics().registerConfigurationAge(directory);
     context.metrics().registerEvacuatedZones(directory);
-    runner.start();
-    duties.start();
+    DecisionTick tick = new DecisionTick(context);
+    runner.start(tick);
+    duties.start(tick);
     meter.ifPresent(UsageMeter::start);
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -72,6 +72,7 @@
   private final BitSet standbyPartitions = new BitSet();
   private long lastRankedAtMillis = NEVER_MILLIS;
   private HeartbeatTable heartbeats;
+  private boolean isRenewing;
   private final RunOwners owners;
   private final List<LogTail> tails = new ArrayList<>();
   private final PartitionStartScheduler startScheduler;
@@ -191,7 +192,6 @@
     heartbeats = Objects.requireNonNull(liveNodes, "liveNodes");
     startScheduler.schedule(heartbeats);
     context.timers().every(CLEANUP_PERIOD_MILLIS, this::removeExpiredJobs);
-    context.timers().every(RENEWAL_PERIOD_MILLIS, this::renewClaims);
   }
 
   /** Ranks the candidates again and starts or polls earlier, after other nodes were lost. */
@@ -205,6 +205,10 @@
 
   /** Appends this node's claims again before the log's retention drops them. */
   private void renewClaims() {
+    isRenewing = ownsAnyRun();
+    if (isRenewing) {
+      context.timers().after(RENEWAL_PERIOD_MILLIS, this::renewClaims);
+    }
     long renewMillis = context.settings().lease().renewAfterMillis();
     for (JobRecord.RunClaimed claim :
         owners.renewals(renewMillis, this::positionOf, context.nowMillis())) {
@@ -380,6 +384,10 @@
   private void refreshOwnStreams() {
     ownStreams.clear();
     owners.ownedRuns().forEach(run -> ownStreams.add(streamOf(run)));
+    if (!isRenewing && ownsAnyRun()) {
+      isRenewing = true;
+      context.timers().after(RENEWAL_PERIOD_MILLIS, this::renewClaims);
+    }
   }
 
   private void onJobRecord(JobRecord.OfJob record) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -50,6 +50,7 @@
   private final Map<Long, Cancellable> generations = new HashMap<>();
   private boolean stopped;
   private boolean isDecisionScheduled;
+  private boolean isSaving;
 
   /** Creates the runner; {@link #start} starts it. */
   public JobRunner(
@@ -81,18 +82,35 @@
   }
 
   /** Starts to run jobs. */
-  public void start() {
-    context.timers().every(context.settings().decisionInterval().toMillis(), this::decide);
-    context.timers().every(SAVE_PERIOD_MILLIS, this::saveTexts);
+  void start(DecisionTick tick) {
+    tick.add(this::decide);
+    log.addOwnerListener(this::saveTextsOfOwnRuns);
     directory.addListener(this::scheduleDecision);
   }
 
+  /** Saves texts periodically from the first run that this node owns until it owns none. */
+  private void saveTextsOfOwnRuns() {
+    if (!isSaving && log.ownsAnyRun()) {
+      isSaving = true;
+      saveTextsLater();
+    }
+  }
+
+  private void saveTextsLater() {
+    context.timers().after(SAVE_PERIOD_MILLIS, this::saveTexts);
+  }
+
   private void saveTexts() {
-    if (!stopped) {
-      List<String> ownRuns = log.owners().ownedRuns();
-      texts.retain(ownRuns);
-      ownRuns.forEach(run -> texts.save(run).subscribe().with(ignored -> {}));
+    if (stopped) {
+      return;
+    }
+    List<String> ownRuns = log.owners().ownedRuns();
+    isSaving = !ownRuns.isEmpty();
+    if (isSaving) {
+      saveTextsLater();
     }
+    texts.retain(ownRuns);
+    ownRuns.forEach(run -> texts.save(run).subscribe().with(ignored -> {}));
   }
 
   /**
--- a/node/src/main/java/org/passhaven/node/gateway/UsageMeter.java
+++ b/node/src/main/java/org/passhaven/node/gateway/UsageMeter.java
@@ -31,6 +31,7 @@
   private final IntSupplier liveNodes;
   private long lastPublishedMillis = Long.MIN_VALUE / 2;
   private boolean isPublishing;
+  private boolean isCheckScheduled;
 
   /**
    * Creates a meter; {@link #start} begins its periodic work.
@@ -47,14 +48,24 @@
 
   void start() {
     context.timers().every(CLOCK_SAMPLE_INTERVAL_MILLIS, this::sampleClocks);
-    context.timers().every(PUBLISH_CHECK_INTERVAL_MILLIS, this::publishIfDue);
+  }
+
+  private void checkLater() {
+    if (!isCheckScheduled) {
+      isCheckScheduled = true;
+      context.timers().after(PUBLISH_CHECK_INTERVAL_MILLIS, this::publishIfDue);
+    }
   }
 
   private void publishIfDue() {
+    isCheckScheduled = false;
     if (context.nowMillis() - lastPublishedMillis
         >= settings.publishIntervalMillis(liveNodes.getAsInt())) {
       publish().subscribe().with(ignored -> {});
     }
+    if (isPublishing || counter.hasUnpublished()) {
+      checkLater();
+    }
   }
 
   private void sampleClocks() {
@@ -70,6 +81,7 @@
   void onRunStarted(String tenant, long sentAtMillis) {
     if (!tenant.isEmpty()) {
       counter.onRequestStarted(tenant, settings.windowAt(trueTime.estimateMillis(sentAtMillis)));
+      checkLater();
     }
   }
 
--- a/node/src/test/java/org/passhaven/node/gateway/DutyAgentTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/DutyAgentTest.java
@@ -54,7 +54,7 @@
           public void onRecord(DutyRecord record) {}
         });
     members.start(() -> {}, () -> {});
-    agent.start();
+    agent.start(new DecisionTick(context));
     timers.advance(5_000);
     assertThat(agent.mayAct(), equalTo(true));
   }
--- a/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ScalingDutyTest.java
@@ -188,7 +188,7 @@
       new ScalingDuty(context, directory, jobs, agent);
       directory.start();
       members.start(() -> jobs.start(members.heartbeats()), () -> {});
-      agent.start();
+      agent.start(new DecisionTick(context));
     }
 
     @Override
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -63,6 +63,7 @@
    * @param windowsOff windows of usage whose report is off by more than a twentieth and one request
    * @param storeCalls calls of all nodes to the store by stream, those of the reading back at the
    *     end excepted
+   * @param timerRuns timers that woke the nodes, those of the reading back at the end excepted
    */
   public record Report(
       List<String> violations,
@@ -75,7 +76,8 @@
       int serversCrashed,
       int windowsInTime,
       int windowsOff,
-      Map<String, Long> storeCalls) {}
+      Map<String, Long> storeCalls,
+      long timerRuns) {}
 
   private final boolean isUsageReported;
   private final Duration inForce;
@@ -220,6 +222,7 @@
     faults.forEach(fault -> after(fault.atMillis(), () -> begin(fault)));
     playUntil(forMillis);
     Map<String, Long> storeCalls = store.callsByStream();
+    long timerRuns = hosts.stream().mapToLong(host -> host.process().timerRuns()).sum();
     readBack(forMillis + READ_BACK_MILLIS);
     playUntil(forMillis + READ_BACK_MILLIS);
     return new Report(
@@ -233,7 +236,8 @@
         crashing.crashes(),
         duties.reportedInTime(),
         duties.reportedFalsely(USAGE_OFF),
-        storeCalls);
+        storeCalls,
+        timerRuns);
   }
 
   private void configure(long version) {
--- a/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
+++ b/simulator/src/main/java/org/passhaven/simulator/time/SimulatedProcess.java
@@ -26,6 +26,7 @@
   private long driftPartsPerMillion;
   private long timeOfDayAheadMillis;
   private long cpuNanos;
+  private long timerRuns;
 
   /** Creates a process that is not started. */
   public SimulatedProcess(VirtualTime time, String name, String zone) {
@@ -64,6 +65,11 @@
     return cpuNanos;
   }
 
+  /** Timers that woke it, over all its starts. */
+  public long timerRuns() {
+    return timerRuns;
+  }
+
   /** How much faster than true its clock runs. */
   public void setDrift(long partsPerMillion) {
     driftPartsPerMillion = partsPerMillion;
@@ -168,6 +174,7 @@
         Runnable due =
             () -> {
               if (!cancelled[0]) {
+                timerRuns++;
                 task.run();
               }
             };
--- a/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/gateway/FleetCallsTest.java
@@ -19,6 +19,9 @@
   private static final int NODES = 96;
   private static final int SECONDS = 30;
 
+  /** Ten ticks, two checks of the heartbeat, and pauses between reads. */
+  private static final double MAX_TIMER_RUNS = 19;
+
   @Test
   void aNodeOfALargeFleetMakesFewCallsInCalm() {
     Report report = new GatewayWorld(1, NODES).play(List.of(), SECONDS * 1_000L);
@@ -34,6 +37,9 @@
     System.out.printf(
         "fleet: %.2f calls to the store a node and second %s%n",
         all / (double) (NODES * SECONDS), perNodeSecond);
+    double timerRuns = report.timerRuns() / (double) (NODES * SECONDS);
+    System.out.printf("fleet: %.2f timers a node and second%n", timerRuns);
+    assertThat(timerRuns, lessThan(MAX_TIMER_RUNS));
     assertThat(perNodeSecond.toString(), all / (double) (NODES * SECONDS), lessThan(8.0));
   }
 }
