Soak: signatures are of the very request, and only failures before an item is errored count

A surplus answer can be whole and signed and still not be the one to this request, and an item can be errored before its attempts are used up while runs that end later make up the number. WHOLE_ANSWER now also asks that a signature that a caller gets stands on a success and is that of a whole answer to that id; that the failures of an item or its scoring call lie before the item was read as errored. REFUSED_NOT_RUN also covers the scoring calls of items of a refused job. ResultChecksTest.anAnswerIsWholeAndOfItsRequest had a 2xx with a signature that no server gave, and a 500 with one: its histories now have the run, and the 500 none; both former histories are in a new test that expects them to be broken. Measured: a test with a history that breaks it for each.

--- a/soak/src/main/java/org/passhaven/soak/check/ResultChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/ResultChecks.java
@@ -1,5 +1,6 @@
 package org.passhaven.soak.check;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -57,27 +58,31 @@
             checkErrored(first, ends, tally);
           }
         });
-    evidence.all(RequestAnswered.class).forEach(answer -> checkAnswer(answer, tally));
+    evidence.all(RequestAnswered.class).forEach(answer -> checkAnswer(answer, ends, tally));
   }
 
   /** How the runs of each id ended. */
   private static final class RunEnds {
     private final Map<String, Set<String>> signatures = new HashMap<>();
-    private final Map<String, Integer> failureCounts = new HashMap<>();
-    private final Set<String> impossible = new HashSet<>();
+    private final Map<String, List<Long>> failures = new HashMap<>();
+    private final Map<String, Long> impossible = new HashMap<>();
 
     void see(RunEnded ended) {
       switch (ended.how()) {
         case WHOLE ->
             signatures.computeIfAbsent(ended.id(), id -> new HashSet<>()).add(ended.signature());
-        case FAILED -> failureCounts.merge(ended.id(), 1, Integer::sum);
-        case IMPOSSIBLE -> impossible.add(ended.id());
+        case FAILED ->
+            failures.computeIfAbsent(ended.id(), id -> new ArrayList<>()).add(ended.atMillis());
+        case IMPOSSIBLE -> impossible.merge(ended.id(), ended.atMillis(), Math::min);
         case LEFT, LATE, BROKEN, CRASHED -> {}
       }
     }
 
-    boolean hasFailed(String id, int maxAttempts) {
-      return impossible.contains(id) || failureCounts.getOrDefault(id, 0) >= maxAttempts;
+    /** Whether its servers had failed it often enough by a time. */
+    boolean hasFailed(String id, int maxAttempts, long byMillis) {
+      long failureCount =
+          failures.getOrDefault(id, List.of()).stream().filter(at -> at <= byMillis).count();
+      return impossible.getOrDefault(id, Long.MAX_VALUE) <= byMillis || failureCount >= maxAttempts;
     }
 
     boolean isSignature(String id, String signature) {
@@ -114,14 +119,14 @@
     int maxAttempts = job.plan().maxAttempts();
     boolean isGivenUp = giveUpMillis > 0 && atMillis >= job.firstSentMillis + giveUpMillis;
     boolean isAllowed =
-        ends.hasFailed(first.item().id(), maxAttempts)
-            || ends.hasFailed(first.item().scoreId(), maxAttempts)
+        ends.hasFailed(first.item().id(), maxAttempts, atMillis)
+            || ends.hasFailed(first.item().scoreId(), maxAttempts, atMillis)
             || isGivenUp
             || job.endAskedMillis <= atMillis;
     check(isAllowed, first, tally, "is errored in an open job before its attempts are used up");
   }
 
-  private static void checkAnswer(RequestAnswered answer, Tally tally) {
+  private static void checkAnswer(RequestAnswered answer, RunEnds ends, Tally tally) {
     boolean isSuccess = answer.status() >= FIRST_SUCCESS && answer.status() < FIRST_OTHER;
     boolean isOther = !answer.answerId().isEmpty() && !answer.answerId().equals(answer.id());
     tally.check(
@@ -133,6 +138,19 @@
             isOther
                 ? "the answer is that of " + answer.answerId()
                 : "a " + answer.status() + " lacks signature or body");
+    if (!answer.signature().isEmpty()) {
+      tally.check(
+          isSuccess && ends.isSignature(answer.id(), answer.signature()),
+          answer.atMillis(),
+          answer.node(),
+          answer.id(),
+          () ->
+              "a "
+                  + answer.status()
+                  + " has the signature "
+                  + answer.signature()
+                  + ", which no whole answer to it has");
+    }
   }
 
   /** {@link Promise#TRUTHFUL_VERSIONS}. */
--- a/soak/src/main/java/org/passhaven/soak/check/RunChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/RunChecks.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.passhaven.platform.standin.history.ItemPlan;
 import org.passhaven.platform.standin.history.NodeObservation.Happening;
 import org.passhaven.platform.standin.history.NodeObservation.ProcessEvent;
@@ -72,16 +73,18 @@
 
   private static void checkRefused(Evidence evidence, JobRecord job, Set<String> ran, Tally tally) {
     Optional<String> item =
-        job.items().keySet().stream()
+        job.items().values().stream()
+            .filter(
+                each -> evidence.jobs().withItem(each.id()).stream().allMatch(JobRecord::isRefused))
+            .flatMap(each -> Stream.of(each.id(), each.scoreId()))
             .filter(ran::contains)
-            .filter(id -> evidence.jobs().withItem(id).stream().allMatch(JobRecord::isRefused))
             .findFirst();
     tally.check(
         item.isEmpty(),
         job.firstSentMillis,
         "",
         job.plan().id(),
-        () -> "every attempt was refused, and item " + item.orElse("") + " ran");
+        () -> "every attempt was refused, and item or scoring call " + item.orElse("") + " ran");
   }
 
   /** {@link Promise#NOTHING_UNASKED}. */
--- a/soak/src/test/java/org/passhaven/soak/check/ResultChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/ResultChecksTest.java
@@ -28,9 +28,23 @@
     return new RunEnded(12_000 + run, Story.INSTANCE, id, run, how, 0, signature);
   }
 
-  private static RequestAnswered answer(int status, String answerId, boolean isWhole) {
+  private static RequestAnswered answer(
+      int status, String signature, String answerId, boolean isWhole) {
     return new RequestAnswered(
-        LATER_MILLIS, LATER_MILLIS - 9, Story.FIRST, "r-1", status, "s", answerId, 1, isWhole);
+        LATER_MILLIS,
+        LATER_MILLIS - 9,
+        Story.FIRST,
+        "r-1",
+        status,
+        signature,
+        answerId,
+        1,
+        isWhole);
+  }
+
+  /** A request that has run, and was answered with a signature. */
+  private static Story ran() {
+    return Story.begin().add(end(1, "r-1", RunEnd.WHOLE, "s"));
   }
 
   @Test
@@ -79,10 +93,35 @@
 
   @Test
   void anAnswerIsWholeAndOfItsRequest() {
-    Story.begin().add(answer(200, "r-1", true)).assertHolds(Promise.WHOLE_ANSWER);
-    Story.begin().add(answer(500, "r-1", false)).assertHolds(Promise.WHOLE_ANSWER);
-    Story.begin().add(answer(200, "r-1", false)).assertBroken(Promise.WHOLE_ANSWER);
-    Story.begin().add(answer(200, "r-2", true)).assertBroken(Promise.WHOLE_ANSWER);
+    ran().add(answer(200, "s", "r-1", true)).assertHolds(Promise.WHOLE_ANSWER);
+    ran().add(answer(500, "", "r-1", false)).assertHolds(Promise.WHOLE_ANSWER);
+    ran().add(answer(200, "s", "r-1", false)).assertBroken(Promise.WHOLE_ANSWER);
+    ran().add(answer(200, "s", "r-2", true)).assertBroken(Promise.WHOLE_ANSWER);
+  }
+
+  @Test
+  void aSignatureIsThatOfAWholeAnswerToItsRequest() {
+    Story.begin().add(answer(200, "s", "r-1", true)).assertBroken(Promise.WHOLE_ANSWER);
+    Story.begin()
+        .add(end(1, "r-2", RunEnd.WHOLE, "s"))
+        .add(answer(200, "s", "r-1", true))
+        .assertBroken(Promise.WHOLE_ANSWER);
+    ran().add(answer(200, "t", "r-1", true)).assertBroken(Promise.WHOLE_ANSWER);
+    ran().add(answer(500, "s", "r-1", false)).assertBroken(Promise.WHOLE_ANSWER);
+  }
+
+  @Test
+  void onlyFailuresBeforeAnItemIsErroredCount() {
+    RunEnded late = new RunEnded(LATER_MILLIS + 1, "i", Story.ITEM, 3, RunEnd.FAILED, 0, "");
+    Story story =
+        reading(errored())
+            .add(end(1, Story.ITEM, RunEnd.FAILED, ""))
+            .add(end(2, Story.ITEM, RunEnd.FAILED, ""));
+    story.add(late).assertBroken(Promise.WHOLE_ANSWER);
+    story.add(end(4, Story.ITEM, RunEnd.FAILED, "")).assertHolds(Promise.WHOLE_ANSWER);
+    reading(errored())
+        .add(new RunEnded(LATER_MILLIS + 1, "i", Story.ITEM, 1, RunEnd.IMPOSSIBLE, 0, ""))
+        .assertBroken(Promise.WHOLE_ANSWER);
   }
 
   @Test
--- a/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
@@ -8,6 +8,7 @@
 import org.passhaven.platform.standin.history.JobObservation.JobRefused;
 import org.passhaven.platform.standin.history.JobObservation.JobSent;
 import org.passhaven.platform.standin.history.JobObservation.JobUnknown;
+import org.passhaven.platform.standin.history.JobPlan;
 import org.passhaven.platform.standin.history.NodeObservation.Happening;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.NodeObservation.ProcessEvent;
@@ -61,9 +62,20 @@
         .assertUnbound(Promise.REFUSED_NOT_RUN);
   }
 
+  @Test
+  void aScoringCallOfAJobWhoseAttemptsAreAllRefusedDoesNotRun() {
+    refusedJob(Story.plan(false, "score-1"))
+        .run(SENT_MILLIS + 900, "score-1", 1)
+        .assertBroken(Promise.REFUSED_NOT_RUN);
+  }
+
   private static Story refusedJob() {
+    return refusedJob(Story.plan());
+  }
+
+  private static Story refusedJob(JobPlan plan) {
     return Story.begin()
-        .add(new JobPlanned(SENT_MILLIS, Story.plan()))
+        .add(new JobPlanned(SENT_MILLIS, plan))
         .add(new JobSent(SENT_MILLIS, Story.FIRST, Story.JOB, 1))
         .add(new JobRefused(SENT_MILLIS + 9, SENT_MILLIS, Story.FIRST, Story.JOB, 1, 503));
   }
