Reward calls end with their job's run at a node

Cause: a job that ended or passed to another node left its reward calls, queued or under way, with all their retries (2.5 s); an outcome was matched by job and item only, so it counted for a later run of the same job here. Now a job's queued calls are dropped and those under way are cancelled when it stops running at the node. Evidence: two new cases of JobRunnerTest failed before (no call was cancelled). Not shown: that this is what the users saw; a score for another text needs the job back within 2.5 s and its kept text lost or not allowed.

--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -187,6 +187,7 @@
   }
 
   private void drop(String job, String reason) {
+    scoreQueue.drop(job);
     if (scheduler.isRunning(job)) {
       LOG.atInfo()
           .addKeyValue("job", job)
--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
@@ -1,7 +1,10 @@
 package org.passhaven.node.gateway;
 
+import io.smallrye.mutiny.subscription.Cancellable;
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Queue;
@@ -33,7 +36,10 @@
   private final JobScheduler scheduler;
   private final Consumer<List<JobAction>> actionHandler;
   private final Queue<JobAction.Score> queue = new ArrayDeque<>();
-  private int callsInFlight;
+  private final Map<Long, CallInFlight> callsInFlight = new HashMap<>();
+  private long nextCall;
+
+  private record CallInFlight(String job, Cancellable forwarding) {}
 
   /**
    * Creates an empty queue.
@@ -59,8 +65,21 @@
     sendNext();
   }
 
+  /**
+   * Drops the requests of a job that has stopped here: none may reach a server after the job's end,
+   * nor score a text that the job makes anew when it runs here again.
+   */
+  void drop(String job) {
+    queue.removeIf(score -> score.job().id().equals(job));
+    List<CallInFlight> dropped =
+        callsInFlight.values().stream().filter(call -> call.job().equals(job)).toList();
+    callsInFlight.values().removeAll(dropped);
+    dropped.forEach(call -> call.forwarding().cancel());
+    sendNext();
+  }
+
   private void sendNext() {
-    while (callsInFlight < MAX_CONCURRENT_CALLS && !queue.isEmpty()) {
+    while (callsInFlight.size() < MAX_CONCURRENT_CALLS && !queue.isEmpty()) {
       JobAction.Score next = queue.poll();
       if (scheduler.isRunning(next.job().id())) {
         send(next);
@@ -77,7 +96,6 @@
       actionHandler.accept(scheduler.onScoreFailed(job, item, 0, 1, 0, context.nowMillis()));
       return;
     }
-    callsInFlight++;
     Call call =
         new Call(
             score.id(),
@@ -89,15 +107,20 @@
             score.body(),
             SCORE_TIMEOUT_MILLIS,
             directory.routes().tenants().restrictionOf(action.job().tenant()));
-    forwarder
-        .forward(route.get(), call, Source.SCORING)
-        .subscribe()
-        .with(
-            outcome -> {
-              callsInFlight--;
-              onOutcome(job, item, route.get(), outcome);
-              sendNext();
-            });
+    long number = nextCall++;
+    // A placeholder, so that an outcome during subscribe() is noticed below.
+    callsInFlight.put(number, new CallInFlight(job, () -> {}));
+    Cancellable forwarding =
+        forwarder
+            .forward(route.get(), call, Source.SCORING)
+            .subscribe()
+            .with(
+                outcome -> {
+                  callsInFlight.remove(number);
+                  onOutcome(job, item, route.get(), outcome);
+                  sendNext();
+                });
+    callsInFlight.computeIfPresent(number, (key, sent) -> new CallInFlight(job, forwarding));
   }
 
   private void onOutcome(String job, String item, Route route, ForwardOutcome outcome) {
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -30,6 +30,7 @@
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord;
 import org.passhaven.protocol.job.JobSubmission;
+import org.passhaven.protocol.job.ScoreCall;
 import org.passhaven.protocol.job.TextRecord;
 import org.passhaven.spi.BackEndException;
 import org.passhaven.spi.BackEndService;
@@ -214,7 +215,44 @@
     assertThat(servers.running, hasSize(1));
   }
 
+  /** Completes the text of a second job's only item, whose score is then asked for. */
+  private void completeAScoredText() {
+    ScoreCall score = new ScoreCall("score of y", "h", "/s/y", new byte[0]);
+    JobItem item = new JobItem("y", "/p/y", List.of(), new byte[0], "g", 0, score);
+    JobSubmission submission =
+        new JobSubmission("k", "h", "/p/", "", MODEL, MODEL, 1, 1, 1, List.of(item));
+    gateway.jobs().submit(submission, 2_000).subscribe().with(outcome -> {});
+    timers.advance(500);
+    MultiEmitter<? super BackEndService.Progress> generation = servers.running.get(1);
+    generation.emit(new BackEndService.Progress.Began(1));
+    generation.emit(new BackEndService.Progress.Event(1, 0, "one"));
+    generation.complete();
+    timers.advance(20);
+    assertThat(servers.calls, hasSize(1));
+  }
+
+  @Test
+  void theScoreOfAnEndedJobIsNoLongerAskedFor() {
+    completeAScoredText();
+    gateway.jobs().end("", "k", 2_000).subscribe().with(outcome -> {});
+    timers.advance(100);
+    assertThat(servers.cancelledCalls, equalTo(1));
+    timers.advance(3_000);
+    assertThat(servers.calls, hasSize(1));
+  }
+
+  @Test
+  void theScoreOfAJobThatAnotherNodeRunsIsNotTakenHere() {
+    completeAScoredText();
+    JobRecord claim = new JobRecord.RunClaimed(MODEL, 1_001, "other", 1, 1_000);
+    log.stream("jobs.0").add(Codec.encode(claim));
+    timers.advance(200);
+    assertThat(servers.cancelledCalls, equalTo(1));
+  }
+
   private static final class Servers extends GatewayFixture.SilentServers {
+    final List<Call> calls = new ArrayList<>();
+    int cancelledCalls;
     final List<MultiEmitter<? super Progress>> running = new ArrayList<>();
     final List<Long> lastEvents = new ArrayList<>();
     int cancelled;
@@ -222,6 +260,16 @@
     /** Sent before a generation's subscription is complete; null for none. */
     Progress firstProgress;
 
+    @Override
+    public Uni<Answer> call(Target target, Call call) {
+      return Uni.createFrom()
+          .emitter(
+              emitter -> {
+                calls.add(call);
+                emitter.onTermination(() -> cancelledCalls++);
+              });
+    }
+
     @Override
     public Multi<Progress> generate(Target target, Generation generation) {
       return Multi.createFrom()
@@ -255,22 +303,28 @@
 
     @Override
     public RouteTable parseConfiguration(byte[] document) {
-      Route route =
-          new Route(
-              "r",
-              "h",
-              "/p/",
-              List.of(new ServiceShare("llm", 1)),
-              Route.Kind.JOBS,
-              0,
-              0,
-              3,
-              false,
-              false,
-              0,
-              0,
-              true);
-      return new RouteTable(1, List.of(route), RequestLimits.DEFAULT, TenantTable.NONE);
+      return new RouteTable(
+          1,
+          List.of(route("/p/", Route.Kind.JOBS, 0), route("/s/", Route.Kind.REPEATABLE, 200)),
+          RequestLimits.DEFAULT,
+          TenantTable.NONE);
+    }
+
+    private static Route route(String prefix, Route.Kind kind, long targetMillis) {
+      return new Route(
+          prefix,
+          "h",
+          prefix,
+          List.of(new ServiceShare("llm", 1)),
+          kind,
+          0,
+          targetMillis,
+          3,
+          false,
+          false,
+          0,
+          0,
+          true);
     }
 
     @Override
