An item whose reward call fails is given up by the larger of two limits

By the protocol an item may be errored after maxAttempts answers of 500 of its reward call; it doesn't say whether that is maxAttempts of the reward call's route or of the batch job's. Evidence: JobSchedulerTest.aScoreMayFailAsOftenAsEachOfTheTwoRoutesAllows failed before.

--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -53,7 +53,8 @@
    * Schedules a retry of a failed score request, or abandons the item.
    *
    * @param serverErrors number of 500 responses to this request
-   * @param maxServerErrors number of 500 responses at which the item is abandoned
+   * @param maxServerErrors number of 500 responses at which the item is abandoned, unless the job's
+   *     policy allows more
    * @param pauseMillis minimum delay before the next request
    */
   List<JobAction> onScoreFailed(
@@ -69,8 +70,9 @@
       return actions;
     }
     execution.scoreErrors += serverErrors;
+    int maxErrors = Math.max(maxServerErrors, execution.jobExecution.policy.maxServerErrors());
     // A call that was not sent has no maximum of its own, so it ends nothing.
-    if (serverErrors > 0 && execution.scoreErrors >= maxServerErrors) {
+    if (serverErrors > 0 && execution.scoreErrors >= maxErrors) {
       finish(execution, false, "", actions);
     } else {
       execution.phase = ItemExecution.Phase.WAITING_FOR_SCORE;
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -422,7 +422,8 @@
    * Schedules a retry of a failed score request, or abandons the item.
    *
    * @param serverErrors number of 500 responses to this request
-   * @param maxServerErrors number of 500 responses at which the item is abandoned
+   * @param maxServerErrors number of 500 responses at which the item is abandoned, unless the job's
+   *     policy allows more
    * @param pauseMillis minimum delay before the next request
    */
   public List<JobAction> onScoreFailed(
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -447,4 +447,17 @@
     scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
     assertThat(scheduler.onScoreFailed("j", "x", 0, 1, 0, 230), empty());
   }
+
+  @Test
+  void aScoreMayFailAsOftenAsEachOfTheTwoRoutesAllows() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    int errors = POLICY.maxServerErrors() - 1;
+    assertThat(scheduler.onScoreFailed("j", "x", errors, errors, 0, 30), empty());
+    scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
+    assertThat(scheduler.onScoreFailed("j", "x", 1, errors, 0, 230), hasSize(1));
+  }
 }
