--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -61,7 +61,11 @@
                         + " run"))
             .addOption(
                 Flags.simple(
-                    "evacuations", "adds zones that the operator evacuates, also to a calm run"));
+                    "evacuations", "adds zones that the operator evacuates, also to a calm run"))
+            .addOption(
+                Flags.simple(
+                    "second-answers",
+                    "adds servers that give some answers twice, also to a calm run"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -140,6 +144,7 @@
                         line.hasOption("silent-connections"),
                         line.hasOption("hard-load"),
                         line.hasOption("evacuations"),
+                        line.hasOption("second-answers"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SilenceCheck.java
@@ -102,6 +102,7 @@
     if (sent.size() < FEW_REQUESTS
         || isEnd
         || isFlooded(atMillis, untilMillis)
+        || isStuttering(atMillis, untilMillis)
         || !others.areInTouch(evidence.nodes(), atMillis, untilMillis)) {
       return;
     }
@@ -127,6 +128,11 @@
                     && flood.atMillis() + flood.forMillis() >= fromMillis);
   }
 
+  private boolean isStuttering(long fromMillis, long untilMillis) {
+    return StutterSpan.all(evidence).stream()
+        .anyMatch(span -> span.overlaps(fromMillis, untilMillis));
+  }
+
   private static boolean isWithin(long millis, long fromMillis, long forMillis) {
     return millis >= fromMillis && millis < fromMillis + forMillis;
   }
--- a/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
@@ -121,6 +121,8 @@
                 disturbances.add(
                     new Window(
                         flood.atMillis(), flood.atMillis() + flood.forMillis() + SETTLE_MILLIS)));
+    StutterSpan.all(evidence)
+        .forEach(span -> disturbances.add(new Window(span.fromMillis(), span.untilMillis())));
     return disturbances;
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -52,6 +52,8 @@
       hands.harmBackEnd(on.backEnd(), BackEndHarm.CRASH, on.forMillis());
     } else if (fault instanceof Fault.Evacuation on) {
       hands.evacuate(on.zone());
+    } else if (fault instanceof Fault.SecondAnswers on) {
+      hands.stutter(on);
     } else if (fault instanceof Fault.Change change) {
       hands.change(change.change(), change.backEnd());
     }
@@ -75,6 +77,8 @@
       hands.healBackEnd(on.backEnd(), BackEndHarm.CRASH);
     } else if (fault instanceof Fault.Evacuation on) {
       hands.endEvacuation(on.zone());
+    } else if (fault instanceof Fault.SecondAnswers) {
+      hands.endStutter();
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.CallerHarm;
+import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -68,6 +69,12 @@
   /** The operator takes a zone's evacuation back. */
   void endEvacuation(int zone);
 
+  /** All back ends begin to give some answers twice. */
+  void stutter(Fault.SecondAnswers fault);
+
+  /** All back ends give each answer once again. */
+  void endStutter();
+
   /** Does planned work. */
   void change(OperatorChange change, int backEnd);
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -185,6 +185,29 @@
     }
   }
 
+  /**
+   * All back ends give a share of their answers a second time, and fail and refuse some requests
+   * meanwhile, so that tries are made again under the same id. Shares are of a thousand.
+   */
+  record SecondAnswers(
+      long atMillis, long forMillis, int secondPermille, int failPermille, int refusePermille)
+      implements Fault {
+    /** Checks. */
+    public SecondAnswers {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "second-ANSWERS";
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -101,6 +101,9 @@
           EvacuationPlan.evacuations(
               seed, settings.nodeCount(), settings.backEndCount(), CALM_START_MILLIS, lastMillis));
     }
+    if (settings.hasSecondAnswers()) {
+      faults.addAll(SecondAnswerPlan.secondAnswers(seed, CALM_START_MILLIS, lastMillis));
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -13,6 +13,7 @@
  *     good, added to what the seed gives without
  * @param hasHardLoad whether slow readers and floods by one tenant are added
  * @param hasEvacuations whether zones are evacuated and taken back, one after the other
+ * @param hasSecondAnswers whether back ends give some answers twice
  */
 public record PlanSettings(
     int nodeCount,
@@ -22,7 +23,8 @@
     boolean hasCrashesAndSuspensions,
     boolean hasSilentConnections,
     boolean hasHardLoad,
-    boolean hasEvacuations) {
+    boolean hasEvacuations,
+    boolean hasSecondAnswers) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -12,13 +12,16 @@
 import org.passhaven.platform.standin.StandinPlatform;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.NodeObservation.ServerHarmSet;
+import org.passhaven.platform.standin.history.NodeObservation.StutterSet;
 import org.passhaven.platform.standin.history.Observation;
 import org.passhaven.platform.standin.server.CrashingRequests;
 import org.passhaven.platform.standin.server.ServerControl;
+import org.passhaven.platform.standin.server.Stutter;
 import org.passhaven.platform.standin.store.StoreFault;
 import org.passhaven.soak.fault.Hands;
 import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.CallerHarm;
+import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -244,6 +247,21 @@
         platform.turnCold(name).onComplete(ignored -> platform.operator().endEvacuation(name));
   }
 
+  @Override
+  public void stutter(Fault.SecondAnswers fault) {
+    setStutter(new Stutter(fault.secondPermille(), fault.failPermille(), fault.refusePermille()));
+  }
+
+  @Override
+  public void endStutter() {
+    setStutter(Stutter.NONE);
+  }
+
+  private void setStutter(Stutter stutter) {
+    history.accept(new StutterSet(platform.nowMillis(), "", !stutter.equals(Stutter.NONE)));
+    platform.servers().forEach(server -> server.stutter(stutter));
+  }
+
   private String zone(int index) {
     List<String> zones = platform.zones();
     return zones.get(index % zones.size());
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -86,7 +86,8 @@
                 settings.hasCrashesAndSuspensions(),
                 settings.hasSilentConnections(),
                 settings.hasHardLoad(),
-                settings.hasEvacuations()));
+                settings.hasEvacuations(),
+                settings.hasSecondAnswers()));
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
@@ -102,6 +103,7 @@
         || fault instanceof Fault.OnCallers
         || fault instanceof Fault.Evacuation
         || fault instanceof Fault.ColdRestart
+        || fault instanceof Fault.SecondAnswers
         || (settings.hasHardLoad() && fault instanceof Fault.UnevenBackEnd);
   }
 
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -14,6 +14,7 @@
  * @param hasSilentConnections whether open connections go silent for good, also in a calm run
  * @param hasHardLoad whether callers read slowly and one tenant floods, also in a calm run
  * @param hasEvacuations whether zones are evacuated and taken back, also in a calm run
+ * @param hasSecondAnswers whether back ends give some answers twice, also in a calm run
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -28,6 +29,7 @@
     boolean hasSilentConnections,
     boolean hasHardLoad,
     boolean hasEvacuations,
+    boolean hasSecondAnswers,
     SoakLoad load,
     Path repository,
     Path folder) {
--- a/soak/src/test/java/org/passhaven/soak/check/HardLoadChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/HardLoadChecksTest.java
@@ -7,6 +7,7 @@
 import org.passhaven.platform.standin.history.NodeObservation.MemorySeen;
 import org.passhaven.platform.standin.history.NodeObservation.ProcessEvent;
 import org.passhaven.platform.standin.history.NodeObservation.ServerHarmSet;
+import org.passhaven.platform.standin.history.NodeObservation.StutterSet;
 import org.passhaven.platform.standin.history.RequestObservation.FloodBegun;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
 import org.passhaven.platform.standin.history.RequestObservation.RequestRefused;
@@ -80,6 +81,10 @@
         .add(new ServerHarmSet(BEGIN_MILLIS, "", 1, "HANG"))
         .add(new ServerHarmSet(BEGIN_MILLIS + 9_000, "", 1, ""))
         .assertNotChecked(Promise.SERVED_BESIDE_SLOW_READERS);
+    besideSlowReader(0, 0)
+        .add(new StutterSet(BEGIN_MILLIS, "", true))
+        .add(new StutterSet(BEGIN_MILLIS + 9_000, "", false))
+        .assertNotChecked(Promise.SERVED_BESIDE_SLOW_READERS);
   }
 
   @Test
--- a/soak/src/test/java/org/passhaven/soak/check/SilenceCheckTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/SilenceCheckTest.java
@@ -4,6 +4,7 @@
 import org.passhaven.platform.standin.history.NodeObservation.Happening;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.NodeObservation.ProcessEvent;
+import org.passhaven.platform.standin.history.NodeObservation.StutterSet;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
 
 class SilenceCheckTest {
@@ -45,5 +46,12 @@
     strike(0)
         .add(new LinkFaultSet(STRIKE_MILLIS + 500, "", "BACK_END 0", "SILENCE"))
         .assertUnbound(Promise.SERVED_OVER_NEW_CONNECTIONS);
+    strike(0)
+        .add(new StutterSet(STRIKE_MILLIS - 500, "", true))
+        .assertUnbound(Promise.SERVED_OVER_NEW_CONNECTIONS);
+    strike(0)
+        .add(new StutterSet(STRIKE_MILLIS - 500, "", true))
+        .add(new StutterSet(STRIKE_MILLIS - 100, "", false))
+        .assertBroken(Promise.SERVED_OVER_NEW_CONNECTIONS);
   }
 }
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -126,6 +126,14 @@
     assertThat(done, contains("evacuate 2", "endEvacuation 2"));
   }
 
+  @Test
+  void serversStutterUntilItsEnd() {
+    Fault.SecondAnswers stutter = new Fault.SecondAnswers(0, 5_000, 400, 100, 200);
+    active.begin(stutter);
+    active.end(stutter);
+    assertThat(done, contains("stutter 400", "endStutter"));
+  }
+
   @Test
   void aServerThatStartsColdCrashesBefore() {
     Fault.ColdRestart restart = new Fault.ColdRestart(0, 600, 1);
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.CallerHarm;
+import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.LinkHarm;
 import org.passhaven.soak.plan.LinkKind;
 import org.passhaven.soak.plan.OperatorChange;
@@ -103,6 +104,16 @@
     done.add("endEvacuation " + zone);
   }
 
+  @Override
+  public void stutter(Fault.SecondAnswers fault) {
+    done.add("stutter " + fault.secondPermille());
+  }
+
+  @Override
+  public void endStutter() {
+    done.add("endStutter");
+  }
+
   @Override
   public void change(OperatorChange change, int backEnd) {
     done.add("change " + change + " " + backEnd);
