A part of a text that was given up isn't kept as a whole one

Trainers could see: an item completed, and scored, with a text that lacks its last events (MIXED). Cause: when a job stops at a node, the texts of its open items are kept for the same items in a later job. An item that is given up (too old, or by the server's errors) has a part of its text, but until its result is read back from the log it stood with those whose text is complete. So a group that wasn't whole and comes again in a later job got the part as a complete text, without another generation. Giving up by age and the end of the job fall together, and a slow store widens the time between. Now the text of an item that is given up counts as complete only if it was. Evidence: JobSchedulerTest.aPartOfATextThatWasGivenUpIsContinuedInALaterJob failed before (a score call instead of a generation). Not shown: that this is what the users saw.

--- a/core/src/main/java/org/passhaven/core/job/ItemExecution.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemExecution.java
@@ -24,6 +24,7 @@
   private long savedEvents;
 
   private boolean isSavedAsComplete;
+  private boolean isFinishedWithCompleteText;
   long attempt;
 
   /** Whether the server has accepted the current attempt. */
@@ -72,9 +73,17 @@
     accepted = false;
   }
 
-  /** Returns whether only the score or the record of the result is missing. */
+  /** Starts to record the result of a completed or abandoned item. */
+  void startFinishing(boolean completed) {
+    isFinishedWithCompleteText = completed || hasCompleteText();
+    phase = Phase.FINISHING;
+  }
+
+  /** Returns whether the text is complete; that of an abandoned item may be a part. */
   boolean hasCompleteText() {
-    return phase == Phase.WAITING_FOR_SCORE || phase == Phase.SCORING || phase == Phase.FINISHING;
+    return phase == Phase.WAITING_FOR_SCORE
+        || phase == Phase.SCORING
+        || (phase == Phase.FINISHING && isFinishedWithCompleteText);
   }
 
   void restartText() {
--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -89,7 +89,7 @@
 
   /** Finishes an item and adds the action that records its result. */
   void finish(ItemExecution execution, boolean completed, String score, List<JobAction> actions) {
-    execution.phase = ItemExecution.Phase.FINISHING;
+    execution.startFinishing(completed);
     actions.add(
         new JobAction.Finish(
             new ItemResult(
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -460,4 +461,22 @@
     scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
     assertThat(scheduler.onScoreFailed("j", "x", 1, errors, 0, 230), hasSize(1));
   }
+
+  @Test
+  void aPartOfATextThatWasGivenUpIsContinuedInALaterJob() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    long tooOldMillis = POLICY.giveUpMillis() + 1;
+    List<JobAction> givenUp =
+        scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, tooOldMillis);
+    assertThat(givenUp, hasItem(instanceOf(JobAction.Finish.class)));
+    scheduler.stopJob("j", "ended");
+    scheduler.startOrUpdate(
+        new Job(job("k", 1, 1, item("x", "g", 0, true)).submission(), tooOldMillis),
+        POLICY,
+        NO_SAVED_TEXTS);
+    assertThat(decideSingleStart(List.of(server("a", 1)), tooOldMillis).lastEvent(), is(1L));
+  }
 }
