An ended job's waiting reward calls are not sent

Servers could see: reward calls of a job that had just ended, sent and cut at once. Cause (since reward calls end with their job): they were cancelled oldest first, and each place that one gave back let the job's next one out. Now the newest, which wait, go first.

--- a/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScoreCallQueue.java
@@ -71,8 +71,13 @@
    */
   void drop(String job) {
     queue.removeIf(score -> score.job().id().equals(job));
+    // The newest first: those wait for a place that the older ones give back when they end.
     List<CallInFlight> dropped =
-        callsInFlight.values().stream().filter(call -> call.job().equals(job)).toList();
+        callsInFlight.entrySet().stream()
+            .filter(call -> call.getValue().job().equals(job))
+            .sorted(Map.Entry.<Long, CallInFlight>comparingByKey().reversed())
+            .map(Map.Entry::getValue)
+            .toList();
     callsInFlight.values().removeAll(dropped);
     dropped.forEach(call -> call.forwarding().cancel());
     sendNext();
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -250,6 +250,34 @@
     assertThat(servers.cancelledCalls, equalTo(1));
   }
 
+  @Test
+  void anEndedJobSendsNoneOfItsWaitingScores() {
+    int count = 30;
+    List<JobItem> items = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ScoreCall score = new ScoreCall("score " + i, "h", "/s/y", new byte[0]);
+      items.add(new JobItem("y" + i, "/p/y", List.of(), new byte[0], "g", 0, score));
+    }
+    JobSubmission submission = new JobSubmission("k", "h", "/p/", "", MODEL, MODEL, 1, 1, 1, items);
+    gateway.jobs().submit(submission, 2_000).subscribe().with(outcome -> {});
+    for (int completed = 1; completed <= count; completed++) {
+      for (int i = 0; i < 20 && servers.running.size() <= completed; i++) {
+        timers.advance(20);
+      }
+      MultiEmitter<? super BackEndService.Progress> generation = servers.running.get(completed);
+      generation.emit(new BackEndService.Progress.Began(1));
+      generation.emit(new BackEndService.Progress.Event(1, 0, "one"));
+      generation.complete();
+    }
+    timers.advance(20);
+    int sent = servers.calls.size();
+    assertThat(sent < count, is(true));
+    gateway.jobs().end("", "k", 2_000).subscribe().with(outcome -> {});
+    timers.advance(100);
+    assertThat(servers.cancelledCalls, equalTo(sent));
+    assertThat(servers.calls, hasSize(sent));
+  }
+
   private static final class Servers extends GatewayFixture.SilentServers {
     final List<Call> calls = new ArrayList<>();
     int cancelledCalls;
