An item whose reward call never succeeds is given up in time

Trainers could see: a reward call that is asked for without end. Cause: age gave up only items without a whole text; those that wait for a score had no limit but the counted errors, and since a 504 is no 500 they have none where the server always answers 504. Now age gives them up too (maxQueueS of the protocol). Evidence: JobSchedulerTest.anItemWhoseScoreNeverComesIsGivenUpInTime failed before (no action).

--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -245,7 +245,8 @@
     }
     for (ItemExecution execution : jobExecution.items.values()) {
       if (execution.phase == ItemExecution.Phase.WAITING
-          || execution.phase == ItemExecution.Phase.GENERATING) {
+          || execution.phase == ItemExecution.Phase.GENERATING
+          || execution.phase == ItemExecution.Phase.WAITING_FOR_SCORE) {
         stop(execution, "too old", actions);
         finisher.finish(execution, false, "", actions);
       }
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -479,4 +479,19 @@
         NO_SAVED_TEXTS);
     assertThat(decideSingleStart(List.of(server("a", 1)), tooOldMillis).lastEvent(), is(1L));
   }
+
+  @Test
+  void anItemWhoseScoreNeverComesIsGivenUpInTime() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    long tooOldMillis = POLICY.giveUpMillis() + 1;
+    assertThat(scheduler.onScoreFailed("j", "x", 0, 4, 0, tooOldMillis), empty());
+    List<JobAction> givenUp =
+        scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, tooOldMillis);
+    assertThat(givenUp, contains(instanceOf(JobAction.Finish.class)));
+    assertThat(((JobAction.Finish) givenUp.get(0)).result().completed(), is(false));
+  }
 }
