--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -435,4 +436,62 @@
     List<JobAction> last = scheduler.onScoreFailed("j", "x", 2, 4, 0, 230);
     assertThat(((JobAction.Finish) last.get(0)).result().completed(), is(false));
   }
+
+  @Test
+  void aScoreCallThatNoServerFailedDoesNotAbandonItsItem() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    assertThat(scheduler.onScoreFailed("j", "x", 1, 4, 0, 30), empty());
+    scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
+    assertThat(scheduler.onScoreFailed("j", "x", 0, 1, 0, 230), empty());
+  }
+
+  @Test
+  void aScoreMayFailAsOftenAsEachOfTheTwoRoutesAllows() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    int errors = POLICY.maxServerErrors() - 1;
+    assertThat(scheduler.onScoreFailed("j", "x", errors, errors, 0, 30), empty());
+    scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, 200);
+    assertThat(scheduler.onScoreFailed("j", "x", 1, errors, 0, 230), hasSize(1));
+  }
+
+  @Test
+  void aPartOfATextThatWasGivenUpIsContinuedInALaterJob() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    long tooOldMillis = POLICY.giveUpMillis() + 1;
+    List<JobAction> givenUp =
+        scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, tooOldMillis);
+    assertThat(givenUp, hasItem(instanceOf(JobAction.Finish.class)));
+    scheduler.stopJob("j", "ended");
+    scheduler.startOrUpdate(
+        new Job(job("k", 1, 1, item("x", "g", 0, true)).submission(), tooOldMillis),
+        POLICY,
+        NO_SAVED_TEXTS);
+    assertThat(decideSingleStart(List.of(server("a", 1)), tooOldMillis).lastEvent(), is(1L));
+  }
+
+  @Test
+  void anItemWhoseScoreNeverComesIsGivenUpInTime() {
+    scheduler.startOrUpdate(job("j", 0, 1, item("x", "g", 0, true)), POLICY, NO_SAVED_TEXTS);
+    long attempt = decideSingleStart(List.of(server("a", 1)), 0).attempt();
+    scheduler.onAccepted(attempt, 1, 5);
+    scheduler.onEvent(attempt, 1, 0, "one", 10);
+    scheduler.onCompleted(attempt, 20);
+    long tooOldMillis = POLICY.giveUpMillis() + 1;
+    assertThat(scheduler.onScoreFailed("j", "x", 0, 4, 0, tooOldMillis), empty());
+    List<JobAction> givenUp =
+        scheduler.decide(List.of(server("a", 1)), NO_ANNOUNCED_VERSIONS, tooOldMillis);
+    assertThat(givenUp, contains(instanceOf(JobAction.Finish.class)));
+    assertThat(((JobAction.Finish) givenUp.get(0)).result().completed(), is(false));
+  }
 }
