--- a/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
+++ b/spec/src/test/java/org/passhaven/spec/SpecificationTest.java
@@ -75,6 +75,7 @@
     Run run = check(module, constants, invariants, properties, NONE);
     assertThat(run.output(), run.exitCode(), equalTo(0));
     assertThat(run.output(), containsString("No error has been found"));
+    assertThat(run.output(), containsString("Parsing file " + work.resolve("Naturals.tla")));
     run.output()
         .lines()
         .filter(line -> line.contains("distinct states found"))
@@ -118,6 +119,8 @@
                 List.of(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-XX:+UseParallelGC",
+                    // TLC unpacks its standard modules here and deletes them at its end.
+                    "-Djava.io.tmpdir=" + work,
                     "-Xmx3g",
                     "-cp",
                     System.getProperty("java.class.path"),
