A version counts as loaded once the server's state names it, not by an order's answer

Cause: VersionOrderDuty wrote DutyRecord.Reached on the 200 of an order alone. A 200 that belongs to another order, or an order carried out late, is enough for that, with any client: an answer is written down as fact before anything confirms it. Evidence: VersionOrderDutyTest.anAnswerThatSaysInEffectIsNotRecordedUnlessTheServersStateConfirmsIt failed before (one order, then a record; the version was never ordered again); the two other cases held before and after. Fix: after a 200 the server's entry or report is read, for a second at most, since reports are some hundred ms old; a version that they don't name is ordered again. A 202 already worked so. Reached comes from a report or an entry only: the one place that writes it is called from those two. Cost: one report more for a 200, which comes only where a server got the version between the report and the order.

--- a/node/src/main/java/org/passhaven/node/gateway/VersionOrderDuty.java
+++ b/node/src/main/java/org/passhaven/node/gateway/VersionOrderDuty.java
@@ -25,6 +25,10 @@
   private static final long POLL_INTERVAL_MILLIS = 150;
   private static final long FIRST_POLL_DELAY_MILLIS = 850;
   private static final long LOAD_TIMEOUT_MILLIS = 5_000;
+
+  /** Reports show a server's state of some hundred milliseconds ago. */
+  private static final long CONFIRM_TIMEOUT_MILLIS = 1_000;
+
   private static final long RETRY_DELAY_MILLIS = 400;
   private static final long UNREACHABLE_RETRY_DELAY_MILLIS = 1_500;
 
@@ -142,7 +146,8 @@
 
   private void onOrdered(WeightLoad wanted, OrderOutcome outcome) {
     if (outcome == OrderOutcome.IN_EFFECT) {
-      onVersionReached(wanted);
+      // All nodes rely on a reached version for good, so the server's state has to name it first.
+      pollLoad(wanted, context.nowMillis() + CONFIRM_TIMEOUT_MILLIS);
     } else if (outcome == OrderOutcome.STARTED) {
       long deadlineMillis = context.nowMillis() + LOAD_TIMEOUT_MILLIS;
       context.timers().after(FIRST_POLL_DELAY_MILLIS, () -> pollLoad(wanted, deadlineMillis));
@@ -159,7 +164,7 @@
       return;
     }
     if (entry == null || context.nowMillis() >= deadlineMillis) {
-      retryLater(wanted, "the load did not end in time");
+      retryLater(wanted, "the server does not report the version in time");
       return;
     }
     context
