Review: scripts end what they start also when interrupted

Exit 2 wherever a script couldn't run (a failing import or a time-out gave 1 or 124 before); a signal or a kill of the script ends its nodes and servers, tried with SIGTERM and SIGKILL: nothing left, exit 2. Plain servers stop at the deadline.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,17 +1,17 @@
 """Servers that answer long requests early and without a length crash while they read: is a cut
-answer handed to the client as a whole one? Exit status: 1 if the rule was broken, 0 if it held, 2 if
-the case couldn't run."""
+answer handed to the client as a whole one? Run it by run.sh."""
 
 import asyncio
 import os
 import random
 import signal
 import sys
-import tempfile
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
-from platform_standin import HOST, Connection, Nodes, Record, Store, free_ports, now  # noqa: E402
+from platform_standin import (  # noqa: E402
+    BROKEN, HELD, HOST, NOT_RUN, STARTED, Connection, Nodes, Store, die_with_parent, free_ports,
+    now, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RANDOM = random.Random(57)
@@ -62,7 +62,8 @@
         self.instance = f"i-{self.number}-{self.starts}-{os.urandom(3).hex()}"
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", str(SERVER), str(self.port), self.instance,
-            stdout=asyncio.subprocess.PIPE)
+            stdout=asyncio.subprocess.PIPE, preexec_fn=die_with_parent)
+        STARTED.append(self.process)
         if await self.process.stdout.readline() != b"listens\n":
             raise RuntimeError("a server doesn't start")
         self.record.add(f"server {self.instance} starts")
@@ -134,7 +135,7 @@
 class World:
     def __init__(self, record, nodes, servers):
         self.record, self.nodes, self.servers = record, nodes, servers
-        self.counter, self.served, self.broken = 0, 0, 0
+        self.counter, self.served, self.broken, self.crashes = 0, 0, 0, 0
 
 
 def is_whole(content, identity):
@@ -194,6 +195,7 @@
                 await asyncio.sleep(0.4)
                 busy = [server for server in busy if server.running]
             if busy:
+                world.crashes += 1
                 await RANDOM.choice(busy).crash()
                 break
             await asyncio.sleep(0.05)
@@ -211,13 +213,13 @@
         nodes.start()
         if not await nodes.until_ready():
             record.add("the nodes don't become ready")
-            return 2
+            return NOT_RUN
         await asyncio.sleep(2)
         world = World(record, nodes, servers)
         clients = [asyncio.create_task(client(i, world, now() + 40)) for i in range(4)]
         if TROUBLE:
             if not await shows_reset(record, store):
-                return 2
+                return NOT_RUN
             await asyncio.sleep(3)
             await crash_some(world)
         await asyncio.gather(*clients)
@@ -225,9 +227,9 @@
                    f" {world.broken} answered 2xx with a part of the body")
         record.add(summary)
         print(summary)
-        if world.served < 10:
-            return 2
-        return 1 if world.broken else 0
+        if world.served < 10 or (TROUBLE and not world.crashes):
+            return NOT_RUN
+        return BROKEN if world.broken else HELD
     finally:
         nodes.end_all()
         for server in servers:
@@ -236,21 +238,4 @@
         store.crash()
 
 
-def main():
-    record = Record()
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            status = asyncio.run(asyncio.wait_for(play(folder, record), 110))
-        except Exception as failure:  # any failure of the stand-ins means that the case didn't run
-            record.add(f"the case couldn't run: {failure!r}")
-            print(f"the case couldn't run: {failure!r}")
-            status = 2
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            for log in Path(folder).glob("*.log"):
-                Path(keep, log.name).write_bytes(log.read_bytes())
-    record.write(Path(__file__).with_name("record.txt"))
-    sys.exit(status)
-
-
-main()
+run_case(play, __file__)
--- a/review/standin/long_body_server.py
+++ b/review/standin/long_body_server.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import sys
+import time
 
 PORT, INSTANCE = int(sys.argv[1]), sys.argv[2]
 PIECE = 256 * 1024
@@ -48,7 +49,10 @@
                 + b"\r\nServer-Signature: sig." + INSTANCE.encode() + b"." + identity.encode()
                 + b"\r\nConnection: close\r\n\r\n")
             done, number, sent = 0, 0, 0
+            stop_at = time.monotonic() + int(headers.get("deadline-ms", "60000")) / 1000
             while done < size:
+                if time.monotonic() > stop_at:
+                    return
                 done += len(await reader.readexactly(min(PIECE, size - done)))
                 writer.write(part(identity, number))
                 sent += len(part(identity, number))
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -5,11 +5,14 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
 import urllib.parse
@@ -18,6 +21,62 @@
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 START = time.monotonic()
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+PARENT_DEATH_SIGNAL = 1
+LIBC = ctypes.CDLL(None)
+STARTED = []
+
+
+def die_with_parent():
+    """Runs in a process that a script starts: the kernel ends it if the script is killed."""
+    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
+def end_started():
+    """Ends all processes that were started and are still there."""
+    for process in STARTED:
+        if process.returncode is None and getattr(process, "poll", lambda: None)() is None:
+            try:
+                os.kill(process.pid, signal.SIGCONT)
+                os.kill(process.pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
+
+
+def run_case(play, script, seconds=108):
+    """Plays a case, which returns HELD, BROKEN or NOT_RUN, and exits with that. Whatever ends it, a
+    signal, a failure of a stand-in or the time, all processes are ended and the record is written."""
+    LIBC.prctl(PARENT_DEATH_SIGNAL, signal.SIGTERM)
+    record = Record()
+
+    async def guarded(folder):
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+
+        def interrupt():
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                loop.add_signal_handler(number, lambda: None)
+            task.cancel()
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, interrupt)
+        return await asyncio.wait_for(play(folder, record), seconds)
+
+    status = NOT_RUN
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                status = asyncio.run(guarded(folder))
+            finally:
+                end_started()
+                keep = os.environ.get("KEEP_LOGS")
+                if keep:
+                    for log in Path(folder).glob("*.log"):
+                        Path(keep, log.name).write_bytes(log.read_bytes())
+    except BaseException as failure:  # also a signal: then the case didn't run
+        record.add(f"the case couldn't run: {failure!r}")
+        print(f"the case couldn't run: {failure!r}")
+    record.write(Path(script).with_name("record.txt"))
+    sys.exit(status)
 
 
 def now():
@@ -318,7 +377,7 @@
 
 
 class PlainServer(Server):
-    """Answers each request after a fixed time, with a signed body."""
+    """Answers each request after a fixed time, with a signed body; 504 at the request's deadline."""
 
     def __init__(self, store, service, zone, slots, work_seconds, record):
         super().__init__(store, service, zone, slots, record)
@@ -344,7 +403,8 @@
         self.record.add(f"run begins: request {identity} at server {self.instance}")
         closed = asyncio.ensure_future(reader.read(1))
         try:
-            done, _ = await asyncio.wait({closed}, timeout=self.work_seconds)
+            deadline = int(request.header("Deadline-Ms", "60000")) / 1000
+            done, _ = await asyncio.wait({closed}, timeout=min(self.work_seconds, deadline))
             if done:
                 self.record.add(
                     f"run ends: request {identity} at server {self.instance}:"
@@ -361,6 +421,10 @@
                     pass
         body = (identity + " " + self.instance + "\n").encode() * 20
         headers = {"Attempt-Id": identity, "Server-Signature": f"sig.{self.instance}.{identity}"}
+        if deadline < self.work_seconds:
+            self.record.add(f"run ends: request {identity} at server {self.instance}: its deadline")
+            writer.write(answer_bytes(504, headers, b""))
+            return
         self.record.add(f"run ends: request {identity} at server {self.instance}: answered 200")
         writer.write(answer_bytes(200, headers, body))
 
@@ -465,8 +529,10 @@
         environment["PASSHAVEN_CONFIG"] = str(file)
         with open(self.nodes.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                self.nodes.command, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+                self.nodes.command, cwd=REPOSITORY, env=environment, stdout=log, stderr=log,
+                preexec_fn=die_with_parent,
             )
+        STARTED.append(self.process)
         self.nodes.record.add(f"process of {self.name} starts")
 
     def send(self, number):
