--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -66,30 +65,24 @@
   private final ServerHealth health = view.health();
   private final LengthEstimator lengths = new LengthEstimator();
   private final GenerationPicker picker;
-  private final ItemGate gate;
   private long nextAttempt = 1;
 
-  /** Creates a scheduler in {@code zone} without an admission check. */
+  /** Creates a scheduler in {@code zone}. */
   public JobScheduler(String zone) {
-    this("", zone, (job, item) -> true);
+    this("", zone);
   }
 
   /**
    * Creates the scheduler of {@code node} in {@code zone}, in a single region, which may choose all
    * ready servers without limits for cold ones.
    */
-  public JobScheduler(String node, String zone, ItemGate gate) {
-    this(node, Topology.ofZone(zone), gate, (server, restriction) -> true, ColdStartLimiter.none());
+  public JobScheduler(String node, String zone) {
+    this(node, Topology.ofZone(zone), (server, restriction) -> true, ColdStartLimiter.none());
   }
 
   /** Creates the scheduler of {@code node}. */
   public JobScheduler(
-      String node,
-      Topology topology,
-      ItemGate gate,
-      CandidateFilter candidates,
-      ColdStartLimiter coldStarts) {
-    this.gate = Objects.requireNonNull(gate, "gate");
+      String node, Topology topology, CandidateFilter candidates, ColdStartLimiter coldStarts) {
     this.picker = new GenerationPicker(node, topology, view, lengths, candidates, coldStarts);
   }
 
@@ -227,7 +220,6 @@
       for (ItemExecution execution : jobExecution.itemsToStart(nowMillis)) {
         picker
             .choose(execution, nowMillis)
-            .filter(server -> mayBegin(execution))
             .ifPresent(server -> startGeneration(execution, server, priority, nowMillis, actions));
       }
     }
@@ -253,10 +245,6 @@
     }
   }
 
-  private boolean mayBegin(ItemExecution execution) {
-    return gate.mayBegin(execution.jobExecution.job.submission(), execution.item);
-  }
-
   private void startGeneration(
       ItemExecution execution,
       ServerEntry server,
@@ -295,7 +283,7 @@
       return;
     }
     Optional<ServerEntry> fasterServer = picker.chooseFaster(execution, nowMillis);
-    if (fasterServer.isPresent() && mayBegin(execution)) {
+    if (fasterServer.isPresent()) {
       stop(execution, SLOW_SERVER, actions);
       execution.moves++;
       startGeneration(
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -93,7 +93,7 @@
             this::heartbeatReadPauseMillis);
     limitColdStarts();
     this.jobs = new JobService(context, jobLog);
-    this.runner = new JobRunner(context, directory, members, jobLog, forwarder, crashes);
+    this.runner = new JobRunner(context, directory, members, jobLog, forwarder);
     this.duties = new DutyAgent(context, members, jobLog);
     new VersionOrderDuty(context, directory, jobLog, duties);
     new ScalingDuty(context, directory, jobLog, duties);
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -41,7 +41,6 @@
   private final PlatformDirectory directory;
   private final MembershipAgent members;
   private final JobLog log;
-  private final ItemCrashGate crashGate;
   private final ResultWriter results;
   private final JobScheduler scheduler;
   private final PartialTextLog texts;
@@ -58,9 +57,7 @@
       PlatformDirectory directory,
       MembershipAgent members,
       JobLog log,
-      RequestForwarder forwarder,
-      CrashTracker crashes) {
-    this.crashGate = new ItemCrashGate(crashes, this::scheduleDecision);
+      RequestForwarder forwarder) {
     this.context = Objects.requireNonNull(context, "context");
     this.directory = Objects.requireNonNull(directory, "directory");
     this.members = Objects.requireNonNull(members, "members");
@@ -70,7 +67,6 @@
         new JobScheduler(
             context.settings().node(),
             context.settings().topology(),
-            this.crashGate,
             directory::isCandidate,
             directory.coldStarts());
     this.texts = new PartialTextLog(context, log.history(), scheduler, this::scheduleDecision);
@@ -375,7 +371,6 @@
 
   private void onCompleted(JobAction.Start start) {
     generations.remove(start.attempt());
-    crashGate.onCompleted(start);
     apply(scheduler.onCompleted(start.attempt(), context.nowMillis()));
     scheduleDecision();
   }
@@ -391,7 +386,6 @@
         .addKeyValue("kind", failure.kind())
         .addKeyValue("reason", failure.getMessage())
         .log("job: generation failed");
-    crashGate.onFailed(start, failure.kind());
     apply(scheduler.onFailed(start.attempt(), failureOf(failure.kind()), context.nowMillis()));
     scheduleDecision();
   }
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayWorld.java
@@ -122,7 +122,8 @@
             time,
             checker,
             server -> entries.crashByRequest(server, CRASHED_MILLIS),
-            this::isInTouch);
+            this::isInTouch,
+            this::isOwed);
     duties = new SimulatedDuties(time, checker, USAGE);
     servers = new SimulatedServers(time, random, checker, ZONES, crashing);
     servers.setRunListener(duties::onBegun);
@@ -309,7 +310,8 @@
         crashing.add(path);
         callers.repeat(path, REPEATED_MILLIS, time.nowMillis() + REPEATED_FOR_MILLIS);
       }
-      case ITEM_CRASHES_SERVERS -> crashing.add(SimulatedDocuments.JOB_PATH + nextItem());
+      case SERVERS_CRASH_UNDER_ITEM ->
+          crashing.addItem(SimulatedDocuments.JOB_PATH + nextItem(), nextItem());
       case SCORE_CRASHES_SERVERS -> crashing.add(SimulatedDocuments.SCORE_PATH + nextItem());
       case NODE_SUSPENDED -> host.suspend(fault.forMillis());
       case CLOCK_SET -> {
@@ -323,6 +325,14 @@
     return trainer.itemOf(trainer.steps() + 1);
   }
 
+  /** Whether an item stands in the open job while nothing has disturbed nodes or store lately. */
+  private boolean isOwed(String item) {
+    long calmMillis = IN_TOUCH_MILLIS + CrashingRequests.BEGIN_AGAIN_MILLIS;
+    return trainer.isOpen(item)
+        && isStoreSoundFor(calmMillis)
+        && hosts.stream().allMatch(host -> host.isSoundFor(calmMillis));
+  }
+
   private boolean isInTouch(String node) {
     return hosts.stream()
         .filter(host -> host.process().name().equals(node))
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedTrainer.java
@@ -62,6 +62,11 @@
     return "s" + stepNumber + "g0i0";
   }
 
+  /** Whether an item stands in the step that is under way. */
+  boolean isOpen(String item) {
+    return job != null && job.items().stream().anyMatch(other -> other.id().equals(item));
+  }
+
   /** Jobs that were accepted: they are kept, whatever became of them. */
   List<JobSubmission> acceptedJobs() {
     return List.copyOf(acceptedJobs);
--- a/soak/src/main/java/org/passhaven/soak/check/Judge.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Judge.java
@@ -43,6 +43,7 @@
     checks.put(Promise.ZONE_EMPTIED_IN_TIME, EvacuationCheck::judge);
     checks.put(Promise.COLD_RATE_KEPT, ColdRateCheck::judge);
     checks.put(Promise.CRASHES_BOUNDED, CrashCheck::judge);
+    checks.put(Promise.ITEM_BEGINS_AGAIN, ItemCrashCheck::judge);
     checks.put(Promise.TENANT_TRUE, TenantCheck::judge);
     checks.put(Promise.SERVED_OVER_NEW_CONNECTIONS, SilenceCheck::judge);
     checks.put(Promise.SERVED_BESIDE_SLOW_READERS, SlowReaderChecks::servedBeside);
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -38,6 +38,8 @@
   COLD_RATE_KEPT,
   /** A request that has crashed three back ends is kept from them but for a few trials. */
   CRASHES_BOUNDED,
+  /** An item during which servers crashed begins at a server again as soon as there is room. */
+  ITEM_BEGINS_AGAIN,
   /** A request runs for the tenant of its caller's key, and no server is shown a key. */
   TENANT_TRUE,
   /** While open connections are silent, what may be repeated is served over new ones. */
--- a/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/RunChecksTest.java
@@ -19,6 +19,7 @@
 import org.passhaven.platform.standin.history.RequestObservation.RequestBroken;
 import org.passhaven.platform.standin.history.RequestObservation.RequestRefused;
 import org.passhaven.platform.standin.history.ServerObservation.CrashedByRequest;
+import org.passhaven.platform.standin.history.ServerObservation.CrashedUnderItem;
 import org.passhaven.platform.standin.history.ServerObservation.DrainAcknowledged;
 import org.passhaven.platform.standin.history.ServerObservation.OrderReceived;
 import org.passhaven.platform.standin.history.ServerObservation.RunEnd;
@@ -298,6 +299,38 @@
     return story;
   }
 
+  /** A job whose first item was at so many servers that crashed, while the other item runs on. */
+  private static Story crashedUnderItem(int times) {
+    Story story = Story.withJob();
+    for (int i = 0; i < times; i++) {
+      long atMillis = SENT_MILLIS + 1_000L * i;
+      story
+          .run(atMillis, Story.ITEM, i + 1)
+          .add(new CrashedUnderItem(atMillis + 5, Story.INSTANCE, Story.ITEM));
+    }
+    return story.run(SENT_MILLIS + 1_000L * times + 3_500, Story.OTHER_ITEM, 1);
+  }
+
+  @Test
+  void anItemUnderWhichServersCrashedBeginsAgain() {
+    long lastMillis = SENT_MILLIS + 3_005;
+    long endMillis = lastMillis + 20_000;
+    crashedUnderItem(4)
+        .run(lastMillis + 5_000, Story.ITEM, 5)
+        .ended(endMillis)
+        .assertHolds(Promise.ITEM_BEGINS_AGAIN);
+    crashedUnderItem(4)
+        .run(lastMillis + 5_001, Story.ITEM, 5)
+        .ended(endMillis)
+        .assertBroken(Promise.ITEM_BEGINS_AGAIN);
+    crashedUnderItem(4).ended(endMillis).assertBroken(Promise.ITEM_BEGINS_AGAIN);
+    crashedUnderItem(1).ended(lastMillis + 1_000).assertUnbound(Promise.ITEM_BEGINS_AGAIN);
+    crashedUnderItem(1)
+        .add(new ProcessEvent(SENT_MILLIS + 100, Story.FIRST, Happening.PAUSED, 1))
+        .ended(endMillis)
+        .assertUnbound(Promise.ITEM_BEGINS_AGAIN);
+  }
+
   private static Story sentLater(Story story, int times, String node) {
     for (int i = 0; i < times; i++) {
       long atMillis = SENT_MILLIS + 10_000L + 1_000L * i;
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -38,6 +38,7 @@
           Promise.QUIET_AFTER_DRAIN,
           Promise.READABLE_IN_TIME,
           Promise.CRASHES_BOUNDED,
+          Promise.ITEM_BEGINS_AGAIN,
           Promise.SERVED_OVER_NEW_CONNECTIONS);
 
   // Slow readers once and a flood once, with uneven back ends.
@@ -98,6 +99,7 @@
     Verdict verdict = run(CRASHES_SEED, CRASHES_TRAFFIC_MILLIS, true);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.CRASHES_BOUNDED)));
+    assertThat(verdict.unchecked(), not(hasItem(Promise.ITEM_BEGINS_AGAIN)));
     assertThat(verdict.counts().getOrDefault("CrashedByRequest", 0L), greaterThan(3L));
   }
 
