--- a/core/src/main/java/org/passhaven/core/admission/RouteLatency.java
+++ b/core/src/main/java/org/passhaven/core/admission/RouteLatency.java
@@ -1,11 +1,11 @@
 package org.passhaven.core.admission;
 
 /**
- * Response times of one route: their moving average and the minimum of the last seconds. Times are
- * in monotonic milliseconds. Not thread-safe.
+ * Response times of one route: their moving average, and the minimum and maximum of the last
+ * seconds. Times are in monotonic milliseconds. Not thread-safe.
  */
 final class RouteLatency {
-  /** The minimum expires after one to two windows, since servers may have become slower. */
+  /** Minimum and maximum expire after one to two windows, since servers may have become slower. */
   private static final long WINDOW_MILLIS = 15_000;
 
   /**
@@ -20,6 +20,8 @@
   private long respondedAtMillis;
   private long shortestMillis = Long.MAX_VALUE;
   private long previousShortestMillis = Long.MAX_VALUE;
+  private long longestMillis;
+  private long previousLongestMillis;
   private double smoothedMillis;
 
   /** Records a response time and returns its ratio to the shortest one. */
@@ -28,9 +30,12 @@
       windowBeganAtMillis = nowMillis;
       previousShortestMillis = shortestMillis;
       shortestMillis = Long.MAX_VALUE;
+      previousLongestMillis = longestMillis;
+      longestMillis = 0;
     }
     respondedAtMillis = nowMillis;
     shortestMillis = Math.min(shortestMillis, tookMillis);
+    longestMillis = Math.max(longestMillis, tookMillis);
     smoothedMillis =
         smoothedMillis == 0
             ? tookMillis
@@ -44,6 +49,11 @@
     return nowMillis - respondedAtMillis >= 2 * WINDOW_MILLIS;
   }
 
+  /** Returns the longest response time of the last seconds. */
+  long longestMillis() {
+    return Math.max(longestMillis, previousLongestMillis);
+  }
+
   /** Returns the moving average of response times, including queueing at servers. */
   double smoothedMillis() {
     return smoothedMillis;
--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -72,6 +72,7 @@
   private double responseMillis = INITIAL_RESPONSE_MILLIS;
   private long lastServerAtMillis;
   private long shutdownWaitUntilMillis = Long.MAX_VALUE;
+  private long shutdownEndMillis = Long.MAX_VALUE;
   private long sweepAtMillis = Long.MIN_VALUE;
 
   /**
@@ -103,6 +104,9 @@
     if (limit.slots() == 0) {
       return reject(request, Reason.NO_SERVER, nowMillis);
     }
+    if (outlastsNode(request, nowMillis)) {
+      return reject(request, Reason.STOPPING, nowMillis);
+    }
     queue.onArrived(request, nowMillis);
     if (hasSlot(request.source(), nowMillis) && !hasWaiting(request.source())) {
       start(request, nowMillis);
@@ -164,6 +168,9 @@
     if (startMillis + expectedWorkMillis(request, nowMillis) > request.deadlineMillis()) {
       return Optional.of(Reason.TOO_LATE);
     }
+    if (outlastsNode(request, (long) startMillis)) {
+      return Optional.of(Reason.STOPPING);
+    }
     return startMillis > Math.min(waitUntilMillis, shutdownWaitUntilMillis)
         ? Optional.of(Reason.TOO_LONG)
         : Optional.empty();
@@ -183,11 +190,35 @@
   }
 
   private double expectedWorkMillis(AdmissionRequest request, long nowMillis) {
-    RouteLatency known = latencies.get(request.route());
-    return known == null || known.isIdle(nowMillis) ? 0 : known.smoothedMillis();
+    return latencyOf(request, nowMillis).map(RouteLatency::smoothedMillis).orElse(0.0);
+  }
+
+  /** Returns the recent response times of a request's route; empty if there are none. */
+  private Optional<RouteLatency> latencyOf(AdmissionRequest request, long nowMillis) {
+    return Optional.ofNullable(latencies.get(request.route()))
+        .filter(known -> !known.isIdle(nowMillis));
+  }
+
+  /**
+   * Returns whether a caller's request that starts at a time might still run when this node ends:
+   * if it takes as long as the longest recent one, or its whole time where none is known.
+   */
+  private boolean outlastsNode(AdmissionRequest request, long startMillis) {
+    if (shutdownEndMillis == Long.MAX_VALUE || request.source() != Source.CALLER) {
+      return false;
+    }
+    long endMillis =
+        latencyOf(request, startMillis)
+            .map(known -> startMillis + known.longestMillis())
+            .orElse(request.deadlineMillis());
+    return Math.min(endMillis, request.deadlineMillis()) > shutdownEndMillis;
   }
 
   private Reject reject(AdmissionRequest request, Reason reason, long nowMillis) {
+    if (reason == Reason.STOPPING) {
+      // The other nodes can take the request at once.
+      return new Reject(reason, 0);
+    }
     return new Reject(reason, retryAfterMillis(request, nowMillis));
   }
 
@@ -296,9 +327,15 @@
     decisions.add(new WaitingDecision(request, rejection));
   }
 
-  /** Limits the wait of requests because the node has begun to shut down. */
-  public void beginShutdown(long nowMillis) {
+  /**
+   * Limits the wait of requests because the node has begun to shut down, and rejects callers'
+   * requests that might not end before it does.
+   *
+   * @param endMillis time at which the node cuts what is in progress
+   */
+  public void beginShutdown(long nowMillis, long endMillis) {
     shutdownWaitUntilMillis = nowMillis + MAX_WAIT_STOPPING_MILLIS;
+    shutdownEndMillis = endMillis;
   }
 
   /** Rejects all waiting requests because the node shuts down now. */
--- a/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
+++ b/core/src/test/java/org/passhaven/core/admission/ServiceAdmissionTest.java
@@ -41,6 +41,7 @@
   private static final int FLOOR = PLACES / 2;
   private static final long WORK_MILLIS = 40;
   private static final long DEADLINE_MILLIS = 2_000;
+  private static final long STOP_MILLIS = 6_700;
   private final Random random = new Random(5);
   private final ServiceAdmission admission = new ServiceAdmission(random::nextInt, 0);
   private final Deque<AdmissionRequest> running = new ArrayDeque<>();
@@ -354,7 +355,7 @@
   @Test
   void requestsWaitOnlyBrieflyWhileTheNodeStops() {
     fill(Source.SCORING);
-    admission.beginShutdown(now);
+    admission.beginShutdown(now, now + STOP_MILLIS);
     assertThat(next(), empty());
     now += 1_000;
     List<WaitingDecision> decisions = next();
@@ -362,6 +363,43 @@
     assertThat(offer("a", Source.SCORING, 2), instanceOf(Reject.class));
   }
 
+  /** Guards against requests that are taken after a SIGTERM and cut when the process ends. */
+  @Test
+  void aStoppingNodeRejectsCallersRequestsThatMightOutlastIt() {
+    AdmissionRequest slow = request("a", "slow", 3_000);
+    offer(slow);
+    admission.onResponse(slow, 1_700, now);
+    admission.onResponse(slow, 900, now);
+    admission.beginShutdown(now, now + STOP_MILLIS);
+    now = STOP_MILLIS - 1_700;
+    assertThat("ends in time", offer(request("a", "slow", 3_000)), instanceOf(Send.class));
+    now++;
+    Reject rejected = (Reject) offer(request("a", "slow", 3_000));
+    assertThat(rejected, is(new Reject(Reason.STOPPING, 0)));
+    assertThat("due before", offer(request("a", "slow", 1_000)), instanceOf(Send.class));
+    assertThat(offer("a", Source.SCORING, 2), instanceOf(Send.class));
+  }
+
+  @Test
+  void aStoppingNodeTakesRequestsOfUnknownDurationWhoseDeadlineIsBeforeItsEnd() {
+    admission.beginShutdown(now, now + STOP_MILLIS);
+    now = STOP_MILLIS - 1_000;
+    assertThat(offer(request("a", "new", 1_000)), instanceOf(Send.class));
+    assertThat(offer(request("a", "new", 1_001)), is(new Reject(Reason.STOPPING, 0)));
+  }
+
+  @Test
+  void aWaitingRequestThatMightOutlastTheNodeIsRejected() {
+    fill(Source.CALLER);
+    AdmissionRequest slow = running.peek();
+    admission.onResponse(slow, 1_500, now);
+    admission.beginShutdown(now, now + 1_510);
+    now += 20;
+    List<WaitingDecision> decisions = next();
+    assertThat(decisions, hasSize(1));
+    assertThat(decisions.get(0).decision(), is(new Reject(Reason.STOPPING, 0)));
+  }
+
   @Test
   void shutdownRejectsWaitingRequestsButNotSentOnes() {
     fill(Source.SCORING);
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -253,10 +253,13 @@
   }
 
   /**
-   * Begins a planned stop: announces it to the other nodes and takes no new runs. Requests in
-   * flight continue, and so do jobs until another node takes them over.
+   * Begins a planned stop: announces it to the other nodes and takes no new runs, nor requests that
+   * might outlast this node. Requests in flight continue, and so do jobs until another node takes
+   * them over.
+   *
+   * @param endMillis monotonic time at which {@link #close} will be called at the latest
    */
-  public Uni<Void> drain() {
+  public Uni<Void> drain(long endMillis) {
     if (stopping) {
       return Uni.createFrom().voidItem();
     }
@@ -267,7 +270,7 @@
         .log("node: leaves");
     stopping = true;
     duties.stop();
-    forwarder.admission().drain();
+    forwarder.admission().drain(endMillis);
     // Generated texts must be in the log before the heartbeat makes other nodes take over.
     return runner.drain().invoke(members::announceDraining);
   }
@@ -277,10 +280,18 @@
     return runner.runningJobCount() == 0;
   }
 
-  /** Ends a planned stop: stops all work and completes when the process may exit. */
+  /**
+   * Ends a planned stop: stops all work, answers the callers whose requests are still in progress,
+   * and completes when the process may exit.
+   */
   public Uni<Void> close() {
     forwarder.admission().close();
     Uni<Void> usagePublished = meter.map(UsageMeter::publish).orElse(Uni.createFrom().voidItem());
-    return Uni.join().all(runner.stop(), usagePublished).andCollectFailures().replaceWithVoid();
+    return Uni.join()
+        .all(runner.stop(), usagePublished)
+        .andCollectFailures()
+        .replaceWithVoid()
+        .onTermination()
+        .invoke(() -> forwarder.failAll("the node ends"));
   }
 }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import org.passhaven.core.admission.AdmissionDecision;
 import org.passhaven.core.admission.AdmissionDecision.Reject;
@@ -26,7 +27,7 @@
   private final AdmissionLogger log = new AdmissionLogger();
   private final Map<String, Service> services = new HashMap<>();
   private long nextId;
-  private boolean stopping;
+  private OptionalLong shutdownEndMillis = OptionalLong.empty();
 
   /**
    * Creates the admission control.
@@ -73,10 +74,15 @@
     return List.copyOf(services.values());
   }
 
-  /** Begins a planned stop: queued requests are sent or rejected soon. */
-  void drain() {
-    stopping = true;
-    services.values().forEach(service -> service.admission.beginShutdown(context.nowMillis()));
+  /**
+   * Begins a planned stop: queued requests are sent or rejected soon, and callers' requests that
+   * might outlast the node are rejected.
+   *
+   * @param endMillis monotonic time at which the node cuts what is in progress
+   */
+  void drain(long endMillis) {
+    shutdownEndMillis = OptionalLong.of(endMillis);
+    services.values().forEach(Service::beginShutdown);
   }
 
   /** Rejects all queued requests, at the end of a planned stop. */
@@ -178,12 +184,16 @@
       context
           .metrics()
           .registerAdmission(name, this, each -> each.admission.load(context.nowMillis()));
-      if (stopping) {
-        admission.beginShutdown(context.nowMillis());
-      }
+      beginShutdown();
       updateServers();
     }
 
+    /** Tells the admission of the node's planned stop, if one has begun. */
+    void beginShutdown() {
+      shutdownEndMillis.ifPresent(
+          endMillis -> admission.beginShutdown(context.nowMillis(), endMillis));
+    }
+
     void updateServers() {
       List<ServerEntry> servers = candidates.apply(name);
       int totalSlots = servers.stream().mapToInt(ServerEntry::slots).sum();
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -2,9 +2,11 @@
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.passhaven.core.admission.AdmissionDecision.Reject;
@@ -52,7 +54,7 @@
   private final ColdTurnQueue coldTurns;
   private final RateMeter requestRate;
   private final RunListener runListener;
-  private int inProgress;
+  private final Set<Forward> inProgress = new LinkedHashSet<>();
 
   /** Receives the requests that a server ran or may have run. */
   interface RunListener {
@@ -97,7 +99,7 @@
 
   /** Returns the number of requests in flight. */
   public int inProgress() {
-    return inProgress;
+    return inProgress.size();
   }
 
   /**
@@ -119,6 +121,11 @@
             });
   }
 
+  /** Fails all requests in progress, so that their callers learn it before the node ends. */
+  void failAll(String reason) {
+    List.copyOf(inProgress).forEach(forward -> forward.fail(reason));
+  }
+
   /** Returns the admission control of forwarded requests. */
   RequestAdmission admission() {
     return admission;
@@ -159,7 +166,7 @@
     }
 
     void start() {
-      inProgress++;
+      inProgress.add(this);
       requestRate.recordEvent(context.nowMillis());
       deadlineTimer = context.timers().after(call.deadlineMillis(), this::onDeadline);
       // Admission doesn't know regions, so it might let the request wait.
@@ -382,7 +389,7 @@
         return;
       }
       isDone = true;
-      inProgress--;
+      inProgress.remove(this);
       crashGuard.close(attempts.isInProgress());
       deadlineTimer.cancel();
       if (coldTurn != null) {
--- a/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobRunnerTest.java
@@ -38,6 +38,7 @@
 
 /** Guards against losing partial texts or runs when an owner drains, stops or restarts. */
 class JobRunnerTest {
+  private static final long END_MILLIS = 1_000_000;
   private static final String MODEL = "m";
   private final ManualTimers timers = new ManualTimers();
   private final MemoryLog log = new MemoryLog(timers);
@@ -85,7 +86,7 @@
 
   @Test
   void aDrainingOwnerContinuesUntilItsRunIsTakenOver() {
-    gateway.drain().subscribe().with(left -> {});
+    gateway.drain(END_MILLIS).subscribe().with(left -> {});
     assertThat(isTextSaved(), is(true));
     timers.advance(400);
     assertThat(servers.cancelled, equalTo(0));
@@ -157,7 +158,7 @@
 
   @Test
   void aDrainingOwnerClaimsNoRuns() {
-    gateway.drain().subscribe().with(left -> {});
+    gateway.drain(END_MILLIS).subscribe().with(left -> {});
     int before = log.stream("jobs.0").size();
     timers.advance(3_000);
     assertThat(log.stream("jobs.0"), hasSize(before));
@@ -204,7 +205,7 @@
 
   @Test
   void theEndOfADrainStopsRunsThatNoNodeTookOver() {
-    gateway.drain().subscribe().with(left -> {});
+    gateway.drain(END_MILLIS).subscribe().with(left -> {});
     timers.advance(400);
     List<Boolean> ended = new ArrayList<>();
     gateway.close().subscribe().with(done -> ended.add(true));
--- a/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestAdmissionTest.java
@@ -50,6 +50,7 @@
 /** Guards against lost, overtaken or falsely reported requests when bursts exceed the servers. */
 class RequestAdmissionTest {
   private static final long DEADLINE_MILLIS = 1_500;
+  private static final long STOP_MILLIS = 6_000;
   private static final int BURST = 48;
   private static final int LIMIT = 21;
   private static final int RESERVED_FOR_CALLERS = 9;
@@ -267,7 +268,7 @@
   @Test
   void aStoppingNodeServesQueuedRequestsAndRejectsTheRestAtItsEnd() {
     submitBurst();
-    forwarder.admission().drain();
+    forwarder.admission().drain(timers.nowMillis() + STOP_MILLIS);
     assertThat(outcomes.values(), empty());
     answer("score0");
     assertThat("queued requests are still served", sent, hasSize(LIMIT + 1));
@@ -281,12 +282,24 @@
   @Test
   void aStoppingNodeRejectsQueuedRequestsWithinASecond() {
     submitBurst();
-    forwarder.admission().drain();
+    forwarder.admission().drain(timers.nowMillis() + STOP_MILLIS);
     timers.advance(1_020);
     assertThat(outcomes.size(), equalTo(BURST - LIMIT));
     assertThat(outcomes.values(), everyItem(instanceOf(ForwardOutcome.NotRun.class)));
   }
 
+  /** Guards against requests in progress that are cut when the process ends. */
+  @Test
+  void aNodeThatEndsAnswersTheRequestsThatAreStillInProgress() {
+    submit("caller", Source.CALLER);
+    forwarder.admission().drain(timers.nowMillis() + STOP_MILLIS);
+    timers.advance(100);
+    assertThat(outcomes.keySet(), empty());
+    forwarder.failAll("the node ends");
+    assertThat(outcomes.get("caller"), instanceOf(ForwardOutcome.Unknown.class));
+    assertThat(forwarder.inProgress(), is(0));
+  }
+
   @Test
   void aTenantsPriorityOverridesTheRoutes() {
     submitBurst();
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/GatewayHost.java
@@ -114,7 +114,8 @@
     }
     long generation = process.generation();
     Gateway leaving = gateway;
-    process.execute(generation, () -> leaving.drain().subscribe().with(ignored -> {}));
+    long endMillis = process.timers().nowMillis() + graceMillis - END_MILLIS;
+    process.execute(generation, () -> leaving.drain(endMillis).subscribe().with(ignored -> {}));
     note(graceMillis);
     time.after(
         (graceMillis - END_MILLIS) * VirtualTime.MICROS_PER_MILLI,
