A text longer than a log record no longer holds up all results of its partition

Cause: ResultWriter never compared a text with the largest record. Now such a result isn't queued, with an error line that names job, item and sizes; its item stays open until its job ends.

ResultWriterTest.aTextThatExceedsARecordDoesNotHoldUpOtherResults failed before (the third result was never listed).

--- a/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ResultWriter.java
@@ -85,13 +85,26 @@
     this.log = Objects.requireNonNull(log, "log");
   }
 
-  /** Queues a result of a job for appending. */
+  /**
+   * Queues a result of a job for appending. A result whose text exceeds a record is not queued: the
+   * log would reject each append that contains it, so it would hold up all others.
+   */
   void write(Job job, ItemResult result) {
+    PendingResult pending = new PendingResult(result);
+    if (pending.encodedText.length > context.settings().maxRecordBytes()) {
+      LOG.atError()
+          .addKeyValue("job", result.job())
+          .addKeyValue("item", result.item())
+          .addKeyValue("bytes", pending.encodedText.length)
+          .addKeyValue("maxBytes", context.settings().maxRecordBytes())
+          .log("job: a text exceeds a log record, so its result can't be listed");
+      return;
+    }
     String run = job.submission().run();
     PartitionQueue queue =
         queuesByStream.computeIfAbsent(
             log.streamOf(run), stream -> new PartitionQueue(stream, log.textStreamOf(run)));
-    queue.pending.put(new Key(result.job(), result.item()), new PendingResult(result));
+    queue.pending.put(new Key(result.job(), result.item()), pending);
     appendNext(queue);
   }
 
--- a/node/src/test/java/org/passhaven/node/MemoryLog.java
+++ b/node/src/test/java/org/passhaven/node/MemoryLog.java
@@ -34,6 +34,9 @@
   /** Whether reads that start now never complete. */
   public boolean hangReads;
 
+  /** Size of a record above which its append is rejected. */
+  public int maxRecordBytes = Integer.MAX_VALUE;
+
   /** Number of append calls. */
   public int appendCalls;
 
@@ -60,6 +63,9 @@
   @Override
   public Uni<Long> append(String stream, List<byte[]> records) {
     appendCalls++;
+    if (records.stream().anyMatch(record -> record.length > maxRecordBytes)) {
+      return Uni.createFrom().failure(refusal());
+    }
     long offset = stream(stream).size();
     if (appendBehavior == Behavior.NORMAL || appendBehavior == Behavior.LOSES_RESPONSES) {
       stream(stream).addAll(records);
--- a/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ResultWriterTest.java
@@ -27,11 +27,12 @@
 /** Guards against results without their texts and against lost results of failed appends. */
 class ResultWriterTest {
   private static final int ITEMS = 40;
+  private static final int MAX_RECORD_BYTES = 262_144;
   private final ManualTimers timers = new ManualTimers();
   private final MemoryLog log = new MemoryLog(timers);
   private final GatewayContext context =
       new GatewayContext(
-          GatewayFixture.settings(1, 262_144, 2_097_152),
+          GatewayFixture.settings(1, MAX_RECORD_BYTES, 2_097_152),
           1,
           timers,
           bound -> 0,
@@ -120,6 +121,17 @@
     assertThat(log.stream("results.0").size(), greaterThan(1));
   }
 
+  /** Guards against a text longer than a record that stops all results of its partition. */
+  @Test
+  void aTextThatExceedsARecordDoesNotHoldUpOtherResults() {
+    log.maxRecordBytes = MAX_RECORD_BYTES;
+    write(0, "one");
+    write(1, "x".repeat(MAX_RECORD_BYTES));
+    write(2, "two");
+    timers.advance(5_000);
+    assertThat(texts(), contains(equalTo(List.of("one", "two"))));
+  }
+
   @Test
   void lostBatchesAreRetriedInSmallerSizes() {
     String large = "x".repeat(50_000);
