Requests that end while others are failed at a node's end are not failed again

A failed request may end others on the way (its place goes to the next one); the list copied before would fail those a second time, which counts and logs them twice. Read, not seen; RequestAdmissionTest and RequestForwarderTest are green.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -123,7 +123,9 @@
 
   /** Fails all requests in progress, so that their callers learn it before the node ends. */
   void failAll(String reason) {
-    List.copyOf(inProgress).forEach(forward -> forward.fail(reason));
+    while (!inProgress.isEmpty()) {
+      inProgress.iterator().next().fail(reason);
+    }
   }
 
   /** Returns the admission control of forwarded requests. */
