CrashingRequestTest requires that all five servers crashed under the item

The test of an item beside crashes asked for one crash at least, so it could have held with fewer than the three after which an item was held back before.

--- a/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
+++ b/simulator/src/test/java/org/passhaven/simulator/CrashingRequestTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +33,7 @@
   private static final int PATHS = 40;
   private static final long LOOKUPS_EVERY_MILLIS = 100;
   private static final int SEEDS = 12;
+  private static final int CRASHES_UNDER_ITEM = 5;
 
   /** Lookups are served while at most one of three servers is down at a time. */
   private static final double SERVED_SHARE = 0.99;
@@ -79,6 +81,7 @@
       Report report =
           play(seed, List.of(new GatewayFault(Kind.SERVERS_CRASH_UNDER_ITEM, 8_000, 0, 1)));
       assertKept("seed " + seed, report);
+      assertThat("seed " + seed + " " + report, report.serversCrashed(), is(CRASHES_UNDER_ITEM));
       assertThat("seed " + seed + " " + report, report.wholeSteps(), greaterThan(8));
     }
   }
