--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -65,7 +65,15 @@
             .addOption(
                 Flags.simple(
                     "second-answers",
-                    "adds servers that give some answers twice, also to a calm run"));
+                    "adds servers that give some answers twice, also to a calm run"))
+            .addOption(
+                Flags.simple(
+                    "crash-waves",
+                    "adds several model servers that crash at once, again and again, also to a calm"
+                        + " run"))
+            .addOption(
+                Flags.simple(
+                    "endless-answers", "adds servers whose answers never end, also to a calm run"));
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -145,6 +153,8 @@
                         line.hasOption("hard-load"),
                         line.hasOption("evacuations"),
                         line.hasOption("second-answers"),
+                        line.hasOption("crash-waves"),
+                        line.hasOption("endless-answers"),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -40,10 +40,16 @@
   CRASHES_BOUNDED,
   /** An item during which servers crashed begins at a server again as soon as there is room. */
   ITEM_BEGINS_AGAIN,
+  /**
+   * No step runs out of time because one of its items is at no server while there is room for it.
+   */
+  NO_ITEM_LEFT_LYING,
   /** A request runs for the tenant of its caller's key, and no server is shown a key. */
   TENANT_TRUE,
   /** While open connections are silent, what may be repeated is served over new ones. */
   SERVED_OVER_NEW_CONNECTIONS,
+  /** While one back end answers without end, what may be repeated is served by others. */
+  SERVED_BESIDE_ENDLESS_ANSWERS,
   /** While some callers read slowly, others are served about as well as at other times. */
   SERVED_BESIDE_SLOW_READERS,
   /** Of slow readers only those are dropped that read nothing for a long time. */
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -41,6 +41,8 @@
       beginStore(onStore);
     } else if (fault instanceof Fault.OnBackEnd on) {
       hands.harmBackEnd(on.backEnd(), on.harm(), on.forMillis());
+    } else if (fault instanceof Fault.CrashWave wave) {
+      wave.backEnds().forEach(backEnd -> hands.crash(backEnd, wave.forMillis(), wave.isReset()));
     } else if (fault instanceof Fault.UnevenBackEnd on) {
       paces.computeIfAbsent(on.backEnd(), key -> new ArrayList<>()).add(on.factor());
       hands.pace(on.backEnd(), on.factor());
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -48,6 +48,13 @@
   /** A back end's harm begins; a crash lasts for the given time. */
   void harmBackEnd(int backEnd, BackEndHarm harm, long forMillis);
 
+  /**
+   * A back end crashes and starts again after a time.
+   *
+   * @param isReset whether its connections are reset; else they end in the usual way
+   */
+  void crash(int backEnd, long forMillis, boolean isReset);
+
   /** A back end's harm is over. */
   void healBackEnd(int backEnd, BackEndHarm harm);
 
--- a/soak/src/main/java/org/passhaven/soak/plan/BackEndHarm.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/BackEndHarm.java
@@ -7,5 +7,7 @@
   /** Takes requests, does nothing and says nothing. */
   HANG,
   /** Works several times slower. */
-  SLOW
+  SLOW,
+  /** Answers each request with bytes that never end. */
+  ENDLESS
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -86,6 +86,31 @@
     }
   }
 
+  /**
+   * Several back ends crash at the same moment and start again together.
+   *
+   * @param isReset whether their connections are reset; else they end in the usual way, as those of
+   *     a killed process
+   */
+  record CrashWave(long atMillis, long forMillis, List<Integer> backEnds, boolean isReset)
+      implements Fault {
+    /** Checks and copies. */
+    public CrashWave {
+      checkTimes(atMillis, forMillis);
+      backEnds = List.copyOf(backEnds);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return isReset ? "crash-WAVE-RESET" : "crash-WAVE-KILL";
+    }
+  }
+
   /** The next request of a kind crashes each server that begins it, from then on. */
   record OnRequest(long atMillis, RequestHarm harm) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -44,6 +44,10 @@
   private static final LinkHarm[] USUAL_LINK_HARMS =
       EnumSet.complementOf(EnumSet.of(LinkHarm.MUTE)).toArray(LinkHarm[]::new);
 
+  /** Answers without end are drawn only where that is asked for. */
+  private static final BackEndHarm[] USUAL_BACK_END_HARMS =
+      EnumSet.complementOf(EnumSet.of(BackEndHarm.ENDLESS)).toArray(BackEndHarm[]::new);
+
   // Apart enough that what a strike has done is over before the next one, and pools fill again.
   private static final long SILENT_EVERY_MILLIS = 9_000;
   private static final long SILENT_AGAIN_MILLIS = 1_500;
@@ -104,6 +108,14 @@
     if (settings.hasSecondAnswers()) {
       faults.addAll(SecondAnswerPlan.secondAnswers(seed, CALM_START_MILLIS, lastMillis));
     }
+    if (settings.hasEndlessAnswers()) {
+      faults.addAll(
+          EndlessAnswerPlan.endlessAnswers(
+              seed, settings.backEndCount(), CALM_START_MILLIS, lastMillis));
+    }
+    if (settings.hasCrashWaves()) {
+      faults.addAll(CrashWavePlan.crashWaves(seed, lastMillis));
+    }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
     faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new FaultPlan(seed, settings.trafficMillis(), faults, isFinalFault);
@@ -169,7 +181,7 @@
               new Fault.OnBackEnd(
                   atMillis,
                   forMillis,
-                  one(BackEndHarm.values()),
+                  one(USUAL_BACK_END_HARMS),
                   random.nextInt(settings.backEndCount())));
       case CHANGE -> change(atMillis);
       case ALL_AT_ONCE -> allAtOnce(atMillis, forMillis);
--- a/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/PlanSettings.java
@@ -14,6 +14,8 @@
  * @param hasHardLoad whether slow readers and floods by one tenant are added
  * @param hasEvacuations whether zones are evacuated and taken back, one after the other
  * @param hasSecondAnswers whether back ends give some answers twice
+ * @param hasCrashWaves whether several model servers crash at once, again and again
+ * @param hasEndlessAnswers whether some back ends answer without end
  */
 public record PlanSettings(
     int nodeCount,
@@ -24,7 +26,9 @@
     boolean hasSilentConnections,
     boolean hasHardLoad,
     boolean hasEvacuations,
-    boolean hasSecondAnswers) {
+    boolean hasSecondAnswers,
+    boolean hasCrashWaves,
+    boolean hasEndlessAnswers) {
   /** Checks. */
   public PlanSettings {
     if (nodeCount < 1 || backEndCount < 1 || trafficMillis < 1) {
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -198,6 +198,7 @@
     switch (harm) {
       case CRASH -> server.crash(forMillis);
       case HANG -> server.hang(true);
+      case ENDLESS -> server.answerWithoutEnd(true);
       case SLOW -> {
         slow.add(backEnd);
         applyPace(backEnd);
@@ -205,11 +206,20 @@
     }
   }
 
+  @Override
+  public void crash(int backEnd, long forMillis, boolean isReset) {
+    tellServer(backEnd, BackEndHarm.CRASH.name());
+    ServerControl server = server(backEnd);
+    var unused = isReset ? server.crash(forMillis) : server.kill(forMillis);
+    tellServer(backEnd, "");
+  }
+
   @Override
   public void healBackEnd(int backEnd, BackEndHarm harm) {
     switch (harm) {
       case CRASH -> server(backEnd).start();
       case HANG -> server(backEnd).hang(false);
+      case ENDLESS -> server(backEnd).answerWithoutEnd(false);
       case SLOW -> {
         slow.remove(backEnd);
         applyPace(backEnd);
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -17,6 +17,7 @@
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.soak.check.Bounds;
 import org.passhaven.soak.fault.FaultSchedule;
+import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.FaultPlan;
 import org.passhaven.soak.plan.FaultPlanner;
@@ -87,7 +88,9 @@
                 settings.hasSilentConnections(),
                 settings.hasHardLoad(),
                 settings.hasEvacuations(),
-                settings.hasSecondAnswers()));
+                settings.hasSecondAnswers(),
+                settings.hasCrashWaves(),
+                settings.hasEndlessAnswers()));
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
@@ -104,6 +107,8 @@
         || fault instanceof Fault.Evacuation
         || fault instanceof Fault.ColdRestart
         || fault instanceof Fault.SecondAnswers
+        || fault instanceof Fault.CrashWave
+        || (fault instanceof Fault.OnBackEnd on && on.harm() == BackEndHarm.ENDLESS)
         || (settings.hasHardLoad() && fault instanceof Fault.UnevenBackEnd);
   }
 
--- a/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakSettings.java
@@ -15,6 +15,9 @@
  * @param hasHardLoad whether callers read slowly and one tenant floods, also in a calm run
  * @param hasEvacuations whether zones are evacuated and taken back, also in a calm run
  * @param hasSecondAnswers whether back ends give some answers twice, also in a calm run
+ * @param hasCrashWaves whether several model servers crash at once, again and again, also in a calm
+ *     run
+ * @param hasEndlessAnswers whether some back ends answer without end, also in a calm run
  * @param load how much is asked of it
  * @param repository where the program was built
  * @param folder where the run leaves its files
@@ -30,6 +33,8 @@
     boolean hasHardLoad,
     boolean hasEvacuations,
     boolean hasSecondAnswers,
+    boolean hasCrashWaves,
+    boolean hasEndlessAnswers,
     SoakLoad load,
     Path repository,
     Path folder) {
--- a/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
+++ b/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
@@ -9,6 +9,7 @@
 import org.passhaven.platform.standin.server.ColdStart;
 import org.passhaven.platform.standin.server.ServerSettings;
 import org.passhaven.platform.standin.store.StoreSettings;
+import org.passhaven.soak.plan.CrashWavePlan;
 
 /** The stand-in's settings for a run. */
 final class StandinFigures {
@@ -26,6 +27,18 @@
   /** Far less than a server gets when it is warm. */
   private static final ColdStart COLD_START = new ColdStart(5_000, 2);
 
+  /**
+   * Load of a run with crash waves: the servers and steps of the site sheet that the waves come
+   * from, with events so slow that a text lasts over two waves.
+   */
+  private static final class CrashWaveLoad {
+    static final int GROUPS = 18;
+    static final int ITEMS_A_GROUP = 4;
+    static final int DESIRED_GROUPS = 16;
+    static final long STEP_MILLIS = 12_000;
+    static final long EVENT_MILLIS = 200;
+  }
+
   private StandinFigures() {}
 
   static StandinSettings of(SoakSettings settings, List<NodePlace> places) {
@@ -34,21 +47,39 @@
         StoreSettings.usual()
             .withAge(load.storeAgeSeconds() * MILLIS_PER_SECOND)
             .withSpeeds(APPEND_MILLIS, load.storeReadMegabytes() * BYTES_PER_MEGABYTE);
-    TrainerSettings trainers =
-        TrainerSettings.small()
-            .withTrainers(load.trainers())
-            .withSizes(
-                load.groups(),
-                load.itemsAGroup(),
-                Math.max(1, load.groups() * 2 / 3),
-                load.bodyBytes())
-            .withAhead(load.ahead());
     return StandinSettings.small(settings.seed(), places)
         .withStore(store, NodeBounds.usual().withStatusSeconds(load.statusSeconds()))
-        .withServers(
-            ServerSettings.engines().withCharacters(load.eventCharacters()), ServerSettings.plain())
+        .withServers(engines(settings), ServerSettings.plain())
         .withColdStart(settings.hasEvacuations() ? COLD_START : ColdStart.NEVER)
-        .withClients(trainers, CallerSettings.few().withCallers(load.callers()), WATCH_MILLIS);
+        .withClients(
+            trainers(settings), CallerSettings.few().withCallers(load.callers()), WATCH_MILLIS);
+  }
+
+  private static ServerSettings engines(SoakSettings settings) {
+    ServerSettings usual =
+        ServerSettings.engines().withCharacters(settings.load().eventCharacters());
+    return settings.hasCrashWaves()
+        ? usual
+            .withServers(CrashWavePlan.MODEL_SERVERS)
+            .withWork(CrashWaveLoad.EVENT_MILLIS, usual.loadMillis())
+        : usual;
+  }
+
+  private static TrainerSettings trainers(SoakSettings settings) {
+    SoakLoad load = settings.load();
+    TrainerSettings usual =
+        TrainerSettings.small().withTrainers(load.trainers()).withAhead(load.ahead());
+    if (settings.hasCrashWaves()) {
+      return usual
+          .withSizes(
+              CrashWaveLoad.GROUPS,
+              CrashWaveLoad.ITEMS_A_GROUP,
+              CrashWaveLoad.DESIRED_GROUPS,
+              load.bodyBytes())
+          .withTimes(CrashWaveLoad.STEP_MILLIS, usual.giveUpMillis(), usual.pauseMillis());
+    }
+    return usual.withSizes(
+        load.groups(), load.itemsAGroup(), Math.max(1, load.groups() * 2 / 3), load.bodyBytes());
   }
 
   static int backEndCount(StandinSettings standin) {
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -79,6 +79,11 @@
     done.add("callers " + harm + " " + forMillis);
   }
 
+  @Override
+  public void crash(int backEnd, long forMillis, boolean isReset) {
+    done.add("backEnd " + backEnd + " crashes" + (isReset ? " with resets" : ""));
+  }
+
   @Override
   public void healBackEnd(int backEnd, BackEndHarm harm) {
     done.add("heal " + backEnd + " " + harm);
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -18,9 +18,10 @@
 class FaultPlannerTest {
   private static final long TRAFFIC_MILLIS = 180_000;
   private static final PlanSettings SETTINGS =
-      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, false, false, false, false);
+      new PlanSettings(
+          5, 4, TRAFFIC_MILLIS, false, false, false, false, false, false, false, false);
   private static final PlanSettings WITH_CRASHES =
-      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true, false, false, false, false);
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true, false, false, false, false, false, false);
   private static final int SEEDS = 60;
 
   /** Faults of seed 7 other than uneven back ends, which must not change them. */
@@ -79,7 +80,8 @@
     assertThat(some, greaterThan(10L));
     assertThat(some, lessThan(50L));
     PlanSettings certain =
-        new PlanSettings(5, 4, TRAFFIC_MILLIS, true, false, false, false, false, false);
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, true, false, false, false, false, false, false, false);
     assertThat(
         LongStream.range(0, SEEDS)
             .allMatch(seed -> FaultPlanner.plan(seed, certain).isFinalFault()),
@@ -118,7 +120,8 @@
   @Test
   void silentConnectionsAreAddedToWhatTheSeedGives() {
     PlanSettings silent =
-        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, true, false, false, false);
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, false, true, false, false, false, false, false);
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, silent).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -152,7 +155,8 @@
   @Test
   void slowReadersAndFloodsAreAddedToWhatTheSeedGives() {
     PlanSettings hard =
-        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, false, true, false, false);
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, false, false, true, false, false, false, false);
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, hard).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -169,7 +173,8 @@
   @Test
   void evacuationsAreAddedToWhatTheSeedGivesOneAfterTheOther() {
     PlanSettings evacuating =
-        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, false, false, true, false);
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, false, false, false, true, false, false, false);
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, evacuating).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -189,7 +194,8 @@
   @Test
   void secondAnswersAreAddedToWhatTheSeedGivesOneAfterTheOther() {
     PlanSettings stuttering =
-        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, false, false, false, false, true);
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, false, false, false, false, true, false, false);
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, stuttering).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -60,20 +60,39 @@
   private static final long STUTTERING_SEED = 101;
   private static final long STUTTERING_TRAFFIC_MILLIS = 19_000;
 
+  // Three waves of four of six model servers, as in review case 2, and the steps after them.
+  private static final long WAVES_SEED = 1;
+  private static final long WAVES_TRAFFIC_MILLIS = 40_000;
+
+  // Back ends whose answers never end, at times two at once.
+  private static final long ENDLESS_SEED = 1;
+  private static final long ENDLESS_TRAFFIC_MILLIS = 30_000;
+
+  /** What is added to a run, which is else as its seed gives it. */
+  private enum Only {
+    NOTHING,
+    SILENT,
+    HARD,
+    EVACUATING,
+    STUTTERING,
+    CRASH_WAVES,
+    ENDLESS
+  }
+
+  private static final Set<Only> NOT_ENDED_BY_A_FAULT =
+      EnumSet.of(Only.STUTTERING, Only.CRASH_WAVES, Only.ENDLESS);
+
   private static Verdict run(long seed, long trafficMillis, boolean hasCrashesAndSuspensions)
       throws Exception {
-    return run(seed, trafficMillis, hasCrashesAndSuspensions, false, false, false, false);
+    return run(seed, trafficMillis, hasCrashesAndSuspensions, Only.NOTHING);
+  }
+
+  private static Verdict run(long seed, long trafficMillis, Only only) throws Exception {
+    return run(seed, trafficMillis, false, only);
   }
 
   private static Verdict run(
-      long seed,
-      long trafficMillis,
-      boolean hasCrashesAndSuspensions,
-      boolean isOnlySilent,
-      boolean isOnlyHard,
-      boolean isOnlyEvacuating,
-      boolean isOnlyStuttering)
-      throws Exception {
+      long seed, long trafficMillis, boolean hasCrashesAndSuspensions, Only only) throws Exception {
     Path module = Path.of("").toAbsolutePath();
     Path folder = module.resolve("target").resolve("soak-ci").resolve("run-" + System.nanoTime());
     SoakSettings settings =
@@ -81,13 +100,15 @@
             seed,
             NODES,
             trafficMillis,
-            !isOnlyStuttering,
-            isOnlySilent || isOnlyHard || isOnlyEvacuating || isOnlyStuttering,
+            !NOT_ENDED_BY_A_FAULT.contains(only),
+            only != Only.NOTHING,
             hasCrashesAndSuspensions,
-            isOnlySilent,
-            isOnlyHard,
-            isOnlyEvacuating,
-            isOnlyStuttering,
+            only == Only.SILENT,
+            only == Only.HARD,
+            only == Only.EVACUATING,
+            only == Only.STUTTERING,
+            only == Only.CRASH_WAVES,
+            only == Only.ENDLESS,
             SoakLoad.small(),
             module.getParent(),
             folder);
@@ -105,22 +126,21 @@
 
   @Test
   void everyPromiseHoldsBesideOpenConnectionsThatGoSilentForGood() throws Exception {
-    Verdict verdict = run(SILENT_SEED, SILENT_TRAFFIC_MILLIS, false, true, false, false, false);
+    Verdict verdict = run(SILENT_SEED, SILENT_TRAFFIC_MILLIS, Only.SILENT);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.SERVED_OVER_NEW_CONNECTIONS)));
   }
 
   @Test
   void everyPromiseHoldsBesideSlowReadersAndAFloodByOneTenant() throws Exception {
-    Verdict verdict = run(HARD_SEED, HARD_TRAFFIC_MILLIS, false, false, true, false, false);
+    Verdict verdict = run(HARD_SEED, HARD_TRAFFIC_MILLIS, Only.HARD);
     assertThat(verdict.findings(), empty());
     OF_HARD_LOAD.forEach(promise -> assertThat(verdict.unchecked(), not(hasItem(promise))));
   }
 
   @Test
   void everyPromiseHoldsBesideEvacuatedZones() throws Exception {
-    Verdict verdict =
-        run(EVACUATING_SEED, EVACUATING_TRAFFIC_MILLIS, false, false, false, true, false);
+    Verdict verdict = run(EVACUATING_SEED, EVACUATING_TRAFFIC_MILLIS, Only.EVACUATING);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.ZONE_EMPTIED_IN_TIME)));
     assertThat(verdict.unchecked(), not(hasItem(Promise.COLD_RATE_KEPT)));
@@ -128,12 +148,28 @@
 
   @Test
   void everyPromiseHoldsBesideServersThatGiveAnswersTwice() throws Exception {
-    Verdict verdict =
-        run(STUTTERING_SEED, STUTTERING_TRAFFIC_MILLIS, false, false, false, false, true);
+    Verdict verdict = run(STUTTERING_SEED, STUTTERING_TRAFFIC_MILLIS, Only.STUTTERING);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.counts().getOrDefault("SecondAnswerGiven", 0L), greaterThan(100L));
   }
 
+  /** Guards against an item that is left lying after crashes of its servers (review case 2). */
+  @Test
+  void noStepRunsOutOfTimeAfterWavesOfCrashes() throws Exception {
+    Verdict verdict = run(WAVES_SEED, WAVES_TRAFFIC_MILLIS, Only.CRASH_WAVES);
+    assertThat(verdict.findings(), empty());
+    assertThat(verdict.unchecked(), not(hasItem(Promise.NO_ITEM_LEFT_LYING)));
+  }
+
+  /** Guards against a server without end that takes a node's memory or others' answers. */
+  @Test
+  void everyPromiseHoldsBesideAnswersWithoutEnd() throws Exception {
+    Verdict verdict = run(ENDLESS_SEED, ENDLESS_TRAFFIC_MILLIS, Only.ENDLESS);
+    assertThat(verdict.findings(), empty());
+    assertThat(verdict.unchecked(), not(hasItem(Promise.WITHIN_MEMORY)));
+    assertThat(verdict.unchecked(), not(hasItem(Promise.SERVED_BESIDE_ENDLESS_ANSWERS)));
+  }
+
   @Test
   void everyPromiseHolds() throws Exception {
     Verdict verdict = run(SEED, TRAFFIC_MILLIS, false);
@@ -141,6 +177,7 @@
     assertThat(verdict.isKept(), equalTo(true));
     Set<Promise> unchecked = EnumSet.copyOf(verdict.unchecked());
     unchecked.removeAll(OF_HARD_LOAD);
+    unchecked.remove(Promise.SERVED_BESIDE_ENDLESS_ANSWERS);
     unchecked.remove(Promise.ZONE_EMPTIED_IN_TIME);
     unchecked.remove(Promise.COLD_RATE_KEPT);
     assertThat(RARE.containsAll(unchecked), equalTo(true));
