--- a/spi/src/main/java/org/passhaven/spi/PlatformException.java
+++ b/spi/src/main/java/org/passhaven/spi/PlatformException.java
@@ -24,7 +24,12 @@
      * The server responded, but this node had no memory for the response. Does not indicate a
      * server failure.
      */
-    ANSWER_DROPPED
+    ANSWER_DROPPED,
+    /**
+     * The server's response exceeds, or declares to exceed, what this node can ever hold. It may be
+     * a response without end of a faulty server, so another server may respond properly.
+     */
+    ANSWER_TOO_LARGE
   }
 
   private final Kind kind;
