An answer without end is cut at what a node can hold, and its request goes to another server

Cause: such an answer took the whole budget for answers, waited 400 ms for more, was dropped as ANSWER_DROPPED, and that "does not indicate a server failure" and is not retried, since the next answer would not fit either. That holds for a large answer of declared length, not for one without end. The faulty server was picked again and again (36 times in 25 s).

Now: a body, declared or not, that exceeds what an otherwise empty budget holds fails at once as ANSWER_TOO_LARGE: connection closed, memory given back, the server avoided as after a failure, the request tried elsewhere where its route allows, no question whether the server has crashed.

--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -285,6 +285,10 @@
         onAnswerDropped(server, failure, sentAtMillis);
         return;
       }
+      if (failure.kind() == PlatformException.Kind.ANSWER_TOO_LARGE) {
+        onAnswerTooLarge(server, failure, sentAtMillis);
+        return;
+      }
       boolean heldBack = failure.kind() == PlatformException.Kind.HELD_BACK;
       if (heldBack) {
         health.avoid(server.incarnation(), FULL_AVOIDED_MILLIS, context.nowMillis());
@@ -316,6 +320,19 @@
       }
     }
 
+    /**
+     * Treats an answer that no node could hold as the failure of its server, which may answer
+     * without end; the server runs, so it is not asked whether it has crashed.
+     */
+    private void onAnswerTooLarge(
+        ServerEntry server, PlatformException failure, long sentAtMillis) {
+      health.onFailure(server.incarnation(), context.nowMillis());
+      log.onAttemptFailed(server, Outcome.UNKNOWN, failure.getMessage());
+      reportRunOnce(sentAtMillis);
+      crashGuard.onAnswered(Outcome.UNKNOWN);
+      continueAfter(Outcome.UNKNOWN, null);
+    }
+
     /** Reports that a server ran or may have run the request; only the first call has an effect. */
     private void reportRunOnce(long sentAtMillis) {
       if (!isReportedAsRun) {
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -334,6 +334,26 @@
     assertThat(last().server(), equalTo(server));
   }
 
+  /** Guards against a server that answers without end: its requests go to other servers. */
+  @Test
+  void anAnswerThatNoNodeCanHoldIsRetriedElsewhereAndItsServerAvoided() {
+    submit("/p");
+    String faulty = last().server();
+    last().fail(PlatformException.Kind.ANSWER_TOO_LARGE);
+    timers.advance(5);
+    assertThat(sent, hasSize(2));
+    assertThat(last().server().equals(faulty), is(false));
+    assertThat("the server runs", crashChecks, equalTo(0));
+    last().succeed();
+    assertThat(outcomes.get(0), instanceOf(ForwardOutcome.Answered.class));
+    assertThat("it counts as run once", requestsBegun, hasSize(1));
+    for (int i = 0; i < 6; i++) {
+      submit("/q" + i);
+      assertThat(last().server().equals(faulty), is(false));
+      last().succeed();
+    }
+  }
+
   @Test
   void onlyAnswersOf500AreCountedAsServerErrors() {
     submit("/p");
