--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -5,7 +5,9 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
@@ -224,4 +226,49 @@
     assertThat(rest.size(), equalTo(REST_COUNT));
     assertThat(rest.hashCode(), equalTo(REST_HASH));
   }
+
+  @Test
+  void wavesOfCrashesBeginWithThoseOfTheReviewAndAreAddedToTheSeedsOwnPlan() {
+    PlanSettings waves =
+        new PlanSettings(
+            5, 12, TRAFFIC_MILLIS, false, false, false, false, false, false, true, false);
+    PlanSettings none =
+        new PlanSettings(
+            5, 12, TRAFFIC_MILLIS, false, false, false, false, false, false, false, false);
+    for (long seed = 1; seed <= 20; seed++) {
+      List<Fault> planned = FaultPlanner.plan(seed, waves).faults();
+      List<Fault.CrashWave> added =
+          planned.stream()
+              .filter(Fault.CrashWave.class::isInstance)
+              .map(Fault.CrashWave.class::cast)
+              .toList();
+      assertThat(
+          added.stream().limit(3).map(Fault.CrashWave::atMillis).toList(),
+          equalTo(List.of(500L, 2_500L, 7_750L)));
+      for (Fault.CrashWave wave : added) {
+        assertThat(wave.backEnds().size(), lessThanOrEqualTo(CrashWavePlan.MODEL_SERVERS));
+        wave.backEnds()
+            .forEach(server -> assertThat(server, lessThan(CrashWavePlan.MODEL_SERVERS)));
+      }
+      assertThat(
+          planned.stream().filter(fault -> !(fault instanceof Fault.CrashWave)).toList(),
+          equalTo(FaultPlanner.plan(seed, none).faults()));
+    }
+  }
+
+  @Test
+  void answersWithoutEndAreDrawnOnlyWhereAskedFor() {
+    PlanSettings endless =
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, false, false, false, false, false, false, true);
+    for (long seed = 1; seed <= 20; seed++) {
+      assertThat(hasEndlessAnswers(FaultPlanner.plan(seed, endless)), is(true));
+      assertThat(hasEndlessAnswers(FaultPlanner.plan(seed, SETTINGS)), is(false));
+    }
+  }
+
+  private static boolean hasEndlessAnswers(FaultPlan plan) {
+    return plan.faults().stream()
+        .anyMatch(fault -> fault instanceof Fault.OnBackEnd on && on.harm() == BackEndHarm.ENDLESS);
+  }
 }
