Soak: what is added to a run is a set of names, not a row of flags

Cause: PlanSettings and SoakSettings had seven booleans in a row, told apart by their place alone, and each new play of the soak lengthened a dozen constructor calls. Addition names each, with its option and its line of help; the plans, options and checks are the same (FaultPlannerTest pins the plans of seeds).

--- a/cli/src/main/java/org/passhaven/cli/SoakCommand.java
+++ b/cli/src/main/java/org/passhaven/cli/SoakCommand.java
@@ -4,10 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.passhaven.soak.plan.Addition;
 import org.passhaven.soak.process.MemoryRoom;
 import org.passhaven.soak.process.RunLine;
 import org.passhaven.soak.run.JudgedRun;
@@ -47,33 +51,10 @@
             .addOption(Flags.withValue("repository", "DIR", "where the program was built; ."))
             .addOption(Flags.withValue("judge", "DIR", "only judges the run of this folder again"))
             .addOption(Flags.simple("final-fault", "ends every run with the loss of all nodes"))
-            .addOption(Flags.simple("calm", "does nothing to the system before the end"))
-            .addOption(
-                Flags.simple("crashes", "adds requests that crash servers, and suspended machines"))
-            .addOption(
-                Flags.simple(
-                    "silent-connections",
-                    "adds open connections that go silent for good, also to a calm run"))
-            .addOption(
-                Flags.simple(
-                    "hard-load",
-                    "adds slow readers and floods by one tenant, with uneven servers also to a calm"
-                        + " run"))
-            .addOption(
-                Flags.simple(
-                    "evacuations", "adds zones that the operator evacuates, also to a calm run"))
-            .addOption(
-                Flags.simple(
-                    "second-answers",
-                    "adds servers that give some answers twice, also to a calm run"))
-            .addOption(
-                Flags.simple(
-                    "crash-waves",
-                    "adds several model servers that crash at once, again and again, also to a calm"
-                        + " run"))
-            .addOption(
-                Flags.simple(
-                    "endless-answers", "adds servers whose answers never end, also to a calm run"));
+            .addOption(Flags.simple("calm", "does nothing to the system before the end"));
+    for (Addition addition : Addition.values()) {
+      options.addOption(Flags.simple(addition.option(), addition.description()));
+    }
     SoakLoadFlags.addTo(options);
     return options;
   }
@@ -148,13 +129,7 @@
                         trafficMillis,
                         line.hasOption("final-fault"),
                         line.hasOption("calm"),
-                        line.hasOption("crashes"),
-                        line.hasOption("silent-connections"),
-                        line.hasOption("hard-load"),
-                        line.hasOption("evacuations"),
-                        line.hasOption("second-answers"),
-                        line.hasOption("crash-waves"),
-                        line.hasOption("endless-answers"),
+                        additions(line),
                         load,
                         repository,
                         out.resolve("seed-" + each)))
@@ -163,6 +138,12 @@
     return runs;
   }
 
+  private static Set<Addition> additions(CommandLine line) {
+    return Arrays.stream(Addition.values())
+        .filter(addition -> line.hasOption(addition.option()))
+        .collect(Collectors.toSet());
+  }
+
   private static double minutes(CommandLine line) throws CommandException {
     String value = line.getOptionValue("minutes");
     if (value == null) {
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -89,31 +89,31 @@
       atMillis = random.nextInt(OVERLAP_ONE_IN) == 0 ? midway(atMillis, endMillis) : endMillis;
       atMillis += between(LEAST_PAUSE_MILLIS, MOST_PAUSE_MILLIS);
     }
-    if (settings.hasCrashesAndSuspensions()) {
+    if (settings.additions().contains(Addition.CRASHES)) {
       addCrashesAndSuspensions(seed, lastMillis);
     }
-    if (settings.hasSilentConnections()) {
+    if (settings.additions().contains(Addition.SILENT_CONNECTIONS)) {
       addSilentConnections(seed, lastMillis);
     }
     faults.addAll(
         HardLoadPlan.uneven(seed, settings.backEndCount(), CALM_START_MILLIS, lastMillis));
-    if (settings.hasHardLoad()) {
+    if (settings.additions().contains(Addition.HARD_LOAD)) {
       faults.addAll(HardLoadPlan.callers(seed, CALM_START_MILLIS, lastMillis));
     }
-    if (settings.hasEvacuations()) {
+    if (settings.additions().contains(Addition.EVACUATIONS)) {
       faults.addAll(
           EvacuationPlan.evacuations(
               seed, settings.nodeCount(), settings.backEndCount(), CALM_START_MILLIS, lastMillis));
     }
-    if (settings.hasSecondAnswers()) {
+    if (settings.additions().contains(Addition.SECOND_ANSWERS)) {
       faults.addAll(SecondAnswerPlan.secondAnswers(seed, CALM_START_MILLIS, lastMillis));
     }
-    if (settings.hasEndlessAnswers()) {
+    if (settings.additions().contains(Addition.ENDLESS_ANSWERS)) {
       faults.addAll(
           EndlessAnswerPlan.endlessAnswers(
               seed, settings.backEndCount(), CALM_START_MILLIS, lastMillis));
     }
-    if (settings.hasCrashWaves()) {
+    if (settings.additions().contains(Addition.CRASH_WAVES)) {
       faults.addAll(CrashWavePlan.crashWaves(seed, lastMillis));
     }
     faults.removeIf(fault -> fault.atMillis() + fault.forMillis() > lastMillis);
--- a/soak/src/main/java/org/passhaven/soak/run/Nodes.java
+++ b/soak/src/main/java/org/passhaven/soak/run/Nodes.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import org.passhaven.platform.standin.NodePlace;
 import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.soak.plan.Addition;
 import org.passhaven.soak.process.NodeProcess;
 import org.passhaven.soak.process.ProcessSettings;
 import org.passhaven.soak.process.RunLine;
@@ -62,9 +63,7 @@
       ProcessSettings process =
           new ProcessSettings(
               place.name(),
-              settings.hasCrashesAndSuspensions()
-                  ? suspension.command(line.command())
-                  : line.command(),
+              settings.has(Addition.CRASHES) ? suspension.command(line.command()) : line.command(),
               settings.repository(),
               environment(file),
               settings.folder().resolve(place.name() + ".log"),
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -17,6 +17,7 @@
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.soak.check.Bounds;
 import org.passhaven.soak.fault.FaultSchedule;
+import org.passhaven.soak.plan.Addition;
 import org.passhaven.soak.plan.BackEndHarm;
 import org.passhaven.soak.plan.Fault;
 import org.passhaven.soak.plan.FaultPlan;
@@ -84,13 +85,7 @@
                 backEndCount,
                 settings.trafficMillis(),
                 settings.isFinalFaultCertain(),
-                settings.hasCrashesAndSuspensions(),
-                settings.hasSilentConnections(),
-                settings.hasHardLoad(),
-                settings.hasEvacuations(),
-                settings.hasSecondAnswers(),
-                settings.hasCrashWaves(),
-                settings.hasEndlessAnswers()));
+                settings.additions()));
     return settings.isCalm() ? calm(settings, plan) : plan;
   }
 
@@ -109,7 +104,7 @@
         || fault instanceof Fault.SecondAnswers
         || fault instanceof Fault.CrashWave
         || (fault instanceof Fault.OnBackEnd on && on.harm() == BackEndHarm.ENDLESS)
-        || (settings.hasHardLoad() && fault instanceof Fault.UnevenBackEnd);
+        || (settings.has(Addition.HARD_LOAD) && fault instanceof Fault.UnevenBackEnd);
   }
 
   /** Does a run; lines of progress and the verdict's lines go to the consumer. */
--- a/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
+++ b/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
@@ -9,6 +9,7 @@
 import org.passhaven.platform.standin.server.ColdStart;
 import org.passhaven.platform.standin.server.ServerSettings;
 import org.passhaven.platform.standin.store.StoreSettings;
+import org.passhaven.soak.plan.Addition;
 import org.passhaven.soak.plan.CrashWavePlan;
 
 /** The stand-in's settings for a run. */
@@ -50,7 +51,7 @@
     return StandinSettings.small(settings.seed(), places)
         .withStore(store, NodeBounds.usual().withStatusSeconds(load.statusSeconds()))
         .withServers(engines(settings), ServerSettings.plain())
-        .withColdStart(settings.hasEvacuations() ? COLD_START : ColdStart.NEVER)
+        .withColdStart(settings.has(Addition.EVACUATIONS) ? COLD_START : ColdStart.NEVER)
         .withClients(
             trainers(settings), CallerSettings.few().withCallers(load.callers()), WATCH_MILLIS);
   }
@@ -58,7 +59,7 @@
   private static ServerSettings engines(SoakSettings settings) {
     ServerSettings usual =
         ServerSettings.engines().withCharacters(settings.load().eventCharacters());
-    return settings.hasCrashWaves()
+    return settings.has(Addition.CRASH_WAVES)
         ? usual
             .withServers(CrashWavePlan.MODEL_SERVERS)
             .withWork(CrashWaveLoad.EVENT_MILLIS, usual.loadMillis())
@@ -69,7 +70,7 @@
     SoakLoad load = settings.load();
     TrainerSettings usual =
         TrainerSettings.small().withTrainers(load.trainers()).withAhead(load.ahead());
-    if (settings.hasCrashWaves()) {
+    if (settings.has(Addition.CRASH_WAVES)) {
       return usual
           .withSizes(
               CrashWaveLoad.GROUPS,
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -20,10 +20,9 @@
 class FaultPlannerTest {
   private static final long TRAFFIC_MILLIS = 180_000;
   private static final PlanSettings SETTINGS =
-      new PlanSettings(
-          5, 4, TRAFFIC_MILLIS, false, false, false, false, false, false, false, false);
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of());
   private static final PlanSettings WITH_CRASHES =
-      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, true, false, false, false, false, false, false);
+      new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.CRASHES));
   private static final int SEEDS = 60;
 
   /** Faults of seed 7 other than uneven back ends, which must not change them. */
@@ -81,9 +80,7 @@
     long some = plans().stream().filter(FaultPlan::isFinalFault).count();
     assertThat(some, greaterThan(10L));
     assertThat(some, lessThan(50L));
-    PlanSettings certain =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, true, false, false, false, false, false, false, false);
+    PlanSettings certain = new PlanSettings(5, 4, TRAFFIC_MILLIS, true, Set.of());
     assertThat(
         LongStream.range(0, SEEDS)
             .allMatch(seed -> FaultPlanner.plan(seed, certain).isFinalFault()),
@@ -122,8 +119,7 @@
   @Test
   void silentConnectionsAreAddedToWhatTheSeedGives() {
     PlanSettings silent =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, false, false, true, false, false, false, false, false);
+        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.SILENT_CONNECTIONS));
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, silent).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -156,9 +152,7 @@
 
   @Test
   void slowReadersAndFloodsAreAddedToWhatTheSeedGives() {
-    PlanSettings hard =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, false, false, false, true, false, false, false, false);
+    PlanSettings hard = new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.HARD_LOAD));
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, hard).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -175,8 +169,7 @@
   @Test
   void evacuationsAreAddedToWhatTheSeedGivesOneAfterTheOther() {
     PlanSettings evacuating =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, false, false, false, false, true, false, false, false);
+        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.EVACUATIONS));
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, evacuating).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -196,8 +189,7 @@
   @Test
   void secondAnswersAreAddedToWhatTheSeedGivesOneAfterTheOther() {
     PlanSettings stuttering =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, false, false, false, false, false, true, false, false);
+        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.SECOND_ANSWERS));
     for (long seed = 0; seed < SEEDS; seed++) {
       List<Fault> faults = FaultPlanner.plan(seed, stuttering).faults();
       List<Fault> usual = FaultPlanner.plan(seed, SETTINGS).faults();
@@ -230,11 +222,8 @@
   @Test
   void wavesOfCrashesBeginWithThoseOfTheReviewAndAreAddedToTheSeedsOwnPlan() {
     PlanSettings waves =
-        new PlanSettings(
-            5, 12, TRAFFIC_MILLIS, false, false, false, false, false, false, true, false);
-    PlanSettings none =
-        new PlanSettings(
-            5, 12, TRAFFIC_MILLIS, false, false, false, false, false, false, false, false);
+        new PlanSettings(5, 12, TRAFFIC_MILLIS, false, Set.of(Addition.CRASH_WAVES));
+    PlanSettings none = new PlanSettings(5, 12, TRAFFIC_MILLIS, false, Set.of());
     for (long seed = 1; seed <= 20; seed++) {
       List<Fault> planned = FaultPlanner.plan(seed, waves).faults();
       List<Fault.CrashWave> added =
@@ -259,8 +248,7 @@
   @Test
   void answersWithoutEndAreDrawnOnlyWhereAskedFor() {
     PlanSettings endless =
-        new PlanSettings(
-            5, 4, TRAFFIC_MILLIS, false, false, false, false, false, false, false, true);
+        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.ENDLESS_ANSWERS));
     for (long seed = 1; seed <= 20; seed++) {
       assertThat(hasEndlessAnswers(FaultPlanner.plan(seed, endless)), is(true));
       assertThat(hasEndlessAnswers(FaultPlanner.plan(seed, SETTINGS)), is(false));
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.passhaven.soak.check.Promise;
+import org.passhaven.soak.plan.Addition;
 
 /** The soak of the continuous integration: three processes of the built jar, one seed. */
 class SoakIT {
@@ -68,31 +69,20 @@
   private static final long ENDLESS_SEED = 1;
   private static final long ENDLESS_TRAFFIC_MILLIS = 30_000;
 
-  /** What is added to a run, which is else as its seed gives it. */
-  private enum Only {
-    NOTHING,
-    SILENT,
-    HARD,
-    EVACUATING,
-    STUTTERING,
-    CRASH_WAVES,
-    ENDLESS
-  }
-
-  private static final Set<Only> NOT_ENDED_BY_A_FAULT =
-      EnumSet.of(Only.STUTTERING, Only.CRASH_WAVES, Only.ENDLESS);
+  /** Additions whose runs don't end with the loss of all nodes. */
+  private static final Set<Addition> NOT_ENDED_BY_A_FAULT =
+      EnumSet.of(Addition.SECOND_ANSWERS, Addition.CRASH_WAVES, Addition.ENDLESS_ANSWERS);
 
-  private static Verdict run(long seed, long trafficMillis, boolean hasCrashesAndSuspensions)
+  /** Runs a seed with an addition and, apart from that, calm. */
+  private static Verdict runCalm(long seed, long trafficMillis, Addition addition)
       throws Exception {
-    return run(seed, trafficMillis, hasCrashesAndSuspensions, Only.NOTHING);
-  }
-
-  private static Verdict run(long seed, long trafficMillis, Only only) throws Exception {
-    return run(seed, trafficMillis, false, only);
+    boolean hasFinalFault = !NOT_ENDED_BY_A_FAULT.contains(addition);
+    return run(seed, trafficMillis, hasFinalFault, true, Set.of(addition));
   }
 
   private static Verdict run(
-      long seed, long trafficMillis, boolean hasCrashesAndSuspensions, Only only) throws Exception {
+      long seed, long trafficMillis, boolean hasFinalFault, boolean isCalm, Set<Addition> additions)
+      throws Exception {
     Path module = Path.of("").toAbsolutePath();
     Path folder = module.resolve("target").resolve("soak-ci").resolve("run-" + System.nanoTime());
     SoakSettings settings =
@@ -100,15 +90,9 @@
             seed,
             NODES,
             trafficMillis,
-            !NOT_ENDED_BY_A_FAULT.contains(only),
-            only != Only.NOTHING,
-            hasCrashesAndSuspensions,
-            only == Only.SILENT,
-            only == Only.HARD,
-            only == Only.EVACUATING,
-            only == Only.STUTTERING,
-            only == Only.CRASH_WAVES,
-            only == Only.ENDLESS,
+            hasFinalFault,
+            isCalm,
+            additions,
             SoakLoad.small(),
             module.getParent(),
             folder);
@@ -117,7 +101,8 @@
 
   @Test
   void everyPromiseHoldsBesideRequestsThatCrashBackEndsAndSuspendedMachines() throws Exception {
-    Verdict verdict = run(CRASHES_SEED, CRASHES_TRAFFIC_MILLIS, true);
+    Verdict verdict =
+        run(CRASHES_SEED, CRASHES_TRAFFIC_MILLIS, true, false, Set.of(Addition.CRASHES));
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.CRASHES_BOUNDED)));
     assertThat(verdict.unchecked(), not(hasItem(Promise.ITEM_BEGINS_AGAIN)));
@@ -126,21 +111,21 @@
 
   @Test
   void everyPromiseHoldsBesideOpenConnectionsThatGoSilentForGood() throws Exception {
-    Verdict verdict = run(SILENT_SEED, SILENT_TRAFFIC_MILLIS, Only.SILENT);
+    Verdict verdict = runCalm(SILENT_SEED, SILENT_TRAFFIC_MILLIS, Addition.SILENT_CONNECTIONS);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.SERVED_OVER_NEW_CONNECTIONS)));
   }
 
   @Test
   void everyPromiseHoldsBesideSlowReadersAndAFloodByOneTenant() throws Exception {
-    Verdict verdict = run(HARD_SEED, HARD_TRAFFIC_MILLIS, Only.HARD);
+    Verdict verdict = runCalm(HARD_SEED, HARD_TRAFFIC_MILLIS, Addition.HARD_LOAD);
     assertThat(verdict.findings(), empty());
     OF_HARD_LOAD.forEach(promise -> assertThat(verdict.unchecked(), not(hasItem(promise))));
   }
 
   @Test
   void everyPromiseHoldsBesideEvacuatedZones() throws Exception {
-    Verdict verdict = run(EVACUATING_SEED, EVACUATING_TRAFFIC_MILLIS, Only.EVACUATING);
+    Verdict verdict = runCalm(EVACUATING_SEED, EVACUATING_TRAFFIC_MILLIS, Addition.EVACUATIONS);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.ZONE_EMPTIED_IN_TIME)));
     assertThat(verdict.unchecked(), not(hasItem(Promise.COLD_RATE_KEPT)));
@@ -148,7 +133,7 @@
 
   @Test
   void everyPromiseHoldsBesideServersThatGiveAnswersTwice() throws Exception {
-    Verdict verdict = run(STUTTERING_SEED, STUTTERING_TRAFFIC_MILLIS, Only.STUTTERING);
+    Verdict verdict = runCalm(STUTTERING_SEED, STUTTERING_TRAFFIC_MILLIS, Addition.SECOND_ANSWERS);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.counts().getOrDefault("SecondAnswerGiven", 0L), greaterThan(100L));
   }
@@ -156,7 +141,7 @@
   /** Guards against an item that is left lying after crashes of its servers (review case 2). */
   @Test
   void noStepRunsOutOfTimeAfterWavesOfCrashes() throws Exception {
-    Verdict verdict = run(WAVES_SEED, WAVES_TRAFFIC_MILLIS, Only.CRASH_WAVES);
+    Verdict verdict = runCalm(WAVES_SEED, WAVES_TRAFFIC_MILLIS, Addition.CRASH_WAVES);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.NO_ITEM_LEFT_LYING)));
   }
@@ -164,7 +149,7 @@
   /** Guards against a server without end that takes a node's memory or others' answers. */
   @Test
   void everyPromiseHoldsBesideAnswersWithoutEnd() throws Exception {
-    Verdict verdict = run(ENDLESS_SEED, ENDLESS_TRAFFIC_MILLIS, Only.ENDLESS);
+    Verdict verdict = runCalm(ENDLESS_SEED, ENDLESS_TRAFFIC_MILLIS, Addition.ENDLESS_ANSWERS);
     assertThat(verdict.findings(), empty());
     assertThat(verdict.unchecked(), not(hasItem(Promise.WITHIN_MEMORY)));
     assertThat(verdict.unchecked(), not(hasItem(Promise.SERVED_BESIDE_ENDLESS_ANSWERS)));
@@ -172,7 +157,7 @@
 
   @Test
   void everyPromiseHolds() throws Exception {
-    Verdict verdict = run(SEED, TRAFFIC_MILLIS, false);
+    Verdict verdict = run(SEED, TRAFFIC_MILLIS, true, false, Set.of());
     assertThat(verdict.findings(), empty());
     assertThat(verdict.isKept(), equalTo(true));
     Set<Promise> unchecked = EnumSet.copyOf(verdict.unchecked());
