--- a/soak/src/main/java/org/passhaven/soak/check/StepCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/ItemStarvationCheck.java
@@ -17,15 +17,14 @@
 import org.passhaven.platform.standin.server.ServerSettings;
 
 /**
- * {@link Promise#NO_ITEM_LEFT_LYING}: a step must not run out of time because one of its items,
- * which no server has finished or failed, is at no server for {@link #LYING_MILLIS} of steady
- * state. It binds where others of the step had begun, less than half of the servers' slots were in
- * use, and no version was named then or shortly before. Steps that end in time count as checks that
- * hold.
+ * {@link Promise#NO_ITEM_STARVED}: a step must not run out of time because one of its items, which
+ * no server has finished or failed, is at no server for {@link #STARVED_MILLIS} of steady state. It
+ * binds where others of the step had begun, less than half of the servers' slots were in use, and
+ * no version was named then or shortly before. Steps that end in time count as checks that hold.
  */
-final class StepCheck {
-  /** Time at no server after which an item counts as left lying. */
-  static final long LYING_MILLIS = 5_000;
+final class ItemStarvationCheck {
+  /** Time at no server after which an item counts as starved. */
+  static final long STARVED_MILLIS = 5_000;
 
   private static final long VERSION_SETTLE_MILLIS = 6_000;
 
@@ -33,7 +32,7 @@
   private static final long MIN_RUN_MILLIS = 1_000;
 
   /** Distance of the moments at which a gap without a server is examined. */
-  private static final long STEP_MILLIS = 100;
+  private static final long SCAN_INTERVAL_MILLIS = 100;
 
   private static final int SLOTS = ServerSettings.engines().slots();
 
@@ -48,7 +47,7 @@
   /** Time from the begin of a run to its end. */
   private record Span(long fromMillis, long untilMillis) {}
 
-  private StepCheck(Evidence evidence) {
+  private ItemStarvationCheck(Evidence evidence) {
     this.evidence = evidence;
     this.namedMillis = evidence.all(VersionSent.class).map(VersionSent::atMillis).toList();
     countServers();
@@ -56,7 +55,7 @@
   }
 
   static void judge(Evidence evidence, Tally tally) {
-    StepCheck check = new StepCheck(evidence);
+    ItemStarvationCheck check = new ItemStarvationCheck(evidence);
     for (JobRecord job : evidence.jobs().all()) {
       if (job.isAccepted()) {
         check.judge(job, tally);
@@ -135,35 +134,35 @@
     if (!isInTime && timeUpMillis > evidence.endMillis()) {
       return;
     }
-    Optional<String> lying =
+    Optional<String> starved =
         isInTime
             ? Optional.empty()
             : job.plan().items().stream()
                 .map(ItemPlan::id)
-                .filter(item -> isLeftLying(job, item, timeUpMillis))
+                .filter(item -> isStarved(job, item, timeUpMillis))
                 .findFirst();
     tally.check(
-        lying.isEmpty(),
+        starved.isEmpty(),
         timeUpMillis,
         "",
         job.plan().id(),
         () ->
             "runs out of time while its item "
-                + lying.get()
+                + starved.get()
                 + " is at no server for "
-                + LYING_MILLIS
+                + STARVED_MILLIS
                 + " ms");
   }
 
-  private boolean isLeftLying(JobRecord job, String item, long timeUpMillis) {
+  private boolean isStarved(JobRecord job, String item, long timeUpMillis) {
     if (finishedMillisByItem.getOrDefault(item, Long.MAX_VALUE) <= timeUpMillis) {
       return false;
     }
     for (long atMillis = job.acceptedMillis;
-        atMillis + LYING_MILLIS <= timeUpMillis;
-        atMillis += STEP_MILLIS) {
+        atMillis + STARVED_MILLIS <= timeUpMillis;
+        atMillis += SCAN_INTERVAL_MILLIS) {
       long fromMillis = atMillis;
-      long untilMillis = atMillis + LYING_MILLIS;
+      long untilMillis = atMillis + STARVED_MILLIS;
       boolean isAtServer =
           runsOf(item).stream()
               .anyMatch(run -> run.fromMillis() < untilMillis && run.untilMillis() > fromMillis);
--- a/soak/src/main/java/org/passhaven/soak/check/Judge.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Judge.java
@@ -44,7 +44,7 @@
     checks.put(Promise.COLD_RATE_KEPT, ColdRateCheck::judge);
     checks.put(Promise.CRASHES_BOUNDED, CrashCheck::judge);
     checks.put(Promise.ITEM_BEGINS_AGAIN, ItemCrashCheck::judge);
-    checks.put(Promise.NO_ITEM_LEFT_LYING, StepCheck::judge);
+    checks.put(Promise.NO_ITEM_STARVED, ItemStarvationCheck::judge);
     checks.put(Promise.TENANT_TRUE, TenantCheck::judge);
     checks.put(Promise.SERVED_OVER_NEW_CONNECTIONS, SilenceCheck::judge);
     checks.put(Promise.SERVED_BESIDE_ENDLESS_ANSWERS, EndlessAnswerCheck::judge);
--- a/soak/src/main/java/org/passhaven/soak/check/Promise.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Promise.java
@@ -43,7 +43,7 @@
   /**
    * No step runs out of time because one of its items is at no server while there is room for it.
    */
-  NO_ITEM_LEFT_LYING,
+  NO_ITEM_STARVED,
   /** A request runs for the tenant of its caller's key, and no server is shown a key. */
   TENANT_TRUE,
   /** While open connections are silent, what may be repeated is served over new ones. */
--- a/soak/src/test/java/org/passhaven/soak/check/StepCheckTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/ItemStarvationCheckTest.java
@@ -9,7 +9,7 @@
 import org.passhaven.platform.standin.history.ServerObservation.ServerStarted;
 
 /** Guards the judgement of review case 2: a step that runs out of time beside free servers. */
-class StepCheckTest {
+class ItemStarvationCheckTest {
   private static final long SENT_MILLIS = 10_000;
   private static final long DUE_MILLIS = 16_000;
   private static final long LATE_MILLIS = 40_000;
@@ -20,12 +20,12 @@
 
   @Test
   void aStepRunsOutOfTimeWhileItsItemIsAtNoServer() {
-    longStep().ended(LATE_MILLIS).assertBroken(Promise.NO_ITEM_LEFT_LYING);
+    longStep().ended(LATE_MILLIS).assertBroken(Promise.NO_ITEM_STARVED);
   }
 
   @Test
   void aStepThatEndsInTimeHolds() {
-    longStep().ended(SENT_MILLIS + DUE_MILLIS).assertHolds(Promise.NO_ITEM_LEFT_LYING);
+    longStep().ended(SENT_MILLIS + DUE_MILLIS).assertHolds(Promise.NO_ITEM_STARVED);
   }
 
   @Test
@@ -36,7 +36,7 @@
         .add(ended(firstMillis + 2_000, Story.ITEM, 2, RunEnd.CRASHED))
         .run(firstMillis + 5_500, Story.ITEM, 3)
         .ended(LATE_MILLIS)
-        .assertHolds(Promise.NO_ITEM_LEFT_LYING);
+        .assertHolds(Promise.NO_ITEM_STARVED);
   }
 
   @Test
@@ -44,11 +44,11 @@
     longStep()
         .add(new ProcessEvent(SENT_MILLIS + 9_000, Story.FIRST, Happening.PAUSED, 1))
         .ended(LATE_MILLIS)
-        .assertHolds(Promise.NO_ITEM_LEFT_LYING);
+        .assertHolds(Promise.NO_ITEM_STARVED);
     longStep()
         .add(new VersionSent(SENT_MILLIS + 9_000, "m", 4))
         .ended(LATE_MILLIS)
-        .assertHolds(Promise.NO_ITEM_LEFT_LYING);
+        .assertHolds(Promise.NO_ITEM_STARVED);
   }
 
   /** A step of two items, one of which is cut by a crash and does not go on by itself. */
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -138,12 +138,12 @@
     assertThat(verdict.counts().getOrDefault("SecondAnswerGiven", 0L), greaterThan(100L));
   }
 
-  /** Guards against an item that is left lying after crashes of its servers (review case 2). */
+  /** Guards against an item that starves after crashes of its servers (review case 2). */
   @Test
   void noStepRunsOutOfTimeAfterWavesOfCrashes() throws Exception {
     Verdict verdict = runCalm(WAVES_SEED, WAVES_TRAFFIC_MILLIS, Addition.CRASH_WAVES);
     assertThat(verdict.findings(), empty());
-    assertThat(verdict.unchecked(), not(hasItem(Promise.NO_ITEM_LEFT_LYING)));
+    assertThat(verdict.unchecked(), not(hasItem(Promise.NO_ITEM_STARVED)));
   }
 
   /** Guards against a server without end that takes a node's memory or others' answers. */
