A server's answer is logged with its attempt, connection and framing

Which start of a server, which connection, how manyeth request on it, what marked the body's end, which attempt of how many, a hedge beside it: none of it was known afterwards.

Design: AnswerOrigin (module spi) stands in Answer; answers of fakes and simulated servers have AnswerOrigin.NONE. It is taken at the head of the response, since at its end the connection may have begun another call; only whether the connection had ended is looked up at the end. PooledHttpClient numbers connections, SecondAnswerFilter counts requests and second answers, AnswerFraming names the framing. AnswerLog (module node) writes one line "request: answered" for each answer handed on: at INFO, 20 a second at most, if more than one attempt was sent, the body ended with its connection, or second answers or one without an id had come on it; else at DEBUG, where nothing is put together while DEBUG is off. Lines left out are counted (passhaven_gateway_answers_unlogged_total), answers that ended with their connection too (..._answers_until_close_total). LineLimit moves from platform to node. Nothing that is decided or delivered changes.

Logback becomes a test dependency of module node, so that tests can read lines; all its loggers are off unless a test sets one.

--- a/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
@@ -28,10 +28,19 @@
   private int attemptsSent;
   private boolean isCancelled;
 
+  /**
+   * An attempt at a server.
+   *
+   * @param number position among the attempts of its request, from 1
+   * @param isHedge whether another attempt was in progress when it was sent
+   * @param sentAtMillis time of sending in monotonic milliseconds
+   */
+  record Attempt(ServerEntry server, int number, boolean isHedge, long sentAtMillis) {}
+
   /** Receives the result of each attempt. Times of sending are in monotonic milliseconds. */
   interface Listener {
     /** Called when a server has answered. */
-    void onAnswer(ServerEntry server, Answer answer, long sentAtMillis);
+    void onAnswer(Attempt attempt, Answer answer);
 
     /** Called when an attempt has ended without an answer. */
     void onFailure(ServerEntry server, PlatformException failure, long sentAtMillis);
@@ -73,7 +82,8 @@
             .with(
                 answer -> {
                   inProgress.remove(attempt);
-                  listener.onAnswer(server, answer, sentAtMillis);
+                  listener.onAnswer(
+                      new Attempt(server, attempt + 1, isHedge, sentAtMillis), answer);
                 },
                 failure -> {
                   inProgress.remove(attempt);
--- a/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/org/passhaven/node/gateway/GatewayMetrics.java
@@ -41,6 +41,12 @@
   /** Requests whose outcome is unknown. */
   public final Counter requestsUnknown;
 
+  /** Answers handed on whose end was that of their connection. */
+  public final Counter answersUntilClose;
+
+  /** Log lines of answers that were left out for the limit of lines per second. */
+  public final Counter answerLinesDropped;
+
   /** Attempts at servers that failed. */
   public final Counter attemptsFailed;
 
@@ -122,6 +128,8 @@
     requestsAnswered = registry.counter("passhaven.gateway.requests", "outcome", "answered");
     requestsRefused = registry.counter("passhaven.gateway.requests", "outcome", "refused-not-run");
     requestsUnknown = registry.counter("passhaven.gateway.requests", "outcome", "outcome-unknown");
+    answersUntilClose = registry.counter("passhaven.gateway.answers.until.close");
+    answerLinesDropped = registry.counter("passhaven.gateway.answers.unlogged");
     attemptsFailed = registry.counter("passhaven.gateway.attempts.failed");
     subsetsWidened = registry.counter("passhaven.gateway.subsets.widened");
     attemptsInOtherRegion = registry.counter("passhaven.gateway.attempts.in.other.region");
--- a/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestForwarder.java
@@ -19,6 +19,7 @@
 import org.passhaven.core.request.RateMeter;
 import org.passhaven.core.route.Route;
 import org.passhaven.core.route.WeightedRoundRobin;
+import org.passhaven.node.gateway.ForwardAttempts.Attempt;
 import org.passhaven.protocol.member.MemberBeat;
 import org.passhaven.protocol.region.RegionRestriction;
 import org.passhaven.spi.BackEndService.Answer;
@@ -54,6 +55,7 @@
   private final ColdTurnQueue coldTurns;
   private final RateMeter requestRate;
   private final RunListener runListener;
+  private final AnswerLog answerLog;
   private final Set<Forward> inProgress = new LinkedHashSet<>();
 
   /** Receives the requests that a server ran or may have run. */
@@ -84,6 +86,7 @@
             context, directory, name -> directory.candidatesOf(name, RegionRestriction.NONE));
     this.coldTurns = new ColdTurnQueue(context, directory);
     this.requestRate = new RateMeter(context.nowMillis());
+    this.answerLog = new AnswerLog(context);
     directory.addListener(
         () ->
             health.retain(
@@ -134,6 +137,7 @@
   }
 
   private final class Forward implements RequestAdmission.SlotListener, ForwardAttempts.Listener {
+    private final Route route;
     private final Call call;
     private final UniEmitter<? super ForwardOutcome> emitter;
     private final ForwardPlan plan;
@@ -152,6 +156,7 @@
 
     Forward(
         Route route, Call submitted, Source source, UniEmitter<? super ForwardOutcome> emitter) {
+      this.route = route;
       this.call =
           submitted.withRestriction(
               submitted
@@ -252,7 +257,9 @@
     }
 
     @Override
-    public void onAnswer(ServerEntry server, Answer answer, long sentAtMillis) {
+    public void onAnswer(Attempt attempt, Answer answer) {
+      ServerEntry server = attempt.server();
+      long sentAtMillis = attempt.sentAtMillis();
       long now = context.nowMillis();
       Outcome outcome = classify(answer);
       if (outcome != Outcome.NOT_RUN) {
@@ -268,7 +275,7 @@
         log.onAttemptFailed(server, outcome, "status " + answer.status());
       }
       crashGuard.onAnswered(outcome);
-      continueAfter(outcome, answer);
+      continueAfter(outcome, attempt, answer);
     }
 
     private void onNotRun(ServerEntry server, boolean isFull) {
@@ -299,11 +306,11 @@
       Outcome outcome = notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN;
       log.onAttemptFailed(server, outcome, failure.getMessage());
       if (notRun) {
-        continueAfter(outcome, null);
+        continueAfter(outcome);
         return;
       }
       reportRunOnce(sentAtMillis);
-      crashGuard.onOutcomeUnknown(server).subscribe().with(ignored -> continueAfter(outcome, null));
+      crashGuard.onOutcomeUnknown(server).subscribe().with(ignored -> continueAfter(outcome));
     }
 
     /**
@@ -330,7 +337,7 @@
       log.onAttemptFailed(server, Outcome.UNKNOWN, failure.getMessage());
       reportRunOnce(sentAtMillis);
       crashGuard.onAnswered(Outcome.UNKNOWN);
-      continueAfter(Outcome.UNKNOWN, null);
+      continueAfter(Outcome.UNKNOWN);
     }
 
     /** Reports that a server ran or may have run the request; only the first call has an effect. */
@@ -341,19 +348,34 @@
       }
     }
 
-    private void continueAfter(Outcome outcome, Answer answer) {
+    /** Continues after an attempt without an answer. */
+    private void continueAfter(Outcome outcome) {
+      continueAfter(outcome, null, null);
+    }
+
+    private void continueAfter(Outcome outcome, Attempt attempt, Answer answer) {
       if (isDone) {
         return;
       }
       updateUncountedTime();
       switch (plan.onEnded(outcome, context.nowMillis())) {
-        case DELIVER -> finish(new ForwardOutcome.Answered(answer, plan.serverErrors()));
+        case DELIVER -> deliver(attempt, answer);
         case TRY_NEXT -> context.timers().after(backoffMillis(outcome), this::tryNextOrFail);
         case GIVE_UP -> fail("attempts used up");
         case WAIT -> {}
       }
     }
 
+    private void deliver(Attempt attempt, Answer answer) {
+      answerLog.onDelivered(
+          route,
+          call,
+          answer,
+          new AnswerLog.Attempts(attempt, attempts.attemptsSent(), plan.inProgress()),
+          context.nowMillis() - startedAtMillis);
+      finish(new ForwardOutcome.Answered(answer, plan.serverErrors()));
+    }
+
     private long backoffMillis(Outcome outcome) {
       return outcome == Outcome.NOT_RUN ? RETRY_PAUSE_MILLIS : 1;
     }
--- a/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestLogger.java
@@ -73,7 +73,7 @@
     LOG.atLevel(outcome == Outcome.NOT_RUN ? Level.DEBUG : Level.INFO)
         .addKeyValue("request", call.id())
         .addKeyValue("route", route.name())
-        .addKeyValue("path", path())
+        .addKeyValue("path", pathOf(call))
         .addKeyValue("server", server.incarnation())
         .addKeyValue("outcome", outcome)
         .addKeyValue("reason", reason)
@@ -82,7 +82,7 @@
   }
 
   /** Returns the path without its query, which identifies repeats of a request in the log. */
-  private String path() {
+  static String pathOf(Call call) {
     int query = call.uri().indexOf('?');
     return query < 0 ? call.uri() : call.uri().substring(0, query);
   }
--- a/node/src/test/java/org/passhaven/node/gateway/ForwardAttemptsTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ForwardAttemptsTest.java
@@ -65,7 +65,7 @@
 
   private final class RecordingListener implements ForwardAttempts.Listener {
     @Override
-    public void onAnswer(ServerEntry server, Answer answer, long sentAtMillis) {
+    public void onAnswer(ForwardAttempts.Attempt attempt, Answer answer) {
       throw new IllegalStateException("no server answers in this test");
     }
 
--- a/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/RequestForwarderTest.java
@@ -2,12 +2,14 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
+import ch.qos.logback.classic.Level;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
@@ -354,6 +356,43 @@
     }
   }
 
+  /** Guards against a success that can't be told from the failure of another attempt. */
+  @Test
+  void theLineOfAnAnswerNamesItsAttemptAmongThoseSent() {
+    try (CapturedLog log = CapturedLog.of(RequestForwarder.class, Level.INFO)) {
+      submit("/p");
+      last().succeed();
+      assertThat("a first attempt", log.lines("request: answered"), hasSize(0));
+      submit("/p");
+      last().answer(500);
+      timers.advance(5);
+      last().succeed();
+      Map<String, String> line = log.lines("request: answered").get(0);
+      assertThat(line.get("attempt") + " of " + line.get("attempts"), equalTo("2 of 2"));
+      assertThat(line.get("hedge") + line.get("inProgress"), equalTo("false0"));
+      assertThat(line.get("server"), containsString(last().server()));
+    }
+  }
+
+  @Test
+  void theLineOfAnAnswerTellsWhetherAnotherAttemptWasInProgress() {
+    try (CapturedLog log = CapturedLog.of(RequestForwarder.class, Level.INFO)) {
+      submit("/p");
+      timers.advance(HEDGE_MILLIS);
+      sent.get(0).succeed();
+      submit("/q");
+      timers.advance(HEDGE_MILLIS);
+      last().succeed();
+      List<Map<String, String>> lines = log.lines("request: answered");
+      assertThat(
+          lines.stream()
+              .map(line -> line.get("attempt") + line.get("hedge") + line.get("inProgress"))
+              .toList(),
+          contains("1false1", "2true1"));
+      assertThat(Long.parseLong(lines.get(0).get("attemptMillis")), greaterThan(HEDGE_MILLIS - 1));
+    }
+  }
+
   @Test
   void onlyAnswersOf500AreCountedAsServerErrors() {
     submit("/p");
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -81,11 +81,24 @@
    * @param notRun whether the server reports that it did not run the request
    * @param signature signature by which the server confirms its response; empty if there is none
    * @param headers header fields to pass on to the caller
+   * @param origin where the response came from
    */
   record Answer(
-      int status, boolean notRun, String signature, List<HeaderField> headers, byte[] body) {
+      int status,
+      boolean notRun,
+      String signature,
+      List<HeaderField> headers,
+      byte[] body,
+      AnswerOrigin origin) {
     public Answer {
       headers = List.copyOf(headers);
+      Objects.requireNonNull(origin, "origin");
+    }
+
+    /** Creates a response that came over no connection. */
+    public Answer(
+        int status, boolean notRun, String signature, List<HeaderField> headers, byte[] body) {
+      this(status, notRun, signature, headers, body, AnswerOrigin.NONE);
     }
 
     /** Returns whether the request succeeded. */
