Soak: a link carries a reset on as a reset

Cause: a link's proxy ended the other side of a connection in the usual way, also where its own side was reset. So no node ever saw a back end's reset: a crash by reset looked like that of a killed process, and an answer without length that is reset on the way would have looked whole. Change: the library tells an error of a connection before its end; the pump then resets the other side, behind what was read before. Result: LinkProxyTest.carriesAResetBehindWhatWasSentBeforeIt: "Expected: is <true> but: was <false>" with the former proxy, green now; the other seven stay green.

--- a/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
+++ b/soak/src/main/java/org/passhaven/soak/proxy/LinkProxy.java
@@ -108,7 +108,7 @@
         .onFailure(ignored -> reset(opener));
   }
 
-  private static void reset(NetSocket socket) {
+  static void reset(NetSocket socket) {
     if (socket instanceof NetSocketInternal inner
         && inner.channelHandlerContext().channel().isOpen()) {
       inner.channelHandlerContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
@@ -128,10 +128,17 @@
       Pump back =
           new Pump(vertx, LinkState.Direction.BACK, () -> state, backMeter, answerer, opener);
       pumps = List.of(out, back);
+      carryResets(opener, out);
+      carryResets(answerer, back);
       opener.closeHandler(ignored -> closed(out));
       answerer.closeHandler(ignored -> closed(back));
     }
 
+    /** The library tells an error of a connection before its end; a usual end has none. */
+    private void carryResets(NetSocket from, Pump pump) {
+      from.exceptionHandler(ignored -> pump.endsByReset());
+    }
+
     private void closed(Pump pump) {
       pump.end();
       closedEnds++;
--- a/soak/src/main/java/org/passhaven/soak/proxy/Pump.java
+++ b/soak/src/main/java/org/passhaven/soak/proxy/Pump.java
@@ -30,6 +30,7 @@
   private final Deque<Piece> queue = new ArrayDeque<>();
   private int queuedBytes;
   private boolean isEnded;
+  private boolean isReset;
   private boolean isMute;
   private boolean isWaiting;
   private boolean isPaused;
@@ -52,6 +53,11 @@
     from.handler(this::take);
   }
 
+  /** The sender's connection was reset, which its end tells the other side too. */
+  void endsByReset() {
+    isReset = true;
+  }
+
   /** The sender has closed: what is queued still goes, then the other side is closed. */
   void end() {
     isEnded = true;
@@ -74,7 +80,9 @@
     while (!isMute && !isWaiting && !state.get().isHeld(direction)) {
       Piece head = queue.peek();
       if (head == null) {
-        if (isEnded) {
+        if (isEnded && isReset) {
+          LinkProxy.reset(to);
+        } else if (isEnded) {
           to.close();
         }
         return;
--- a/soak/src/test/java/org/passhaven/soak/proxy/LinkProxyTest.java
+++ b/soak/src/test/java/org/passhaven/soak/proxy/LinkProxyTest.java
@@ -120,6 +120,15 @@
     assertThat(isReset(answerer), equalTo(true));
   }
 
+  @Test
+  void carriesAResetBehindWhatWasSentBeforeIt() throws Exception {
+    answerer.getOutputStream().write(2);
+    assertThat(opener.getInputStream().read(), equalTo(2));
+    answerer.setSoLinger(true, 0);
+    answerer.close();
+    assertThat(isReset(opener), equalTo(true));
+  }
+
   @Test
   void openConnectionsGoSilentForGoodAndNewOnesWork() throws Exception {
     opener.getOutputStream().write(1);
