Soak: answers that are broken off, callers that leave early (--broken-answers)

Cause: the soak lacked back ends that break off their answers; all answers were whole, given twice or endless. Change: for some seconds at a time the stand-in's servers break off a drawn share of all answers behind a drawn byte of head or body, in each framing, by a usual close or a reset; others are whole and reset right behind, followed by bytes of no answer, preceded by an interim answer, or without length. A run whose answer was broken off is noted BROKEN, without signature, whatever its status; AnswerHarmed tells status, framing, ending and bytes, and findings of WHOLE_ANSWER print it. Callers then keep their connections for good (34 of 100 callers) and leave early (15 of 100 requests on kept connections); draws apart, so that other plays are what they were. Checks: WHOLE_ANSWER takes no signature of a broken-off run; ResultChecksTest has histories that break it (a success of a broken-off answer, of a failure, a score of one).

--- a/soak/src/main/java/org/passhaven/soak/check/EndlessAnswerCheck.java
+++ b/soak/src/main/java/org/passhaven/soak/check/EndlessAnswerCheck.java
@@ -29,6 +29,7 @@
 
   private final Evidence evidence;
   private final List<Span> harms = new ArrayList<>();
+  private final Set<String> left;
 
   /** A time in which something is wrong with a back end. */
   private record Span(long fromMillis, long untilMillis, boolean isEndless) {
@@ -39,9 +40,12 @@
 
   private EndlessAnswerCheck(Evidence evidence) {
     this.evidence = evidence;
+    this.left = evidence.leftIds();
     Map<Integer, ServerHarmSet> open = new HashMap<>();
     evidence.all(ServerHarmSet.class).forEach(set -> see(set, open));
     open.values().forEach(set -> addHarm(set, Long.MAX_VALUE));
+    StutterSpan.all(evidence)
+        .forEach(span -> harms.add(new Span(span.fromMillis(), span.untilMillis(), false)));
     evidence
         .all(ServerEnded.class)
         .forEach(end -> harms.add(new Span(end.atMillis(), end.atMillis() + SETTLE_MILLIS, false)));
@@ -96,6 +100,7 @@
     long untilMillis = request.atMillis() + request.deadlineMillis();
     long harmCount = harms.stream().filter(harm -> harm.holds(request.atMillis())).count();
     return harmCount == 1
+        && !left.contains(request.id())
         && evidence.touch().isInTouch(request.node(), request.atMillis(), untilMillis);
   }
 }
--- a/soak/src/main/java/org/passhaven/soak/check/Evidence.java
+++ b/soak/src/main/java/org/passhaven/soak/check/Evidence.java
@@ -1,8 +1,11 @@
 package org.passhaven.soak.check;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.platform.standin.history.RequestObservation.RequestLeft;
 
 /**
  * A whole history with what all checks need of it. Texts of results stand in it as {@link
@@ -39,6 +42,11 @@
     return observations.stream().filter(kind::isInstance).map(kind::cast);
   }
 
+  /** Ids of requests whose callers left before an answer was due. */
+  Set<String> leftIds() {
+    return all(RequestLeft.class).map(RequestLeft::id).collect(Collectors.toSet());
+  }
+
   List<Observation> observations() {
     return observations;
   }
--- a/soak/src/main/java/org/passhaven/soak/check/ResultChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/ResultChecks.java
@@ -8,16 +8,21 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.passhaven.platform.standin.history.ItemPlan;
 import org.passhaven.platform.standin.history.JobObservation.Result;
 import org.passhaven.platform.standin.history.JobObservation.ResultsRead;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerHarm;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerHarmed;
 import org.passhaven.platform.standin.history.ServerObservation.RunEnded;
 
 /** Checks of the content of results and answers. */
 final class ResultChecks {
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_OTHER = 300;
+  private static final int UNPROCESSABLE = 422;
+  private static final int SERVER_ERROR = 500;
 
   private ResultChecks() {}
 
@@ -49,6 +54,7 @@
   static void wholeAnswer(Evidence evidence, Tally tally) {
     RunEnds ends = new RunEnds();
     evidence.all(RunEnded.class).forEach(ends::see);
+    evidence.all(AnswerHarmed.class).forEach(ends::see);
     eachResult(
         evidence,
         first -> {
@@ -66,6 +72,7 @@
     private final Map<String, Set<String>> signatures = new HashMap<>();
     private final Map<String, List<Long>> failures = new HashMap<>();
     private final Map<String, Long> impossible = new HashMap<>();
+    private final Map<String, List<AnswerHarmed>> harmed = new HashMap<>();
 
     void see(RunEnded ended) {
       switch (ended.how()) {
@@ -78,6 +85,38 @@
       }
     }
 
+    void see(AnswerHarmed answer) {
+      harmed.computeIfAbsent(answer.id(), id -> new ArrayList<>()).add(answer);
+      // A node may go by a failure's head once that is whole: its run is not repeated for nothing.
+      boolean isToldByHead =
+          answer.harm() == AnswerHarm.BROKEN && answer.sentBytes() >= answer.headBytes();
+      if (isToldByHead && answer.status() == SERVER_ERROR) {
+        failures.computeIfAbsent(answer.id(), id -> new ArrayList<>()).add(answer.atMillis());
+      } else if (isToldByHead && answer.status() == UNPROCESSABLE) {
+        impossible.merge(answer.id(), answer.atMillis(), Math::min);
+      }
+    }
+
+    /** What servers did to their answers to an id, for a finding's text. */
+    String harms(String id) {
+      return harmed.getOrDefault(id, List.of()).stream()
+          .map(
+              each ->
+                  "; %s answered %d: %s %s %s%s, %d bytes of head, %d sent%s, signature %s"
+                      .formatted(
+                          each.instance(),
+                          each.status(),
+                          each.harm(),
+                          each.framing(),
+                          each.ending(),
+                          each.isInterimFirst() ? " behind an interim answer" : "",
+                          each.headBytes(),
+                          each.sentBytes(),
+                          each.surplus().isEmpty() ? "" : ", then " + each.surplus().trim(),
+                          each.signature()))
+          .collect(Collectors.joining());
+    }
+
     /** Whether its servers had failed it often enough by a time. */
     boolean hasFailed(String id, int maxAttempts, long byMillis) {
       long failureCount =
@@ -108,7 +147,11 @@
           ends.isSignature(scoreId, first.result().score()),
           first,
           tally,
-          "the score " + first.result().score() + " is no signature of call " + scoreId);
+          "the score "
+              + first.result().score()
+              + " is no signature of call "
+              + scoreId
+              + ends.harms(scoreId));
     }
   }
 
@@ -123,7 +166,13 @@
             || ends.hasFailed(first.item().scoreId(), maxAttempts, atMillis)
             || isGivenUp
             || job.endAskedMillis <= atMillis;
-    check(isAllowed, first, tally, "is errored in an open job before its attempts are used up");
+    check(
+        isAllowed,
+        first,
+        tally,
+        "is errored in an open job before its attempts are used up"
+            + ends.harms(first.item().id())
+            + ends.harms(first.item().scoreId()));
   }
 
   private static void checkAnswer(RequestAnswered answer, RunEnds ends, Tally tally) {
@@ -137,7 +186,7 @@
         () ->
             isOther
                 ? "the answer is that of " + answer.answerId()
-                : "a " + answer.status() + " lacks signature or body");
+                : "a " + answer.status() + " lacks signature or body" + ends.harms(answer.id()));
     if (!answer.signature().isEmpty()) {
       tally.check(
           isSuccess && ends.isSignature(answer.id(), answer.signature()),
@@ -149,7 +198,8 @@
                   + answer.status()
                   + " has the signature "
                   + answer.signature()
-                  + ", which no whole answer to it has");
+                  + ", which no whole answer to it has"
+                  + ends.harms(answer.id()));
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
+++ b/soak/src/main/java/org/passhaven/soak/check/SlowReaderChecks.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.passhaven.platform.standin.history.NodeObservation.ServerHarmSet;
 import org.passhaven.platform.standin.history.RequestObservation.FloodBegun;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
@@ -71,9 +72,11 @@
     this.disturbances = disturbances(evidence);
   }
 
-  /** Ids of requests whose callers read slowly. */
+  /** Ids of requests whose callers read slowly or left early, which aren't among others served. */
   static Set<String> ids(Evidence evidence) {
-    return evidence.all(SlowReadBegun.class).map(SlowReadBegun::id).collect(Collectors.toSet());
+    return Stream.concat(
+            evidence.all(SlowReadBegun.class).map(SlowReadBegun::id), evidence.leftIds().stream())
+        .collect(Collectors.toSet());
   }
 
   /** Times in which some caller read slowly, overlapping ones merged. */
--- a/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/ActiveFaults.java
@@ -56,6 +56,8 @@
       hands.evacuate(on.zone());
     } else if (fault instanceof Fault.SecondAnswers on) {
       hands.stutter(on);
+    } else if (fault instanceof Fault.BrokenAnswers on) {
+      hands.harmAnswers(on);
     } else if (fault instanceof Fault.Change change) {
       hands.change(change.change(), change.backEnd());
     }
@@ -81,6 +83,8 @@
       hands.endEvacuation(on.zone());
     } else if (fault instanceof Fault.SecondAnswers) {
       hands.endStutter();
+    } else if (fault instanceof Fault.BrokenAnswers) {
+      hands.endAnswerHarm();
     }
   }
 
--- a/soak/src/main/java/org/passhaven/soak/fault/Hands.java
+++ b/soak/src/main/java/org/passhaven/soak/fault/Hands.java
@@ -82,6 +82,12 @@
   /** All back ends give each answer once again. */
   void endStutter();
 
+  /** All back ends begin to harm some of their answers. */
+  void harmAnswers(Fault.BrokenAnswers fault);
+
+  /** All back ends give each answer whole and as usual again. */
+  void endAnswerHarm();
+
   /** Does planned work. */
   void change(OperatorChange change, int backEnd);
 }
--- a/soak/src/main/java/org/passhaven/soak/plan/Addition.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Addition.java
@@ -20,7 +20,11 @@
       "crash-waves",
       "adds several model servers that crash at once, again and again, also to a calm run"),
   /** Back ends that answer without end. */
-  ENDLESS_ANSWERS("endless-answers", "adds servers whose answers never end, also to a calm run");
+  ENDLESS_ANSWERS("endless-answers", "adds servers whose answers never end, also to a calm run"),
+  /** Back ends that break off some answers, or send something in front of or behind them. */
+  BROKEN_ANSWERS(
+      "broken-answers",
+      "adds servers that break off some answers, and callers that leave early, also to a calm run");
 
   private final String option;
   private final String description;
--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -233,6 +233,28 @@
     }
   }
 
+  /**
+   * All back ends break off a share of their answers, and send something unusual in front of or
+   * behind others. Shares are of a thousand.
+   */
+  record BrokenAnswers(long atMillis, long forMillis, int brokenPermille, int oddPermille)
+      implements Fault {
+    /** Checks. */
+    public BrokenAnswers {
+      checkTimes(atMillis, forMillis);
+    }
+
+    @Override
+    public List<Integer> nodes() {
+      return List.of();
+    }
+
+    @Override
+    public String kind() {
+      return "broken-ANSWERS";
+    }
+  }
+
   /** The operator or a back end does planned work. */
   record Change(long atMillis, OperatorChange change, int backEnd) implements Fault {
     /** Checks. */
--- a/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/FaultPlanner.java
@@ -108,6 +108,9 @@
     if (settings.additions().contains(Addition.SECOND_ANSWERS)) {
       faults.addAll(SecondAnswerPlan.secondAnswers(seed, CALM_START_MILLIS, lastMillis));
     }
+    if (settings.additions().contains(Addition.BROKEN_ANSWERS)) {
+      faults.addAll(BrokenAnswerPlan.brokenAnswers(seed, CALM_START_MILLIS, lastMillis));
+    }
     if (settings.additions().contains(Addition.ENDLESS_ANSWERS)) {
       faults.addAll(
           EndlessAnswerPlan.endlessAnswers(
--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -10,10 +10,12 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.passhaven.platform.standin.StandinPlatform;
+import org.passhaven.platform.standin.history.NodeObservation.AnswerFaultsSet;
 import org.passhaven.platform.standin.history.NodeObservation.LinkFaultSet;
 import org.passhaven.platform.standin.history.NodeObservation.ServerHarmSet;
 import org.passhaven.platform.standin.history.NodeObservation.StutterSet;
 import org.passhaven.platform.standin.history.Observation;
+import org.passhaven.platform.standin.server.AnswerFaults;
 import org.passhaven.platform.standin.server.CrashingRequests;
 import org.passhaven.platform.standin.server.ServerControl;
 import org.passhaven.platform.standin.server.Stutter;
@@ -272,6 +274,22 @@
     platform.servers().forEach(server -> server.stutter(stutter));
   }
 
+  @Override
+  public void harmAnswers(Fault.BrokenAnswers fault) {
+    setAnswerFaults(new AnswerFaults(fault.brokenPermille(), fault.oddPermille()));
+  }
+
+  @Override
+  public void endAnswerHarm() {
+    setAnswerFaults(AnswerFaults.NONE);
+  }
+
+  private void setAnswerFaults(AnswerFaults faults) {
+    boolean isHarming = !faults.equals(AnswerFaults.NONE);
+    history.accept(new AnswerFaultsSet(platform.nowMillis(), "", isHarming));
+    platform.servers().forEach(server -> server.harmAnswers(faults));
+  }
+
   private String zone(int index) {
     List<String> zones = platform.zones();
     return zones.get(index % zones.size());
--- a/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakRun.java
@@ -102,6 +102,7 @@
         || fault instanceof Fault.Evacuation
         || fault instanceof Fault.ColdRestart
         || fault instanceof Fault.SecondAnswers
+        || fault instanceof Fault.BrokenAnswers
         || fault instanceof Fault.CrashWave
         || (fault instanceof Fault.OnBackEnd on && on.harm() == BackEndHarm.ENDLESS)
         || (settings.has(Addition.HARD_LOAD) && fault instanceof Fault.UnevenBackEnd);
--- a/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
+++ b/soak/src/main/java/org/passhaven/soak/run/StandinFigures.java
@@ -40,6 +40,10 @@
     static final long EVENT_MILLIS = 200;
   }
 
+  // Beside answers that are broken off a third of the callers keep their connections.
+  private static final int KEEPING_PERCENT = 34;
+  private static final int LEAVING_PERCENT = 15;
+
   private StandinFigures() {}
 
   static StandinSettings of(SoakSettings settings, List<NodePlace> places) {
@@ -52,8 +56,14 @@
         .withStore(store, NodeBounds.usual().withStatusSeconds(load.statusSeconds()))
         .withServers(engines(settings), ServerSettings.plain())
         .withColdStart(settings.has(Addition.EVACUATIONS) ? COLD_START : ColdStart.NEVER)
-        .withClients(
-            trainers(settings), CallerSettings.few().withCallers(load.callers()), WATCH_MILLIS);
+        .withClients(trainers(settings), callers(settings), WATCH_MILLIS);
+  }
+
+  private static CallerSettings callers(SoakSettings settings) {
+    CallerSettings usual = CallerSettings.few().withCallers(settings.load().callers());
+    return settings.has(Addition.BROKEN_ANSWERS)
+        ? usual.withHabits(KEEPING_PERCENT, LEAVING_PERCENT)
+        : usual;
   }
 
   private static ServerSettings engines(SoakSettings settings) {
--- a/soak/src/test/java/org/passhaven/soak/check/ResultChecksTest.java
+++ b/soak/src/test/java/org/passhaven/soak/check/ResultChecksTest.java
@@ -1,12 +1,17 @@
 package org.passhaven.soak.check;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.passhaven.platform.standin.history.JobObservation.Result;
 import org.passhaven.platform.standin.history.RequestObservation.RequestAnswered;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerEnding;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerFraming;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerHarm;
+import org.passhaven.platform.standin.history.ServerObservation.AnswerHarmed;
 import org.passhaven.platform.standin.history.ServerObservation.RunEnd;
 import org.passhaven.platform.standin.history.ServerObservation.RunEnded;
 import org.passhaven.platform.standin.server.ItemScript;
@@ -110,6 +115,83 @@
     ran().add(answer(500, "s", "r-1", false)).assertBroken(Promise.WHOLE_ANSWER);
   }
 
+  /** A failure whose head went out whole, and one of which a part of the head did. */
+  @Test
+  void aFailureThatWasBrokenOffCountsForAnItemOnlyIfItsHeadWasWhole() {
+    Story failedTwice =
+        reading(errored())
+            .add(end(1, Story.ITEM, RunEnd.FAILED, ""))
+            .add(end(2, Story.ITEM, RunEnd.FAILED, ""))
+            .add(end(3, Story.ITEM, RunEnd.BROKEN, ""));
+    failedTwice.add(harmed(Story.ITEM, 500, "", 179)).assertBroken(Promise.WHOLE_ANSWER);
+    failedTwice.add(harmed(Story.ITEM, 200, "s", 220)).assertBroken(Promise.WHOLE_ANSWER);
+    failedTwice.add(harmed(Story.ITEM, 500, "", 180)).assertHolds(Promise.WHOLE_ANSWER);
+    reading(errored()).add(harmed(Story.ITEM, 422, "", 179)).assertBroken(Promise.WHOLE_ANSWER);
+    reading(errored()).add(harmed(Story.ITEM, 422, "", 181)).assertHolds(Promise.WHOLE_ANSWER);
+  }
+
+  private static AnswerHarmed harmed(String id, int status, String signature) {
+    return harmed(id, status, signature, 220);
+  }
+
+  private static AnswerHarmed harmed(String id, int status, String signature, int sentBytes) {
+    return new AnswerHarmed(
+        12_001,
+        Story.INSTANCE,
+        id,
+        signature,
+        status,
+        AnswerHarm.BROKEN,
+        AnswerFraming.CHUNKS,
+        AnswerEnding.CLOSE,
+        false,
+        180,
+        sentBytes,
+        "");
+  }
+
+  /** Guards against a success that a caller makes of an answer its server broke off or failed. */
+  @Test
+  void aSuccessOfAnAnswerThatWasBrokenOffOrAFailureIsBroken() {
+    Story cut =
+        Story.begin()
+            .add(end(1, "r-1", RunEnd.BROKEN, ""))
+            .add(harmed("r-1", 200, "s"))
+            .add(answer(200, "s", "r-1", true));
+    cut.assertBroken(Promise.WHOLE_ANSWER);
+    assertThat(
+        cut.judge(Promise.WHOLE_ANSWER).findings().get(0).text(),
+        containsString(
+            "i-1 answered 200: BROKEN CHUNKS CLOSE, 180 bytes of head, 220 sent, signature s"));
+    Story.begin()
+        .add(end(1, "r-1", RunEnd.BROKEN, ""))
+        .add(answer(200, "", "r-1", false))
+        .assertBroken(Promise.WHOLE_ANSWER);
+    Story.begin()
+        .add(end(1, "r-1", RunEnd.FAILED, ""))
+        .add(answer(200, "s", "r-1", true))
+        .assertBroken(Promise.WHOLE_ANSWER);
+    ran()
+        .add(harmed("r-1", 200, "t"))
+        .add(answer(200, "t", "r-1", true))
+        .assertBroken(Promise.WHOLE_ANSWER);
+    ran()
+        .add(harmed("r-1", 200, "t"))
+        .add(answer(200, "s", "r-1", true))
+        .assertHolds(Promise.WHOLE_ANSWER);
+  }
+
+  @Test
+  void aScoreOfACallThatWasBrokenOffIsBroken() {
+    Result whole = Story.result(0, Story.ITEM, 2L, 2L, 2L);
+    Result scored = new Result(0, Story.ITEM, true, whole.text(), whole.versions(), "s");
+    Story.withJob(Story.plan(false, SCORE_ID))
+        .read(LATER_MILLIS, Story.FIRST, 0, scored)
+        .add(end(1, SCORE_ID, RunEnd.BROKEN, ""))
+        .add(harmed(SCORE_ID, 200, "s"))
+        .assertBroken(Promise.WHOLE_ANSWER);
+  }
+
   @Test
   void onlyFailuresBeforeAnItemIsErroredCount() {
     RunEnded late = new RunEnded(LATER_MILLIS + 1, "i", Story.ITEM, 3, RunEnd.FAILED, 0, "");
--- a/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/ActiveFaultsTest.java
@@ -134,6 +134,14 @@
     assertThat(done, contains("stutter 400", "endStutter"));
   }
 
+  @Test
+  void serversHarmTheirAnswersUntilItsEnd() {
+    Fault.BrokenAnswers broken = new Fault.BrokenAnswers(0, 5_000, 300, 100);
+    active.begin(broken);
+    active.end(broken);
+    assertThat(done, contains("harmAnswers 300", "endAnswerHarm"));
+  }
+
   @Test
   void aServerThatStartsColdCrashesBefore() {
     Fault.ColdRestart restart = new Fault.ColdRestart(0, 600, 1);
--- a/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
+++ b/soak/src/test/java/org/passhaven/soak/fault/RecordingHands.java
@@ -119,6 +119,16 @@
     done.add("endStutter");
   }
 
+  @Override
+  public void harmAnswers(Fault.BrokenAnswers fault) {
+    done.add("harmAnswers " + fault.brokenPermille());
+  }
+
+  @Override
+  public void endAnswerHarm() {
+    done.add("endAnswerHarm");
+  }
+
   @Override
   public void change(OperatorChange change, int backEnd) {
     done.add("change " + change + " " + backEnd);
--- a/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
+++ b/soak/src/test/java/org/passhaven/soak/plan/FaultPlannerTest.java
@@ -208,6 +208,30 @@
     }
   }
 
+  @Test
+  void brokenAnswersAreAddedToWhatTheSeedGivesAlsoBesideSecondAnswers() {
+    PlanSettings stuttering =
+        new PlanSettings(5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.SECOND_ANSWERS));
+    PlanSettings both =
+        new PlanSettings(
+            5, 4, TRAFFIC_MILLIS, false, Set.of(Addition.SECOND_ANSWERS, Addition.BROKEN_ANSWERS));
+    for (long seed = 0; seed < SEEDS; seed++) {
+      List<Fault> faults = FaultPlanner.plan(seed, both).faults();
+      List<Fault> usual = FaultPlanner.plan(seed, stuttering).faults();
+      assertThat(faults.containsAll(usual), equalTo(true));
+      List<Fault> added = faults.stream().filter(fault -> !usual.contains(fault)).toList();
+      assertThat(added.size(), greaterThan(5));
+      long freeFromMillis = 0;
+      for (Fault fault : added) {
+        Fault.BrokenAnswers broken = (Fault.BrokenAnswers) fault;
+        assertThat(broken.brokenPermille(), greaterThanOrEqualTo(100));
+        assertThat(broken.oddPermille(), greaterThanOrEqualTo(50));
+        assertThat(fault.atMillis(), greaterThan(freeFromMillis));
+        freeFromMillis = fault.atMillis() + fault.forMillis();
+      }
+    }
+  }
+
   @Test
   void unevenBackEndsLeaveTheRestOfASeedsPlanAsItWas() {
     List<String> rest =
--- a/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
+++ b/soak/src/test/java/org/passhaven/soak/run/SoakIT.java
@@ -61,6 +61,10 @@
   private static final long STUTTERING_SEED = 101;
   private static final long STUTTERING_TRAFFIC_MILLIS = 19_000;
 
+  // For some 4 s servers harm a part of their answers, give most twice, and fail and refuse some.
+  private static final long BREAKING_SEED = 101;
+  private static final long BREAKING_TRAFFIC_MILLIS = 20_000;
+
   // Three waves of four of six model servers, as in review case 2, and the steps after them.
   private static final long WAVES_SEED = 1;
   private static final long WAVES_TRAFFIC_MILLIS = 40_000;
@@ -138,6 +142,21 @@
     assertThat(verdict.counts().getOrDefault("SecondAnswerGiven", 0L), greaterThan(100L));
   }
 
+  /** Guards against a success that a node makes of an answer its server broke off or failed. */
+  @Test
+  void everyPromiseHoldsBesideAnswersThatAreBrokenOffAndAnswersGivenTwice() throws Exception {
+    Verdict verdict =
+        run(
+            BREAKING_SEED,
+            BREAKING_TRAFFIC_MILLIS,
+            false,
+            true,
+            Set.of(Addition.BROKEN_ANSWERS, Addition.SECOND_ANSWERS));
+    assertThat(verdict.findings(), empty());
+    assertThat(verdict.counts().getOrDefault("AnswerHarmed", 0L), greaterThan(100L));
+    assertThat(verdict.counts().getOrDefault("RequestLeft", 0L), greaterThan(5L));
+  }
+
   /** Guards against an item that starves after crashes of its servers (review case 2). */
   @Test
   void noStepRunsOutOfTimeAfterWavesOfCrashes() throws Exception {
