--- a/node/src/main/java/org/passhaven/node/http/NodeServer.java
+++ b/node/src/main/java/org/passhaven/node/http/NodeServer.java
@@ -4,7 +4,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.vertx.core.AbstractVerticle;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.buffer.Buffer;
@@ -105,23 +104,17 @@
   }
 
   private Platform platform() {
-    WebClient web =
-        WebClient.create(
-            vertx,
-            new WebClientOptions()
-                .setMaxPoolSize(MAX_CONNECTIONS)
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                .setFollowRedirects(false));
-    var streams =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setMaxPoolSize(MAX_CONNECTIONS)
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+    WebClientOptions options =
+        new WebClientOptions()
+            .setMaxPoolSize(MAX_CONNECTIONS)
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setFollowRedirects(false);
+    WebClient web = WebClient.create(vertx, options);
     return new Platform(
         new HttpLogService(web, logAddress),
         new HttpMachineList(web, machineListAddress),
-        new HttpEngineService(web, streams),
-        new HttpServiceBackEnd(web),
+        new HttpEngineService(vertx, options),
+        new HttpServiceBackEnd(vertx, options),
         new HttpPeerTransport(web));
   }
 
--- a/standin/src/main/java/org/passhaven/standin/HttpEngineService.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpEngineService.java
@@ -6,13 +6,14 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.parsetools.RecordParser;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.core.http.HttpClientRequest;
 import io.vertx.mutiny.core.http.HttpClientResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.nio.charset.StandardCharsets;
-import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.passhaven.protocol.Segment;
 import org.passhaven.protocol.ServerId;
@@ -20,7 +21,10 @@
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.PlatformException.Kind;
 
-/** Engines over HTTP: completions as server-sent events, orders and reports as JSON. */
+/**
+ * Engines over HTTP: completions as server-sent events, orders and reports as JSON, each call over
+ * a connection of its own.
+ */
 public final class HttpEngineService implements EngineService {
   /** Line that ends a stream of events, as client libraries of this ecosystem expect. */
   public static final String END_OF_STREAM = "[DONE]";
@@ -38,10 +42,11 @@
   private final JsonHttp json;
   private final HttpClient streams;
 
-  /** Creates a client; {@code streams} carries the completion streams. */
-  public HttpEngineService(WebClient client, HttpClient streams) {
-    this.json = new JsonHttp(client);
-    this.streams = Objects.requireNonNull(streams, "streams");
+  /** Creates a client with connections of its own. */
+  public HttpEngineService(Vertx vertx, WebClientOptions options) {
+    WebClientOptions oneCallEach = BackEndConnections.oneCallEach(options);
+    this.json = new JsonHttp(WebClient.create(vertx, oneCallEach));
+    this.streams = vertx.createHttpClient(oneCallEach);
   }
 
   @Override
--- a/standin/src/main/java/org/passhaven/standin/HttpServiceBackEnd.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpServiceBackEnd.java
@@ -2,23 +2,24 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
-import java.util.Objects;
 import org.passhaven.spi.PlatformException;
 import org.passhaven.spi.PlatformException.Kind;
 import org.passhaven.spi.ServiceBackEnd;
 
-/** Service servers over HTTP. */
+/** Service servers over HTTP, each call over a connection of its own. */
 public final class HttpServiceBackEnd implements ServiceBackEnd {
 
   private static final int SERVICE_UNAVAILABLE = 503;
   private final WebClient client;
 
-  /** Creates a client. */
-  public HttpServiceBackEnd(WebClient client) {
-    this.client = Objects.requireNonNull(client, "client");
+  /** Creates a client with connections of its own. */
+  public HttpServiceBackEnd(Vertx vertx, WebClientOptions options) {
+    this.client = WebClient.create(vertx, BackEndConnections.oneCallEach(options));
   }
 
   @Override
