--- a/soak/src/main/java/org/passhaven/soak/plan/Fault.java
+++ b/soak/src/main/java/org/passhaven/soak/plan/Fault.java
@@ -13,7 +13,9 @@
   long forMillis();
 
   /** Indexes of the nodes that are hit; empty where it concerns all or none of them. */
-  List<Integer> nodes();
+  default List<Integer> nodes() {
+    return List.of();
+  }
 
   /** Name of what is done, for counts. */
   String kind();
@@ -75,11 +77,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "backend-" + harm;
@@ -100,11 +97,6 @@
       backEnds = List.copyOf(backEnds);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return isReset ? "crash-WAVE-RESET" : "crash-WAVE-KILL";
@@ -123,11 +115,6 @@
       return 0;
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "request-" + harm;
@@ -145,11 +132,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return forMillis > HardLoadPlan.MOMENT_MILLIS ? "uneven-LONG" : "uneven-MOMENT";
@@ -163,11 +145,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "callers-" + harm;
@@ -181,11 +158,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "cold-RESTART";
@@ -199,11 +171,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "evacuate-ZONE";
@@ -222,11 +189,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "second-ANSWERS";
@@ -244,11 +206,6 @@
       checkTimes(atMillis, forMillis);
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "broken-ANSWERS";
@@ -267,11 +224,6 @@
       return 0;
     }
 
-    @Override
-    public List<Integer> nodes() {
-      return List.of();
-    }
-
     @Override
     public String kind() {
       return "change-" + change;
