Soak: second answers that say success where the first was a failure, and beginnings of heads on open connections

No soak could show it well: second answers repeated the first ones, and what was left behind on an open connection was one fixed part of a head (X-Surplus) or no head.

Cause: the stand-in's servers did neither thing that the incident's servers did.

Change: Stutter has a share of second answers to a 500 that say 200 with a signature that no run has (half in the soak). AnswerFaults has a share of whole answers that leave the beginning of a head (status line, then signature), cut at a drawn byte, on the connection, which stays open (HEAD_LEFT; 200 of a thousand in the soak while answers are harmed). One commit, since both act on the same plays.

--- a/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
+++ b/soak/src/main/java/org/passhaven/soak/run/SoakHands.java
@@ -44,6 +44,12 @@
   private static final long DRAIN_LONGER_MILLIS = 1_000;
   private static final Set<Integer> PARTITIONS_DOWN = Set.of(0, 1);
 
+  /** Second answers to a failure that say success. */
+  private static final int SUCCESS_INSTEAD_PERMILLE = 500;
+
+  /** Whole answers with the beginning of a head behind them, while answers are harmed. */
+  private static final int HEAD_LEFT_PERMILLE = 200;
+
   private final Nodes nodes;
   private final Links links;
   private final StandinPlatform platform;
@@ -261,7 +267,12 @@
 
   @Override
   public void stutter(Fault.SecondAnswers fault) {
-    setStutter(new Stutter(fault.secondPermille(), fault.failPermille(), fault.refusePermille()));
+    setStutter(
+        new Stutter(
+            fault.secondPermille(),
+            SUCCESS_INSTEAD_PERMILLE,
+            fault.failPermille(),
+            fault.refusePermille()));
   }
 
   @Override
@@ -276,7 +287,8 @@
 
   @Override
   public void harmAnswers(Fault.BrokenAnswers fault) {
-    setAnswerFaults(new AnswerFaults(fault.brokenPermille(), fault.oddPermille()));
+    setAnswerFaults(
+        new AnswerFaults(fault.brokenPermille(), fault.oddPermille(), HEAD_LEFT_PERMILLE));
   }
 
   @Override
