--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,140 @@
+"""A trainer's route is split between two services, 10 to 90; the one server of the smaller part is emptied and leaves.
+
+Broken: a step times out while an item that no server finished or failed has been at no server for 5 s and more, though
+six servers of the other part, nine tenths of the route, stand idle.
+"""
+
+import asyncio
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
+from standin import Node, Record, Server, Store, call  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HOSTNAME = "ficu95.example"
+ZONES = ["khomas-a", "khomas-b", "khomas-c"]
+MODEL = "daka510000"
+SMALL_PART, LARGE_PART = "huvo11a", "huvo12b"
+ITEMS = 72
+DEADLINE_S = 12.0
+WAIT_S = 5.0
+DRAIN_S = 2.0
+
+
+def config(version, services):
+    route = {"name": "r-1", "hostname": HOSTNAME, "pathPrefix": "/pule252/", "routeType": "rollout",
+             "timeoutMs": 10000, "targetLatencyMs": 400, "priority": 1, "maxAttempts": 3, "resumable": True,
+             "dueMs": 7500, "maxQueueS": 12}
+    route.update(services)
+    return {"version": version, "routes": [route],
+            "services": [{"name": name, "healthPath": "/healthz", "maxConnections": 150}
+                         for name in (SMALL_PART, LARGE_PART)],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
+
+
+def submission(step):
+    items = [{"instanceId": os.urandom(8).hex(), "path": f"/pule252/{step}/{item:x}",
+              "headers": {"Model": MODEL, "Token-Usage": "271,18"}, "body": "q83vEjRWeJA=", "tokenCount": 289,
+              "groupId": f"g{step}-{item // 4}"} for item in range(ITEMS)]
+    return {"step": step, "model": MODEL, "minVersion": 1, "desiredCount": ITEMS // 4, "requests": items}
+
+
+async def leave(record, store, server):
+    """The server says that it drains, serves on for drainMs and a little longer, and ends."""
+    server.state = "draining"
+    server.write_entry()
+    record("server", server.id, "of", server.service, "declares draining")
+    await asyncio.sleep(DRAIN_S + 1)
+    while server.working:
+        await asyncio.sleep(0.1)
+    server.server.close()
+    for connection in list(server.connections):
+        connection.close()
+    store.put("keyed.servers", server.id, None)
+    record("server", server.id, "has left")
+
+
+async def play(record, store, nodes, small, large):
+    """One step; returns whether the rule was broken, None if the step was not accepted."""
+    tree = submission(1)
+    job = os.urandom(8).hex()
+    sent = time.monotonic()
+    status, _, _ = await call(nodes[0].front, "POST", f"/pule252/{job}",
+                              [("Host", HOSTNAME), ("Attempt-Id", job), ("Content-Type", "application/json")],
+                              json.dumps(tree).encode(), limit=11)
+    record("submit", job, ITEMS, "items ->", status)
+    if status != 202:
+        return None
+    await asyncio.sleep(1.0)
+    leaving = asyncio.create_task(leave(record, store, small)) if TROUBLE else None
+    listed = {}
+    while time.monotonic() < sent + DEADLINE_S - 0.3 and len(listed) < ITEMS:
+        await asyncio.sleep(0.5)
+        status, _, body = await call(nodes[len(listed) % 3].front, "GET",
+                                     f"/passhaven/lots/{job}?sinceRevision={len(listed)}", [("Host", HOSTNAME)],
+                                     limit=2.5)
+        if status == 200:
+            for result in json.loads(body)["results"]:
+                listed[result["instanceId"]] = result["state"]
+        record("read ->", status, "listed", len(listed), "at servers: small part", len(small.working),
+               "large part", sum(len(each.working) for each in large))
+    now = time.monotonic()
+    if leaving:
+        await leaving
+    last_run = {}
+    for server in [small] + large:
+        for when, item, _ in server.runs:
+            last_run[item] = max(when, last_run.get(item, 0))
+    completed = [item for item, state in listed.items() if state == "completed"]
+    waiting = [each["instanceId"] for each in tree["requests"]
+               if each["instanceId"] not in completed and now - last_run.get(each["instanceId"], sent) >= WAIT_S]
+    record("runs: small part", len(small.runs), "large part", sum(len(each.runs) for each in large),
+           "completed", len(completed), "of", ITEMS)
+    timed_out = len(completed) < 0.9 * ITEMS
+    if timed_out and waiting and last_run:
+        record("BROKEN: LOST: the step timed out with", len(waiting), "items that were at no server for", WAIT_S,
+               "s and more, such as", waiting[0])
+        return True
+    return False
+
+
+async def main():
+    record = Record("record.txt")
+    record("trouble" if TROUBLE else "no trouble")
+    folder = tempfile.mkdtemp()
+    store = Store()
+    store.put("keyed.op", "config", config(3, {"backend": SMALL_PART}))
+    nodes = []
+    try:
+        shape = {"model": MODEL, "events": 18, "pause_ms": 40}
+        small = await Server(store, record, SMALL_PART, ZONES[0], **shape).start()
+        large = [await Server(store, record, LARGE_PART, ZONES[number % 3], **shape).start() for number in range(6)]
+        for number, zone in enumerate(ZONES):
+            node = Node(f"edge-{zone}-1", zone, ZONES, folder, await store.open(str(number)))
+            node.start()
+            nodes.append(node)
+        for node in nodes:
+            if not await node.wait_ready():
+                record("not ready:", node.name)
+                return 2
+        await asyncio.sleep(2)
+        split = [{"backend": SMALL_PART, "weight": 10}, {"backend": LARGE_PART, "weight": 90}]
+        store.put("keyed.op", "config", config(7, {"trafficSplit": split}))
+        record("configuration 7 acknowledged:", json.dumps(split))
+        await asyncio.sleep(8)
+        broken = await play(record, store, nodes, small, large)
+        record("result:", {None: "couldn't run", True: "broken", False: "held"}[broken])
+        return {None: 2, True: 1, False: 0}[broken]
+    finally:
+        for node in nodes:
+            node.kill()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+sys.exit(asyncio.run(main()))
