--- a/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
+++ b/core/src/main/java/org/passhaven/core/job/GenerationPicker.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -42,6 +43,12 @@
   /** Minimum expected gain of a move, which costs a connection, a slot and a second prefill. */
   private static final double MIN_MOVE_GAIN_MILLIS = 400;
 
+  /**
+   * Time after which an item of a split route may go to another of the route's services. An item
+   * that has been at no server for 5 s beside idle ones counts as lost.
+   */
+  private static final long MAX_WAIT_FOR_SERVICE_MILLIS = 2_000;
+
   private static final int MAX_GROUPS = 4_096;
   private final String node;
   private final Topology topology;
@@ -90,14 +97,34 @@
     view.beginRound(readyServers, nowMillis);
   }
 
-  /** Returns the server for an item; empty if no allowed server has a free slot. */
+  /**
+   * Returns the server for an item; empty if no allowed server has a free slot. It is one of the
+   * item's service, unless that has no server for the item or had none with room for some time: the
+   * weights of a split route then yield to the item, which would wait beside idle servers.
+   */
   Optional<ServerEntry> choose(ItemExecution execution, long nowMillis) {
-    return choose(execution, server -> true, nowMillis);
+    Optional<ServerEntry> server =
+        cheapest(execution, List.of(execution.service), any -> true, nowMillis);
+    return server.isPresent() || !mayLeaveService(execution, nowMillis)
+        ? server
+        : cheapest(execution, execution.jobExecution.policy().services(), any -> true, nowMillis);
+  }
+
+  private boolean mayLeaveService(ItemExecution execution, long nowMillis) {
+    JobPolicy policy = execution.jobExecution.policy();
+    return policy.shares().size() > 1
+        && (execution.waitingMillis(nowMillis) >= MAX_WAIT_FOR_SERVICE_MILLIS
+            || servers.of(execution.service).stream()
+                .noneMatch(server -> candidates.mayReceive(server, policy.restriction())));
   }
 
-  private Optional<ServerEntry> choose(
-      ItemExecution execution, Predicate<ServerEntry> isAllowed, long nowMillis) {
-    return servers.of(execution.jobExecution.policy.service()).stream()
+  private Optional<ServerEntry> cheapest(
+      ItemExecution execution,
+      List<String> services,
+      Predicate<ServerEntry> isAllowed,
+      long nowMillis) {
+    return services.stream()
+        .flatMap(service -> servers.of(service).stream())
         .filter(isAllowed)
         .filter(server -> canServe(execution, server, nowMillis))
         .min(
@@ -158,7 +185,11 @@
     if (currentIntervalMillis == 0) {
       return Optional.empty();
     }
-    return choose(execution, server -> !coldStarts.isLimited(server, nowMillis), nowMillis)
+    return cheapest(
+            execution,
+            List.of(execution.service),
+            server -> !coldStarts.isLimited(server, nowMillis),
+            nowMillis)
         .filter(server -> !server.incarnation().equals(execution.server))
         .filter(server -> isNotLoading(execution, server))
         .filter(
@@ -197,7 +228,7 @@
             server, model, servers.versionToLoad(server, model, nowMillis), nowMillis)
         && !view.health().isAvoided(server.incarnation(), nowMillis)
         && view.health().inProgress(server.incarnation()) < Math.max(1, server.slots())
-        && candidates.mayReceive(server, execution.jobExecution.policy.restriction())
+        && candidates.mayReceive(server, execution.jobExecution.policy().restriction())
         && isWarmOrDue(server, nowMillis);
   }
 
--- a/core/src/main/java/org/passhaven/core/job/ItemExecution.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemExecution.java
@@ -1,5 +1,6 @@
 package org.passhaven.core.job;
 
+import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.backend.ServerIncarnation;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.TextRecord.TextPart;
@@ -15,9 +16,15 @@
     DONE
   }
 
+  private static final long NOT_WAITING = Long.MAX_VALUE;
+
   final JobExecution jobExecution;
   final JobItem item;
   Phase phase = Phase.WAITING;
+
+  /** Service whose servers generate the text. */
+  String service = "";
+
   ItemText text = new ItemText();
 
   /** Number of events of the text that are in the log or being appended to it. */
@@ -34,6 +41,10 @@
   long version;
   long startedAtMillis;
   long lastProgressAtMillis;
+
+  /** Time since which the item waits for an event from any server; {@link #NOT_WAITING} if none. */
+  private long waitingSinceMillis = NOT_WAITING;
+
   long retryAtMillis = Long.MIN_VALUE;
   int serverErrors;
   int scoreErrors;
@@ -60,13 +71,30 @@
         server);
   }
 
+  /** Counts the item as waiting from now on, unless it has been waiting since an earlier time. */
+  void startWaiting(long nowMillis) {
+    waitingSinceMillis = Math.min(waitingSinceMillis, nowMillis);
+  }
+
+  /** Handles an event from the server. */
+  void onProgress(long nowMillis) {
+    lastProgressAtMillis = nowMillis;
+    waitingSinceMillis = NOT_WAITING;
+  }
+
+  /** Returns the time that the item has waited, over all attempts without an event. */
+  long waitingMillis(long nowMillis) {
+    return waitingSinceMillis == NOT_WAITING ? 0 : nowMillis - waitingSinceMillis;
+  }
+
   /** Starts an attempt at a server. */
-  void startAttempt(long newAttempt, ServerIncarnation newServer, long nowMillis) {
+  void startAttempt(long newAttempt, ServerEntry newServer, long nowMillis) {
     phase = Phase.GENERATING;
+    service = newServer.service();
     attempt = newAttempt;
     attempts++;
     firstStartedAtMillis = attempts == 1 ? nowMillis : firstStartedAtMillis;
-    server = newServer;
+    server = newServer.incarnation();
     version = 0;
     startedAtMillis = nowMillis;
     lastProgressAtMillis = nowMillis;
--- a/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemFinisher.java
@@ -70,7 +70,7 @@
       return actions;
     }
     execution.scoreErrors += serverErrors;
-    int maxErrors = Math.max(maxServerErrors, execution.jobExecution.policy.maxServerErrors());
+    int maxErrors = Math.max(maxServerErrors, execution.jobExecution.policy().maxServerErrors());
     // A call that was not sent has no maximum of its own, so it ends nothing.
     if (serverErrors > 0 && execution.scoreErrors >= maxErrors) {
       finish(execution, false, "", actions);
--- a/core/src/main/java/org/passhaven/core/job/JobExecution.java
+++ b/core/src/main/java/org/passhaven/core/job/JobExecution.java
@@ -10,7 +10,7 @@
 /** Execution of one job at this node: its policy and the progress of its items. Not thread-safe. */
 final class JobExecution {
   final Job job;
-  JobPolicy policy;
+  private JobPolicy policy;
   final Map<String, ItemExecution> items = new LinkedHashMap<>();
   private final List<ItemExecution> startOrder;
 
@@ -27,11 +27,36 @@
               }
               items.putIfAbsent(item.id(), execution);
             });
+    assignServices();
     startOrder = new ArrayList<>(items.values());
     startOrder.sort(
         Comparator.comparingLong((ItemExecution execution) -> -execution.item.expectedTokens()));
   }
 
+  JobPolicy policy() {
+    return policy;
+  }
+
+  void updatePolicy(JobPolicy newPolicy) {
+    boolean areSharesChanged = !policy.shares().equals(newPolicy.shares());
+    policy = newPolicy;
+    if (areSharesChanged) {
+      assignServices();
+    }
+  }
+
+  /** Assigns each item a service; one that has begun keeps its service while the route has it. */
+  private void assignServices() {
+    Map<String, String> services =
+        ItemDistribution.serviceByItem(job.submission(), policy.shares());
+    List<String> allowed = policy.services();
+    for (ItemExecution execution : items.values()) {
+      if (execution.attempts == 0 || !allowed.contains(execution.service)) {
+        execution.service = services.get(execution.item.id());
+      }
+    }
+  }
+
   /**
    * Returns the items that wait for a server, the longest first, since a group is complete only
    * with its longest item: its shorter items need not start before longer ones of other groups.
--- a/core/src/main/java/org/passhaven/core/job/JobPolicy.java
+++ b/core/src/main/java/org/passhaven/core/job/JobPolicy.java
@@ -1,12 +1,15 @@
 package org.passhaven.core.job;
 
+import java.util.List;
 import java.util.Objects;
+import org.passhaven.core.route.ServiceShare;
 import org.passhaven.protocol.region.RegionRestriction;
 
 /**
  * Settings of the route of a job.
  *
- * @param service service whose servers generate the texts
+ * @param shares services whose servers generate the texts, with their weights; those of weight zero
+ *     are left out unless all have it, in which case the first one generates all texts
  * @param maxServerErrors number of 500 responses at which an item is abandoned
  * @param singleVersion whether a single weight version must generate all of a text
  * @param priority priority of the route; 0 is the highest
@@ -15,20 +18,39 @@
  * @param restriction regions in which the texts may be generated
  */
 public record JobPolicy(
-    String service,
+    List<ServiceShare> shares,
     int maxServerErrors,
     boolean singleVersion,
     int priority,
     long giveUpMillis,
     RegionRestriction restriction) {
   public JobPolicy {
-    Objects.requireNonNull(service, "service");
+    shares = withPositiveWeight(shares);
     Objects.requireNonNull(restriction, "restriction");
   }
 
-  /** Creates the settings of a job whose texts may be generated in all regions. */
+  /** Creates the settings of a job of one service whose texts may be generated in all regions. */
   public JobPolicy(
       String service, int maxServerErrors, boolean singleVersion, int priority, long giveUpMillis) {
-    this(service, maxServerErrors, singleVersion, priority, giveUpMillis, RegionRestriction.NONE);
+    this(
+        List.of(new ServiceShare(service, 1)),
+        maxServerErrors,
+        singleVersion,
+        priority,
+        giveUpMillis,
+        RegionRestriction.NONE);
+  }
+
+  private static List<ServiceShare> withPositiveWeight(List<ServiceShare> shares) {
+    if (shares.isEmpty()) {
+      throw new IllegalArgumentException("a job's route must have a service");
+    }
+    List<ServiceShare> positive = shares.stream().filter(share -> share.weight() > 0).toList();
+    return positive.isEmpty() ? List.of(shares.get(0)) : positive;
+  }
+
+  /** Returns the services whose servers generate the texts. */
+  List<String> services() {
+    return shares.stream().map(ServiceShare::service).distinct().toList();
   }
 }
--- a/core/src/main/java/org/passhaven/core/job/JobScheduler.java
+++ b/core/src/main/java/org/passhaven/core/job/JobScheduler.java
@@ -126,7 +126,7 @@
   public void startOrUpdate(Job job, JobPolicy policy, TextTable texts) {
     JobExecution running = jobs.get(job.id());
     if (running != null) {
-      running.policy = policy;
+      running.updatePolicy(policy);
       return;
     }
     JobExecution jobExecution = new JobExecution(job, policy);
@@ -218,6 +218,7 @@
       finisher.retryScores(jobExecution, nowMillis, actions);
       int priority = jobs.priorityOf(jobExecution);
       for (ItemExecution execution : jobExecution.itemsToStart(nowMillis)) {
+        execution.startWaiting(nowMillis);
         picker
             .choose(execution, nowMillis)
             .ifPresent(server -> startGeneration(execution, server, priority, nowMillis, actions));
@@ -231,7 +232,7 @@
 
   private void abandonExpiredItems(
       JobExecution jobExecution, long nowMillis, List<JobAction> actions) {
-    long limitMillis = jobExecution.policy.giveUpMillis();
+    long limitMillis = jobExecution.policy().giveUpMillis();
     if (limitMillis <= 0 || nowMillis - jobExecution.job.acceptedAtMillis() < limitMillis) {
       return;
     }
@@ -251,7 +252,7 @@
       int priority,
       long nowMillis,
       List<JobAction> actions) {
-    execution.startAttempt(nextAttempt++, server.incarnation(), nowMillis);
+    execution.startAttempt(nextAttempt++, server, nowMillis);
     generating.put(execution.attempt, execution);
     health.onSent(server.incarnation());
     picker.onSent(execution);
@@ -264,7 +265,7 @@
             execution.item,
             execution.text.lastEvent(),
             priority,
-            execution.jobExecution.policy.restriction()));
+            execution.jobExecution.policy().restriction()));
   }
 
   /** Stops a stalled generation, and moves one from a slow server if a faster one has a slot. */
@@ -316,7 +317,7 @@
     boolean isTooOld = version < execution.jobExecution.job.submission().oldestVersion();
     List<Long> textVersions = execution.text.versions();
     boolean isMixed =
-        execution.jobExecution.policy.singleVersion()
+        execution.jobExecution.policy().singleVersion()
             && !textVersions.isEmpty()
             && textVersions.get(0) != version;
     if (!isTooOld && !isMixed) {
@@ -352,7 +353,7 @@
       view.intervalTracker()
           .onInterval(execution.server, nowMillis - execution.lastProgressAtMillis, nowMillis);
     }
-    execution.lastProgressAtMillis = nowMillis;
+    execution.onProgress(nowMillis);
     if (!execution.text.append(event, execution.version, data)) {
       stop(execution, "event out of order", actions);
       health.onFailure(execution.server, nowMillis);
@@ -395,7 +396,7 @@
       case PERMANENT_ERROR -> finisher.finish(execution, false, "", actions);
       case CONNECTION_SILENT -> execution.moves++;
     }
-    if (execution.serverErrors >= execution.jobExecution.policy.maxServerErrors()
+    if (execution.serverErrors >= execution.jobExecution.policy().maxServerErrors()
         && execution.phase == ItemExecution.Phase.WAITING) {
       finisher.finish(execution, false, "", actions);
     }
--- a/core/src/main/java/org/passhaven/core/job/RunningJobs.java
+++ b/core/src/main/java/org/passhaven/core/job/RunningJobs.java
@@ -68,7 +68,7 @@
                 other ->
                     other.job.submission().run().equals(run)
                         && other.job.submission().step() < step);
-    int rank = Math.max(0, Math.min(MAX_ROUTE_PRIORITY, execution.policy.priority()));
+    int rank = Math.max(0, Math.min(MAX_ROUTE_PRIORITY, execution.policy().priority()));
     return rank + (hasEarlierStep ? LATER_PRIORITY : AWAITED_PRIORITY);
   }
 
--- a/core/src/main/java/org/passhaven/core/job/TextCache.java
+++ b/core/src/main/java/org/passhaven/core/job/TextCache.java
@@ -50,7 +50,7 @@
     boolean isAllowed =
         text.usesAllowedVersions(
             execution.jobExecution.job.submission().oldestVersion(),
-            execution.jobExecution.policy.singleVersion());
+            execution.jobExecution.policy().singleVersion());
     if (isAllowed && text.lastEvent() >= execution.text.lastEvent()) {
       execution.setText(text);
       if (complete) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -247,6 +247,7 @@
           .addKeyValue("job", job.id())
           .addKeyValue("run", job.submission().run())
           .addKeyValue("step", job.submission().step())
+          .addKeyValue("services", policy.get().shares())
           .addKeyValue("open", job.submission().items().size() - job.results().size())
           .addKeyValue("live", members.heartbeats().acceptingNodes().size())
           .log("job: run here");
@@ -260,7 +261,7 @@
         .map(
             route ->
                 new JobPolicy(
-                    route.shares().get(0).service(),
+                    route.shares(),
                     Math.max(1, route.maxAttempts()),
                     route.singleVersion(),
                     directory
@@ -323,6 +324,7 @@
         .addKeyValue("job", start.job().id())
         .addKeyValue("item", item.id())
         .addKeyValue("attempt", attempt)
+        .addKeyValue("service", start.server().service())
         .addKeyValue("server", server)
         .addKeyValue("after", start.lastEvent())
         .addKeyValue("estimate", scheduler.serverView().estimate(server, context.nowMillis()))
--- a/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ScalingDuty.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.passhaven.core.backend.ServerEntry;
 import org.passhaven.core.job.Job;
+import org.passhaven.core.job.JobDemand;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.scale.BacklogPolicy;
 import org.passhaven.core.scale.Backoff;
@@ -69,7 +70,7 @@
   private final ScalingOrders orders = new ScalingOrders();
   private final Map<String, ServiceScaler> scalers = new HashMap<>();
   private final Map<String, ScalingDecision> decisions = new HashMap<>();
-  private final Map<String, Integer> finishedByModel = new HashMap<>();
+  private final Map<Job, Integer> finishedByJob = new HashMap<>();
   private final Backoff<Subject> retries = new Backoff<>(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS);
   private final Backoff<Subject> unavailable =
       new Backoff<>(FIRST_UNAVAILABLE_MILLIS, MAX_UNAVAILABLE_MILLIS);
@@ -96,7 +97,7 @@
     if (effect == JobTable.Effect.RESULT_RECORDED && jobs.isCaughtUp()) {
       Job job = jobs.table().get(record.job());
       if (job != null) {
-        finishedByModel.merge(job.submission().model(), 1, Integer::sum);
+        finishedByJob.merge(job, 1, Integer::sum);
       }
     }
   }
@@ -185,7 +186,7 @@
     decisions.clear();
     boolean areServersKnown = areServersKnown();
     boolean areJobsKnown = isAtMost(jobs.ageMillis(), MAX_JOBS_AGE_MILLIS);
-    Map<String, Integer> openItems = areJobsKnown ? jobs.openItemsByModel() : Map.of();
+    Collection<Job> openJobs = areJobsKnown ? jobs.table().openJobs() : List.of();
     for (ServiceSpec service : services()) {
       ServiceScaler scaler =
           scalers.computeIfAbsent(service.name(), name -> new ServiceScaler(new BacklogPolicy()));
@@ -193,10 +194,10 @@
         scaler.onBlind();
       }
       if (areServersKnown) {
-        decide(service, scaler, openItems, nowMillis);
+        decide(service, scaler, openJobs, nowMillis);
       }
     }
-    finishedByModel.clear();
+    finishedByJob.clear();
   }
 
   private boolean areServersKnown() {
@@ -208,18 +209,15 @@
   }
 
   private void decide(
-      ServiceSpec service,
-      ServiceScaler scaler,
-      Map<String, Integer> openItemsByModel,
-      long nowMillis) {
+      ServiceSpec service, ServiceScaler scaler, Collection<Job> openJobs, long nowMillis) {
     List<ServerEntry> servers =
         directory.servers().all().stream()
             .filter(server -> server.service().equals(service.name()))
             .toList();
     Set<String> models = new HashSet<>();
     servers.forEach(server -> models.addAll(server.versions().keySet()));
-    scaler.onFinished(sum(finishedByModel, models));
-    int openItems = sum(openItemsByModel, models);
+    scaler.onFinished(finishedItems(models, service.name()));
+    int openItems = JobDemand.openItems(openJobs, models, directory.routes(), service.name());
     scaler.observe(servers, openItems, orders.of(service.name()), nowMillis);
     decisions.put(
         service.name(),
@@ -231,8 +229,16 @@
             nowMillis));
   }
 
-  private static int sum(Map<String, Integer> counts, Collection<String> models) {
-    return models.stream().mapToInt(model -> counts.getOrDefault(model, 0)).sum();
+  /** Returns how many of the items finished since the last decision a service has run. */
+  private int finishedItems(Set<String> models, String service) {
+    double items = 0;
+    for (Map.Entry<Job, Integer> finished : finishedByJob.entrySet()) {
+      Job job = finished.getKey();
+      if (models.contains(job.submission().model())) {
+        items += finished.getValue() * JobDemand.shareOf(job, directory.routes(), service);
+      }
+    }
+    return (int) Math.round(items);
   }
 
   private Set<String> blockedZones(String service, List<ServerEntry> servers, long nowMillis) {
