--- a/standin/src/main/java/org/passhaven/standin/HttpServiceBackEnd.java
+++ b/standin/src/main/java/org/passhaven/standin/HttpServiceBackEnd.java
@@ -41,6 +41,7 @@
   }
 
   private static Response toResponse(HttpResponse<Buffer> response) {
+    JsonHttp.requireStatus(response.statusCode());
     if (response.statusCode() == SERVICE_UNAVAILABLE
         && response.getHeader(Headers.NOT_RUN) != null) {
       throw new PlatformException(Kind.NOT_RUN, "the server refused the request");
--- a/standin/src/main/java/org/passhaven/standin/JsonHttp.java
+++ b/standin/src/main/java/org/passhaven/standin/JsonHttp.java
@@ -18,6 +18,8 @@
 /** JSON over HTTP with this layer's errors. Used on the thread that owns the client. */
 final class JsonHttp {
 
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
   private static final int FIRST_ERROR_STATUS = 400;
   private static final ObjectMapper MAPPER =
       JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
@@ -62,7 +64,15 @@
     return new PlatformException(kind, what + ": " + failure.getMessage(), failure);
   }
 
+  /** Throws {@link PlatformException} if a number is no status of HTTP (RFC 9110). */
+  static void requireStatus(int status) {
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      throw new PlatformException(Kind.OUTCOME_UNKNOWN, "no status: " + status);
+    }
+  }
+
   private static <T> T read(HttpResponse<Buffer> response, Class<T> type) {
+    requireStatus(response.statusCode());
     if (response.statusCode() >= FIRST_ERROR_STATUS) {
       Kind kind = response.getHeader(Headers.NOT_RUN) != null ? Kind.NOT_RUN : Kind.OUTCOME_UNKNOWN;
       throw new PlatformException(kind, "status " + response.statusCode());
--- a/standin/src/test/java/org/passhaven/standin/CutAnswersTest.java
+++ b/standin/src/test/java/org/passhaven/standin/CutAnswersTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.passhaven.spi.PlatformException;
@@ -49,6 +50,16 @@
     }
   }
 
+  /** Guards against a caller that gets a status which no server can have given. */
+  @Test
+  void aNumberThatIsNoStatusIsNoAnswer() throws IOException {
+    for (String status : List.of("000", "099", "600", "999", "2000")) {
+      try (RawServer server = closingAfter(ANSWER.replace("200", status))) {
+        assertThrows(PlatformException.class, () -> call(server), status);
+      }
+    }
+  }
+
   private static RawServer closingAfter(String bytes) throws IOException {
     return new RawServer(() -> () -> new Output(bytes, true));
   }
