Attempts that are left count against a server without end (KNOWN-RED, SoakIT beside answers without end)

What callers saw: served 16 of 49 repeatable requests beside one server that answers without end (SERVED_BESIDE_ENDLESS_ANSWERS, load average 22; KNOWN-RED). Cause, read in that log: where the other attempt wins before the bound of an answer is read, the attempt is cancelled and says nothing against its server, so the next request goes there.

One left attempt alone doesn't: slow sound servers lose, too.

Before (with the count, without its use): ForwardAttemptsTest 3 run, 1 failed ("Expected: is <true> but: was <false>"). The entry in KNOWN-RED stays until the soak was played beside load.

--- a/node/src/main/java/org/passhaven/node/gateway/EligibleBackEnds.java
+++ b/node/src/main/java/org/passhaven/node/gateway/EligibleBackEnds.java
@@ -72,6 +72,11 @@
             });
   }
 
+  @Override
+  public boolean isAnsweringWithoutEnd(Target target) {
+    return backEnds.isAnsweringWithoutEnd(target);
+  }
+
   @Override
   public Multi<Progress> generate(Target target, Generation generation) {
     return Multi.createFrom()
--- a/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
+++ b/node/src/main/java/org/passhaven/node/gateway/ForwardAttempts.java
@@ -23,7 +23,7 @@
   private final Call call;
   private final ForwardPlan plan;
   private final Listener listener;
-  private final Map<Integer, Cancellable> inProgress = new HashMap<>();
+  private final Map<Integer, Sent> inProgress = new HashMap<>();
   private final List<Timers.Timer> hedgeTimers = new ArrayList<>(2);
   private int attemptsSent;
   private boolean isCancelled;
@@ -37,6 +37,9 @@
    */
   record Attempt(ServerEntry server, int number, boolean isHedge, long sentAtMillis) {}
 
+  /** An attempt in progress; cancelling closes its connection. */
+  private record Sent(ServerEntry server, Cancellable call) {}
+
   /** Receives the result of each attempt. Times of sending are in monotonic milliseconds. */
   interface Listener {
     /** Called when a server has answered. */
@@ -68,7 +71,7 @@
     int attempt = attemptsSent++;
     long sentAtMillis = context.nowMillis();
     health.onSent(server.incarnation());
-    inProgress.put(attempt, () -> {});
+    inProgress.put(attempt, new Sent(server, () -> {}));
     Call attemptCall = withTimeLeft(sentAtMillis);
     Target target = ServerTargets.of(server);
     BackEndService backEnds = context.backEnds();
@@ -90,7 +93,7 @@
                   listener.onFailure(server, PlatformException.from(failure), sentAtMillis);
                 });
     // The attempt may have ended during subscribe().
-    if (inProgress.replace(attempt, sending) == null) {
+    if (inProgress.replace(attempt, new Sent(server, sending)) == null) {
       return;
     }
     plan.hedgeAfterMillis()
@@ -134,8 +137,15 @@
     isCancelled = true;
     // A pending timer would keep the request's body in memory.
     hedgeTimers.forEach(Timers.Timer::cancel);
-    List<Cancellable> running = List.copyOf(inProgress.values());
+    List<Sent> running = List.copyOf(inProgress.values());
     inProgress.clear();
-    running.forEach(Cancellable::cancel);
+    running.forEach(this::cancel);
+  }
+
+  private void cancel(Sent attempt) {
+    attempt.call().cancel();
+    if (context.backEnds().isAnsweringWithoutEnd(ServerTargets.of(attempt.server()))) {
+      health.onFailure(attempt.server().incarnation(), context.nowMillis());
+    }
   }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/ForwardAttemptsTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/ForwardAttemptsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
@@ -47,17 +48,30 @@
   private final ManualTimers timers = new ManualTimers();
   private final List<PlatformException.Kind> failures = new ArrayList<>();
   private final List<ServerIncarnation> hedgeDue = new ArrayList<>();
+  private final ServerHealth health = new ServerHealth();
+  private final ServersAtCapacity servers = new ServersAtCapacity();
   private final ForwardAttempts attempts =
       new ForwardAttempts(
           context(),
-          new ServerHealth(),
+          health,
           new Call("id", "", "GET", "/", "h", List.of(), new byte[0], DEADLINE_MILLIS),
           new ForwardPlan(ROUTE, DEADLINE_MILLIS),
           new RecordingListener());
 
   private static final class ServersAtCapacity extends GatewayFixture.SilentServers {
+    boolean isAnswering;
+    boolean isAnsweringWithoutEnd;
+
+    @Override
+    public boolean isAnsweringWithoutEnd(Target target) {
+      return isAnsweringWithoutEnd;
+    }
+
     @Override
     public Uni<Answer> call(Target target, Call call) {
+      if (isAnswering) {
+        return Uni.createFrom().nothing();
+      }
       return Uni.createFrom()
           .failure(new PlatformException(PlatformException.Kind.HELD_BACK, "no room"));
     }
@@ -88,7 +102,7 @@
         bound -> 0,
         new MemoryLog(timers),
         new GatewayFixture.SilentTables(),
-        new ServersAtCapacity(),
+        servers,
         DutyService.NONE,
         new GatewayFixture.EmptyDocuments(),
         new GatewayMetrics(new SimpleMeterRegistry()));
@@ -102,4 +116,23 @@
     timers.advance(DEADLINE_MILLIS);
     assertThat(hedgeDue, empty());
   }
+
+  /** Guards against a server without end that is never avoided since other attempts win. */
+  @Test
+  void theServerOfACancelledAttemptIsAvoidedIfItAnswersWithoutEnd() {
+    servers.isAnswering = true;
+    servers.isAnsweringWithoutEnd = true;
+    attempts.send(SERVER, false);
+    attempts.cancel();
+    assertThat(health.isAvoided(SERVER.incarnation(), timers.nowMillis()), is(true));
+  }
+
+  /** Guards against a sound server that is avoided since another attempt was faster. */
+  @Test
+  void theServerOfACancelledAttemptIsNotAvoidedOtherwise() {
+    servers.isAnswering = true;
+    attempts.send(SERVER, false);
+    attempts.cancel();
+    assertThat(health.isAvoided(SERVER.incarnation(), timers.nowMillis()), is(false));
+  }
 }
--- a/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
+++ b/node/src/test/java/org/passhaven/node/gateway/GatewayFixture.java
@@ -93,6 +93,11 @@
       return Uni.createFrom().nothing();
     }
 
+    @Override
+    public boolean isAnsweringWithoutEnd(Target target) {
+      return false;
+    }
+
     @Override
     public Multi<Progress> generate(Target target, Generation generation) {
       return Multi.createFrom().nothing();
--- a/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
+++ b/simulator/src/main/java/org/passhaven/simulator/gateway/SimulatedServers.java
@@ -282,6 +282,11 @@
       return new PlatformException(PlatformException.Kind.NOT_RUN, why);
     }
 
+    @Override
+    public boolean isAnsweringWithoutEnd(Target target) {
+      return false;
+    }
+
     @Override
     public Multi<Progress> generate(Target target, Generation generation) {
       return Multi.createFrom()
--- a/spi/src/main/java/org/passhaven/spi/BackEndService.java
+++ b/spi/src/main/java/org/passhaven/spi/BackEndService.java
@@ -135,6 +135,12 @@
     return call(target, call);
   }
 
+  /**
+   * Returns whether a server is likely to answer without end: the calls that were cancelled while
+   * it answered have received more, since its last whole answer, than one answer may have.
+   */
+  boolean isAnsweringWithoutEnd(Target target);
+
   /**
    * Runs a generation. The stream completes when the text is complete. Fails with {@link
    * BackEndException}.
