--- a/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/passhaven/core/admission/ServiceAdmission.java
@@ -35,6 +35,13 @@
    */
   private static final long MAX_WAIT_STOPPING_MILLIS = 1_000;
 
+  /**
+   * Time of a shutdown after which a request counts as late. Callers learn of the shutdown within
+   * some seconds, so few requests come later; what is sent more than 3 s after its begin must not
+   * be lost at its end, and the node learns of the begin a moment late.
+   */
+  private static final long LATE_SHUTDOWN_MILLIS = 2_500;
+
   /**
    * Maximum expected duration of an outage, from which retry times are computed: servers restart
    * within seconds.
@@ -72,6 +79,7 @@
   private double responseMillis = INITIAL_RESPONSE_MILLIS;
   private long lastServerAtMillis;
   private long shutdownWaitUntilMillis = Long.MAX_VALUE;
+  private long shutdownLateMillis = Long.MAX_VALUE;
   private long shutdownEndMillis = Long.MAX_VALUE;
   private long sweepAtMillis = Long.MIN_VALUE;
 
@@ -201,12 +209,16 @@
 
   /**
    * Returns whether a caller's request that starts at a time might still run when this node ends:
-   * if it takes as long as the longest recent one, or its whole time where none is known.
+   * if it takes as long as the longest recent one, or its whole time where none is known. Late in
+   * the shutdown its whole time counts, whatever earlier ones took: work may suddenly take longer.
    */
   private boolean outlastsNode(AdmissionRequest request, long startMillis) {
     if (shutdownEndMillis == Long.MAX_VALUE || request.source() != Source.CALLER) {
       return false;
     }
+    if (startMillis >= shutdownLateMillis) {
+      return request.deadlineMillis() > shutdownEndMillis;
+    }
     long endMillis =
         latencyOf(request, startMillis)
             .map(known -> startMillis + known.longestMillis())
@@ -294,6 +306,10 @@
       if (next.isEmpty()) {
         return;
       }
+      if (outlastsNode(next.get(), nowMillis)) {
+        rejectWaiting(next.get(), Reason.STOPPING, decisions, nowMillis);
+        continue;
+      }
       waitUntilMillis.remove(next.get().id());
       start(next.get(), nowMillis);
       decisions.add(new WaitingDecision(next.get(), new AdmissionDecision.Send()));
@@ -331,10 +347,12 @@
    * Limits the wait of requests because the node has begun to shut down, and rejects callers'
    * requests that might not end before it does.
    *
+   * @param beginMillis time at which the node began to shut down
    * @param endMillis time at which the node cuts what is in progress
    */
-  public void beginShutdown(long nowMillis, long endMillis) {
-    shutdownWaitUntilMillis = nowMillis + MAX_WAIT_STOPPING_MILLIS;
+  public void beginShutdown(long beginMillis, long endMillis) {
+    shutdownWaitUntilMillis = beginMillis + MAX_WAIT_STOPPING_MILLIS;
+    shutdownLateMillis = beginMillis + LATE_SHUTDOWN_MILLIS;
     shutdownEndMillis = endMillis;
   }
 
--- a/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
+++ b/node/src/main/java/org/passhaven/node/gateway/RequestAdmission.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.function.Function;
 import org.passhaven.core.admission.AdmissionDecision;
 import org.passhaven.core.admission.AdmissionDecision.Reject;
@@ -27,7 +27,10 @@
   private final AdmissionLogger log = new AdmissionLogger();
   private final Map<String, Service> services = new HashMap<>();
   private long nextId;
-  private OptionalLong shutdownEndMillis = OptionalLong.empty();
+  private Optional<Shutdown> shutdown = Optional.empty();
+
+  /** A planned stop of this node, in monotonic milliseconds. */
+  private record Shutdown(long beginMillis, long endMillis) {}
 
   /**
    * Creates the admission control.
@@ -81,7 +84,7 @@
    * @param endMillis monotonic time at which the node cuts what is in progress
    */
   void drain(long endMillis) {
-    shutdownEndMillis = OptionalLong.of(endMillis);
+    shutdown = Optional.of(new Shutdown(context.nowMillis(), endMillis));
     services.values().forEach(Service::beginShutdown);
   }
 
@@ -190,8 +193,7 @@
 
     /** Tells the admission of the node's planned stop, if one has begun. */
     void beginShutdown() {
-      shutdownEndMillis.ifPresent(
-          endMillis -> admission.beginShutdown(context.nowMillis(), endMillis));
+      shutdown.ifPresent(stop -> admission.beginShutdown(stop.beginMillis(), stop.endMillis()));
     }
 
     void updateServers() {
