--- a/protocol/src/main/java/org/passhaven/protocol/Codec.java
+++ b/protocol/src/main/java/org/passhaven/protocol/Codec.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** Encodes and decodes internal messages and log records as MessagePack. Thread-safe. */
@@ -35,8 +37,26 @@
         throw new CodecException("cannot decode " + type.getSimpleName() + ": nothing", null);
       }
       return message;
-    } catch (IOException | MessagePackException e) {
+    } catch (IOException | MessagePackException | StackOverflowError e) {
       throw new CodecException("cannot decode " + type.getSimpleName(), e);
+    } catch (OutOfMemoryError e) {
+      if (isWhole(bytes)) {
+        throw e;
+      }
+      throw new CodecException("cannot decode " + type.getSimpleName() + ": a wrong length", e);
+    }
+  }
+
+  /**
+   * Returns whether the bytes are one whole value. A value may declare more bytes than there are;
+   * the decoder allocates memory for them before it notices.
+   */
+  private static boolean isWhole(byte[] bytes) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      unpacker.skipValue();
+      return !unpacker.hasNext();
+    } catch (IOException | MessagePackException e) {
+      return false;
     }
   }
 }
--- a/protocol/src/test/java/org/passhaven/protocol/CodecTest.java
+++ b/protocol/src/test/java/org/passhaven/protocol/CodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -38,6 +39,39 @@
     assertThat(back.oldestVersion(), equalTo(4L));
   }
 
+  /** Guards against a record whose declared length makes its reader run out of memory. */
+  @Test
+  void aValueThatDeclaresMoreBytesThanThereAreIsRejected() {
+    byte[] binary = {(byte) 0xc6, 0x7f, -1, -1, -1};
+    byte[] text = {(byte) 0xdb, 0x7f, -1, -1, -1, 'a'};
+    byte[] list = {(byte) 0xdd, 0x7f, -1, -1, -1, 1};
+    byte[] map = {(byte) 0xdf, 0x7f, -1, -1, -1, (byte) 0xa1, 'a', 1};
+    for (byte[] odd : List.of(binary, text, list, map)) {
+      assertThrows(CodecException.class, () -> Codec.decode(odd, LogEntry.class));
+      byte[] inField =
+          concat(new byte[] {(byte) 0x81, (byte) 0xa6, 'r', 'e', 'c', 'o', 'r', 'd'}, odd);
+      assertThrows(CodecException.class, () -> Codec.decode(inField, LogEntry.class));
+      byte[] inUnknownField = concat(new byte[] {(byte) 0x81, (byte) 0xa1, 'x'}, odd);
+      assertThrows(CodecException.class, () -> Codec.decode(inUnknownField, LogEntry.class));
+    }
+  }
+
+  /** Guards against a record nested so deeply that its reader overflows the stack. */
+  @Test
+  void aDeeplyNestedValueIsRejected() {
+    byte[] nested = new byte[200_000];
+    Arrays.fill(nested, (byte) 0x91);
+    assertThrows(CodecException.class, () -> Codec.decode(nested, LogEntry.class));
+    byte[] inUnknownField = concat(new byte[] {(byte) 0x81, (byte) 0xa1, 'x'}, nested);
+    assertThrows(CodecException.class, () -> Codec.decode(inUnknownField, LogEntry.class));
+  }
+
+  private static byte[] concat(byte[] first, byte[] second) {
+    byte[] both = Arrays.copyOf(first, first.length + second.length);
+    System.arraycopy(second, 0, both, first.length, second.length);
+    return both;
+  }
+
   @Test
   void invalidBytesAreRejected() {
     byte[] noise = "no message".getBytes(StandardCharsets.UTF_8);
