A follower outlives a document that ends with an Error, and isn't current without one that found no memory

What operators saw (odd entries): the machines that read the list stopped following it.

Cause: TableFollower and LogTail caught RuntimeExceptions only.

Change: a StackOverflowError is logged as any other failure of a document, the next ones are read. An OutOfMemoryError is no property of a document: it is read again after 0.5 s, the offset doesn't move, the age of what is known grows, refreshes say "not current". JobTable keeps a job's pieces until it is decoded, and joins them without a second copy.

--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -1,6 +1,6 @@
 package org.passhaven.core.job;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -80,19 +80,26 @@
     if (piece.part() != pieces.size()) {
       return Effect.IGNORED;
     }
-    pieces.add(piece.content());
-    if (pieces.size() < piece.parts()) {
+    if (pieces.size() + 1 < piece.parts()) {
+      pieces.add(piece.content());
       return Effect.IGNORED;
     }
+    // If memory runs out here, the last piece is delivered again and finds the others.
+    Effect effect = accept(piece.job(), joined(pieces, piece.content()), nowMillis);
     piecesByAppend.keySet().removeIf(other -> other.job().equals(piece.job()));
-    return accept(piece.job(), pieces, nowMillis);
+    return effect;
+  }
+
+  private static byte[] joined(List<byte[]> pieces, byte[] last) {
+    int bytes = pieces.stream().mapToInt(piece -> piece.length).sum() + last.length;
+    ByteBuffer content = ByteBuffer.allocate(bytes);
+    pieces.forEach(content::put);
+    return content.put(last).array();
   }
 
-  private Effect accept(String id, List<byte[]> pieces, long nowMillis) {
-    ByteArrayOutputStream content = new ByteArrayOutputStream();
-    pieces.forEach(content::writeBytes);
+  private Effect accept(String id, byte[] content, long nowMillis) {
     try {
-      Job job = new Job(Codec.decode(content.toByteArray(), JobSubmission.class), nowMillis);
+      Job job = new Job(Codec.decode(content, JobSubmission.class), nowMillis);
       jobs.put(id, job);
       knownRuns.add(job.submission().run());
       if (endedBeforeAcceptance.remove(id) != null) {
--- a/node/src/main/java/org/passhaven/node/follow/LogTail.java
+++ b/node/src/main/java/org/passhaven/node/follow/LogTail.java
@@ -18,6 +18,9 @@
   private static final int MAX_RECORDS_PER_READ = 2_000;
   private static final long READ_WAIT_MILLIS = 2_200;
 
+  /** Pause after memory ran out; requests in progress end and free theirs within seconds. */
+  private static final long OUT_OF_MEMORY_RETRY_MILLIS = 500;
+
   /** Receives the records of a stream. */
   public interface Listener {
     /** Called with each record. */
@@ -44,6 +47,7 @@
   private final ReadPause pause;
   private long nextOffset;
   private boolean caughtUp;
+  private boolean isOutOfMemory;
   private boolean closed;
   private long startMillis;
   private long lastReadMillis = Long.MIN_VALUE;
@@ -151,7 +155,15 @@
     }
     outage.onSuccess(nextOffset);
     boolean hasNewRecords = deliver(batch);
-    pause.start(hasNewRecords && caughtUp ? pauseMillis.getAsLong() : 0);
+    if (isOutOfMemory) {
+      pause.start(OUT_OF_MEMORY_RETRY_MILLIS);
+      LOG.atError()
+          .addKeyValue("stream", stream)
+          .addKeyValue("next", nextOffset)
+          .log("log: no memory for a record, it is read again");
+    } else {
+      pause.start(hasNewRecords && caughtUp ? pauseMillis.getAsLong() : 0);
+    }
   }
 
   /** Ends a pause between reads now; has no effect if there is none. */
@@ -159,8 +171,13 @@
     pause.endNow();
   }
 
-  /** Delivers the records not delivered before; returns whether there were any. */
+  /**
+   * Delivers the records not delivered before, up to one for which memory runs out; it is read
+   * again with those behind it. Returns whether any were delivered.
+   */
   private boolean deliver(LogService.Batch batch) {
+    long lastReadBefore = lastReadMillis;
+    isOutOfMemory = false;
     lastReadMillis = timers.nowMillis();
     if (batch.firstOffset() > nextOffset) {
       LOG.atWarn()
@@ -176,13 +193,21 @@
     for (byte[] record : batch.records()) {
       if (offset == nextOffset) {
         nextOffset++;
+        if (!deliverRecord(record)) {
+          nextOffset--;
+          isOutOfMemory = true;
+          break;
+        }
         hasNewRecords = true;
         recordCount++;
         byteCount += record.length;
-        deliverRecord(record);
       }
       offset++;
     }
+    if (isOutOfMemory) {
+      // The records known here are no older than before, but not current either.
+      lastReadMillis = lastReadBefore;
+    }
     boolean hasJustCaughtUp = !caughtUp && nextOffset >= batch.endOffset();
     if (hasJustCaughtUp) {
       caughtUp = true;
@@ -204,17 +229,23 @@
     return hasNewRecords;
   }
 
-  /** Logs exceptions of the listener, so that later records are still read. */
-  private void deliverRecord(byte[] record) {
+  /**
+   * Delivers a record; returns false if memory ran out. A record that the listener can't take is
+   * logged and left out, so that later ones are still read.
+   */
+  private boolean deliverRecord(byte[] record) {
     try {
       listener.onRecord(record);
-    } catch (RuntimeException e) {
+    } catch (OutOfMemoryError e) {
+      return false;
+    } catch (RuntimeException | StackOverflowError e) {
       LOG.atError()
           .addKeyValue("stream", stream)
           .addKeyValue("offset", nextOffset - 1)
           .setCause(e)
           .log("log: a record was not taken");
     }
+    return true;
   }
 
   private void onFailure(Throwable failure) {
--- a/node/src/main/java/org/passhaven/node/follow/TableFollower.java
+++ b/node/src/main/java/org/passhaven/node/follow/TableFollower.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -43,6 +44,9 @@
    */
   private static final long REFRESH_TIMEOUT_MILLIS = 300;
 
+  /** Pause after memory ran out; requests in progress end and free theirs within seconds. */
+  private static final long OUT_OF_MEMORY_RETRY_MILLIS = 500;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Receives the documents of a table. */
@@ -164,7 +168,10 @@
     if (isFirst) {
       firstPageEnd = page.end();
     }
-    page.entries().forEach(this::deliverEntry);
+    if (!deliverAll(page.entries())) {
+      retryWithMoreMemory(this::restartListing);
+      return;
+    }
     page.entries().forEach(entry -> listedKeys.add(entry.key()));
     if (page.more() && !page.entries().isEmpty()) {
       listAfter(page.entries().get(page.entries().size() - 1).key());
@@ -250,7 +257,10 @@
     }
     if (from == position) {
       boolean hasNoMore = changes.end() == from;
-      applyChanges(changes);
+      if (!applyChanges(changes)) {
+        // The read that is pending delivers the changes again.
+        return Uni.createFrom().item(false);
+      }
       if (hasNoMore) {
         return Uni.createFrom().item(true);
       }
@@ -270,14 +280,30 @@
       restartListing();
       return;
     }
-    applyChanges(changes);
+    if (!applyChanges(changes)) {
+      retryWithMoreMemory(this::readWithoutWaiting);
+      return;
+    }
     pause.start(changes.entries().isEmpty() ? 0 : pauseMillis.getAsLong());
   }
 
-  private void applyChanges(TableService.Changes changes) {
-    changes.entries().forEach(this::deliverEntry);
+  /** Applies changes; returns false if memory ran out, so that they have to be read again. */
+  private boolean applyChanges(TableService.Changes changes) {
+    if (!deliverAll(changes.entries())) {
+      return false;
+    }
     position = changes.end();
     lastReadMillis = timers.nowMillis();
+    return true;
+  }
+
+  /** Reads again later; until then the follower does not count as current. */
+  private void retryWithMoreMemory(Runnable retry) {
+    timers.after(OUT_OF_MEMORY_RETRY_MILLIS, retry);
+    LOG.atError()
+        .addKeyValue("table", table)
+        .addKeyValue("next", position)
+        .log("table: no memory for a document, it is read again");
   }
 
   /** Ends a pause between reads now; has no effect if there is none. */
@@ -285,17 +311,28 @@
     pause.endNow();
   }
 
-  /** Logs exceptions of the listener, so that later documents are still read. */
-  private void deliverEntry(TableService.Entry entry) {
+  /** Delivers entries in order; returns false if memory ran out at one of them. */
+  private boolean deliverAll(List<TableService.Entry> entries) {
+    return entries.stream().allMatch(this::deliverEntry);
+  }
+
+  /**
+   * Delivers an entry; returns false if memory ran out. An entry that the listener can't take is
+   * logged and left out, so that later ones are still read: other programs write entries too.
+   */
+  private boolean deliverEntry(TableService.Entry entry) {
     try {
       listener.onDocument(entry.key(), entry.value());
-    } catch (RuntimeException e) {
+    } catch (OutOfMemoryError e) {
+      return false;
+    } catch (RuntimeException | StackOverflowError e) {
       LOG.atError()
           .addKeyValue("table", table)
           .addKeyValue("key", entry.key())
           .setCause(e)
           .log("table: a document was not taken");
     }
+    return true;
   }
 
   /** Logs exceptions of the listener, so that later changes are still read. */
--- a/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/LogTailTest.java
@@ -20,13 +20,18 @@
   private final MemoryLog log = new MemoryLog(timers);
   private final List<String> delivered = new ArrayList<>();
   private long pauseMillis = 20;
-  private final LogTail tail =
-      new LogTail(
-          log,
-          timers,
-          "s.0",
-          () -> pauseMillis,
-          record -> delivered.add(new String(record, StandardCharsets.UTF_8)));
+  private final LogTail tail = new LogTail(log, timers, "s.0", () -> pauseMillis, this::onRecord);
+
+  private Error nextError;
+
+  private void onRecord(byte[] record) {
+    if (nextError != null) {
+      Error error = nextError;
+      nextError = null;
+      throw error;
+    }
+    delivered.add(new String(record, StandardCharsets.UTF_8));
+  }
 
   private void append(String text) {
     log.stream("s.0").add(text.getBytes(StandardCharsets.UTF_8));
@@ -44,6 +49,49 @@
     assertThat(tail.isCaughtUp(), is(true));
   }
 
+  /** Guards against a tail that a record of another writer ends, such as a deeply nested one. */
+  @Test
+  void recordsAreDeliveredBehindOneThatOverflowedTheStack() {
+    append("a");
+    append("b");
+    nextError = new StackOverflowError();
+    tail.start(0);
+    timers.advance(100);
+    append("c");
+    timers.advance(100);
+    assertThat(delivered, contains("b", "c"));
+  }
+
+  /** Guards against a tail that counts as current without a record that found no memory. */
+  @Test
+  void aRecordThatFoundNoMemoryIsDeliveredLaterAndBeforeThoseBehindIt() {
+    append("a");
+    append("b");
+    nextError = new OutOfMemoryError();
+    tail.start(0);
+    timers.advance(10);
+    assertThat(tail.isCaughtUp(), is(false));
+    assertThat(tail.nextOffset(), equalTo(0L));
+    timers.advance(2_000);
+    assertThat(delivered, contains("a", "b"));
+    assertThat(tail.isCaughtUp(), is(true));
+  }
+
+  /** Guards against an answer that a job is unknown while its record waits for memory. */
+  @Test
+  void aRefreshThatFoundNoMemoryIsNotCurrent() {
+    tail.start(0);
+    timers.advance(100);
+    append("a");
+    nextError = new OutOfMemoryError();
+    List<Boolean> current = new ArrayList<>();
+    tail.refresh().subscribe().with(current::add);
+    timers.advance(10);
+    assertThat(current, contains(false));
+    timers.advance(2_000);
+    assertThat(delivered, contains("a"));
+  }
+
   @Test
   void pauseIsQueriedBeforeEachRead() {
     tail.start(0);
--- a/node/src/test/java/org/passhaven/node/follow/TableFollowerTest.java
+++ b/node/src/test/java/org/passhaven/node/follow/TableFollowerTest.java
@@ -2,7 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
@@ -47,6 +49,7 @@
       };
 
   private boolean failsOnListing;
+  private Error nextError;
   private final TableFollower follower =
       new TableFollower(
           tables,
@@ -56,6 +59,11 @@
           new TableFollower.Listener() {
             @Override
             public void onDocument(String key, byte[] value) {
+              if (nextError != null) {
+                Error error = nextError;
+                nextError = null;
+                throw error;
+              }
               keys.add(key);
             }
 
@@ -72,6 +80,27 @@
     follower.start();
   }
 
+  /**
+   * Guards against a follower that an entry of another writer ends, such as a deeply nested one.
+   */
+  @Test
+  void changesAreReadOnAfterADocumentThatOverflowedTheStack() {
+    nextError = new StackOverflowError();
+    timers.advance(3 * PAUSE_MILLIS);
+    assertThat(keys, equalTo(List.of("key0", "key2")));
+  }
+
+  /** Guards against a follower that counts as current without a document that found no memory. */
+  @Test
+  void aDocumentThatFoundNoMemoryIsReadAgain() {
+    timers.advance(1);
+    nextError = new OutOfMemoryError();
+    timers.advance(PAUSE_MILLIS);
+    assertThat(follower.wasReadWithin(PAUSE_MILLIS - 1), is(false));
+    timers.advance(10 * PAUSE_MILLIS);
+    assertThat(keys, hasItem("key1"));
+  }
+
   @Test
   void busyTableIsReadWithPauses() {
     timers.advance(PAUSE_MILLIS - 1);
