--- a/core/src/main/java/org/passhaven/core/job/JobDemand.java
+++ b/core/src/main/java/org/passhaven/core/job/JobDemand.java
@@ -10,7 +10,7 @@
 
   /**
    * Returns the number of items without a result that a service is expected to run: its share of
-   * each job whose model its servers hold. Jobs without a route count as a whole.
+   * each job whose model its servers hold. Jobs whose route isn't known count as a whole.
    */
   public static int openItems(
       Collection<Job> jobs, Set<String> models, RouteTable routes, String service) {
@@ -25,9 +25,8 @@
 
   /** Returns the share of a job's items that a service runs, from 0 to 1. */
   public static double shareOf(Job job, RouteTable routes, String service) {
-    return routes
-        .find(job.submission().host(), job.submission().path())
-        .map(route -> route.shareOf(service))
+    return JobRoutes.policyOf(job.submission(), routes)
+        .map(policy -> policy.shareOf(service))
         .orElse(1.0);
   }
 }
--- a/core/src/main/java/org/passhaven/core/job/JobPolicy.java
+++ b/core/src/main/java/org/passhaven/core/job/JobPolicy.java
@@ -49,6 +49,20 @@
     return positive.isEmpty() ? List.of(shares.get(0)) : positive;
   }
 
+  /** Returns the share of the items that a service gets by its weight, from 0 to 1. */
+  double shareOf(String service) {
+    if (shares.size() == 1) {
+      return shares.get(0).service().equals(service) ? 1 : 0;
+    }
+    double total = shares.stream().mapToDouble(ServiceShare::weight).sum();
+    double own =
+        shares.stream()
+            .filter(share -> share.service().equals(service))
+            .mapToDouble(ServiceShare::weight)
+            .sum();
+    return own / total;
+  }
+
   /** Returns the services whose servers generate the texts. */
   List<String> services() {
     return shares.stream().map(ServiceShare::service).distinct().toList();
--- a/core/src/main/java/org/passhaven/core/route/Route.java
+++ b/core/src/main/java/org/passhaven/core/route/Route.java
@@ -91,22 +91,6 @@
         RegionRestriction.NONE);
   }
 
-  /**
-   * Returns the share of the requests that a service gets by its weight, from 0 to 1. If all
-   * weights are zero, the first service gets all requests.
-   */
-  public double shareOf(String service) {
-    double total = shares.stream().mapToDouble(ServiceShare::weight).sum();
-    if (total == 0) {
-      return shares.get(0).service().equals(service) ? 1 : 0;
-    }
-    return shares.stream()
-            .filter(share -> share.service().equals(service))
-            .mapToDouble(ServiceShare::weight)
-            .sum()
-        / total;
-  }
-
   /** Returns whether a request may be retried after it may have run. */
   public boolean mayRepeat() {
     return kind == Kind.REPEATABLE || resumable;
--- a/node/src/main/java/org/passhaven/node/gateway/Gateway.java
+++ b/node/src/main/java/org/passhaven/node/gateway/Gateway.java
@@ -92,7 +92,7 @@
             this::isDependedOn,
             this::heartbeatReadPauseMillis);
     limitColdStarts();
-    this.jobs = new JobService(context, jobLog);
+    this.jobs = new JobService(context, jobLog, directory::routes);
     this.runner = new JobRunner(context, directory, members, jobLog, forwarder);
     this.duties = new DutyAgent(context, members, jobLog);
     new VersionOrderDuty(context, directory, jobLog, duties);
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -12,6 +12,7 @@
 import org.passhaven.core.job.Job;
 import org.passhaven.core.job.JobAction;
 import org.passhaven.core.job.JobPolicy;
+import org.passhaven.core.job.JobRoutes;
 import org.passhaven.core.job.JobScheduler;
 import org.passhaven.core.job.JobTable;
 import org.passhaven.core.job.TextTable;
@@ -233,7 +234,8 @@
       drop(job.id(), "another node runs it");
       return;
     }
-    Optional<JobPolicy> policy = isOwner ? policyOf(job.submission()) : Optional.empty();
+    Optional<JobPolicy> policy =
+        isOwner ? JobRoutes.policyOf(job.submission(), directory.routes()) : Optional.empty();
     if (policy.isEmpty()) {
       return;
     }
@@ -254,25 +256,6 @@
     }
   }
 
-  private Optional<JobPolicy> policyOf(JobSubmission submission) {
-    return directory
-        .routes()
-        .find(submission.host(), submission.path())
-        .map(
-            route ->
-                new JobPolicy(
-                    route.shares(),
-                    Math.max(1, route.maxAttempts()),
-                    route.singleVersion(),
-                    directory
-                        .routes()
-                        .tenants()
-                        .priorityOf(submission.tenant())
-                        .orElse(route.priority()),
-                    route.abandonAfterMillis(),
-                    directory.routes().restrictionOf(route, submission.tenant())));
-  }
-
   private void apply(List<JobAction> actions) {
     for (JobAction action : actions) {
       if (action instanceof JobAction.Start start) {
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -8,8 +8,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.passhaven.core.job.Job;
+import org.passhaven.core.job.JobRoutes;
 import org.passhaven.core.job.JobTable;
+import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.gateway.DurableAppend.Change;
 import org.passhaven.protocol.Codec;
 import org.passhaven.protocol.job.ItemResult;
@@ -39,11 +42,17 @@
 
   private final GatewayContext context;
   private final JobLog log;
+  private final Supplier<RouteTable> routes;
   private final ResultTextPrefetcher prefetcher;
   private final JobWaiters waiters = new JobWaiters();
 
-  /** Creates the service on top of a job log. */
-  public JobService(GatewayContext context, JobLog log) {
+  /**
+   * Creates the service on top of a job log.
+   *
+   * @param routes returns the routes of the current configuration
+   */
+  public JobService(GatewayContext context, JobLog log, Supplier<RouteTable> routes) {
+    this.routes = Objects.requireNonNull(routes, "routes");
     this.context = Objects.requireNonNull(context, "context");
     this.log = Objects.requireNonNull(log, "log");
     this.prefetcher = new ResultTextPrefetcher(context, log);
@@ -83,7 +92,10 @@
         new Change(
             log.streamOf(submission.run()),
             submission.id(),
-            split(submission.id(), attempt, Codec.encode(submission)),
+            split(
+                submission.id(),
+                attempt,
+                Codec.encode(JobRoutes.withRoute(submission, routes.get()))),
             JobTable.Effect.ACCEPTED),
         limitMillis);
   }
--- a/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/JobServiceTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.passhaven.core.member.HeartbeatTable;
+import org.passhaven.core.route.RouteTable;
 import org.passhaven.node.ManualTimers;
 import org.passhaven.node.MemoryLog;
 import org.passhaven.protocol.Codec;
@@ -31,7 +32,7 @@
   private final MemoryLog log = new MemoryLog(timers);
   private final GatewayContext context = context(262_144, 2_097_152);
   private final JobLog jobLog = new JobLog(context);
-  private final JobService service = new JobService(context, jobLog);
+  private final JobService service = new JobService(context, jobLog, () -> RouteTable.EMPTY);
 
   private GatewayContext context(int maxRecordBytes, int maxAppendBytes) {
     return new GatewayContext(
@@ -122,7 +123,7 @@
   void aLargeJobIsSplitAndReassembled() {
     GatewayContext small = context(2_048, 8_192);
     JobLog smallLog = new JobLog(small);
-    JobService smallService = new JobService(small, smallLog);
+    JobService smallService = new JobService(small, smallLog, () -> RouteTable.EMPTY);
     smallLog.start(new HeartbeatTable(1_500));
     timers.advance(10);
     byte[] body = new byte[30_000];
@@ -138,7 +139,7 @@
   void aLostLargeSubmissionIsRetriedInSmallerAppends() {
     GatewayContext small = context(2_048, 65_536);
     JobLog smallLog = new JobLog(small);
-    JobService smallService = new JobService(small, smallLog);
+    JobService smallService = new JobService(small, smallLog, () -> RouteTable.EMPTY);
     smallLog.start(new HeartbeatTable(1_500));
     timers.advance(10);
     log.appendBehavior = MemoryLog.Behavior.NEVER_RESPONDS;
--- a/node/src/test/java/org/passhaven/node/gateway/SplitRouteJobTest.java
+++ b/node/src/test/java/org/passhaven/node/gateway/SplitRouteJobTest.java
@@ -32,7 +32,10 @@
 import org.passhaven.spi.DutyService;
 import org.passhaven.spi.TableService;
 
-/** Guards against items of a split route that wait for one service while the other one is idle. */
+/**
+ * Guards against items that wait beside idle servers of their route: one that is split between
+ * services, or that has left the configuration.
+ */
 class SplitRouteJobTest {
   private static final String MODEL = "m";
   private static final int SLOTS = 8;
@@ -215,6 +218,21 @@
     assertThat(shareOf("a"), lessThanOrEqualTo(0.15));
   }
 
+  /** Guards against a step that vanishes with its route when its runner is killed (review 6). */
+  @Test
+  void theSuccessorOfAKilledRunnerRunsAStepWhoseRouteHasLeftTheConfiguration() {
+    addServers("a", 2);
+    split("a=1");
+    gateway = startNode(1);
+    submit("j", 40);
+    timers.advance(1_000);
+    split("none");
+    timers.advance(500);
+    startNode(2);
+    timers.advance(8_000);
+    assertThat(unfinished(), empty());
+  }
+
   /** Guards against a run whose part is full of another run's items and that waits beside room. */
   @Test
   void twoRunsOverOneSplitAreBothWhole() {
@@ -274,15 +292,20 @@
       String[] fields = new String(document, StandardCharsets.UTF_8).split(" ");
       List<ServiceShare> shares =
           Arrays.stream(fields)
-              .skip(1)
+              .filter(field -> field.contains("="))
               .map(share -> share.split("="))
               .map(share -> new ServiceShare(share[0], Long.parseLong(share[1])))
               .toList();
-      Route route =
-          new Route(
-              "r", "h", "/p/", shares, Route.Kind.JOBS, 0, 0, 3, true, false, 0, 30_000, true);
       return new RouteTable(
-          Long.parseLong(fields[0]), List.of(route), RequestLimits.DEFAULT, TenantTable.NONE);
+          Long.parseLong(fields[0]),
+          shares.isEmpty() ? List.of() : List.of(route(shares)),
+          RequestLimits.DEFAULT,
+          TenantTable.NONE);
+    }
+
+    private static Route route(List<ServiceShare> shares) {
+      return new Route(
+          "r", "h", "/p/", shares, Route.Kind.JOBS, 0, 0, 3, true, false, 0, 30_000, true);
     }
 
     @Override
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
@@ -16,6 +16,7 @@
  * @param step number of the training step; zero if there is none
  * @param oldestVersion oldest weight version allowed for generation
  * @param wantedGroups number of complete groups that the caller waits for
+ * @param route settings of the route when the job was accepted; null if they are unknown
  */
 public record JobSubmission(
     String id,
@@ -27,7 +28,8 @@
     long step,
     long oldestVersion,
     int wantedGroups,
-    List<JobItem> items) {
+    List<JobItem> items,
+    JobRoute route) {
   public JobSubmission {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(host, "host");
@@ -37,4 +39,35 @@
     Objects.requireNonNull(model, "model");
     items = List.copyOf(items);
   }
+
+  /** Creates a submission as it comes from its caller. */
+  public JobSubmission(
+      String id,
+      String host,
+      String path,
+      String tenant,
+      String run,
+      String model,
+      long step,
+      long oldestVersion,
+      int wantedGroups,
+      List<JobItem> items) {
+    this(id, host, path, tenant, run, model, step, oldestVersion, wantedGroups, items, null);
+  }
+
+  /** Returns this submission with the settings of its route. */
+  public JobSubmission withRoute(JobRoute acceptedRoute) {
+    return new JobSubmission(
+        id,
+        host,
+        path,
+        tenant,
+        run,
+        model,
+        step,
+        oldestVersion,
+        wantedGroups,
+        items,
+        acceptedRoute);
+  }
 }
