--- a/core/src/main/java/org/passhaven/core/job/ItemDistribution.java
+++ b/core/src/main/java/org/passhaven/core/job/ItemDistribution.java
@@ -1,5 +1,6 @@
 package org.passhaven.core.job;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -7,7 +8,6 @@
 import org.passhaven.core.placement.Rendezvous;
 import org.passhaven.core.route.ServiceShare;
 import org.passhaven.protocol.job.JobItem;
-import org.passhaven.protocol.job.JobSubmission;
 
 /**
  * Distributes the items of a job over the services of its route. The number of items of a service
@@ -22,10 +22,12 @@
   private ItemDistribution() {}
 
   /** Returns the service of each item, by item id. */
-  static Map<String, String> serviceByItem(JobSubmission job, List<ServiceShare> shares) {
-    List<JobItem> items = shares.size() == 1 ? job.items() : inRandomOrder(job);
+  static Map<String, String> serviceByItem(
+      String job, Collection<JobItem> submitted, List<ServiceShare> shares) {
+    List<JobItem> items =
+        shares.size() == 1 ? List.copyOf(submitted) : inRandomOrder(job, submitted);
     double totalWeight = shares.stream().mapToDouble(ServiceShare::weight).sum();
-    double offset = fraction(Rendezvous.weight(job.id(), OFFSET_KEY));
+    double offset = fraction(Rendezvous.weight(job, OFFSET_KEY));
     Map<String, String> services = new HashMap<>();
     for (int rank = 0; rank < items.size(); rank++) {
       double point = (rank + offset) / items.size() * totalWeight;
@@ -35,12 +37,12 @@
   }
 
   /** Returns the items in an order that depends on the ids only and keeps groups together. */
-  private static List<JobItem> inRandomOrder(JobSubmission job) {
-    return job.items().stream()
+  private static List<JobItem> inRandomOrder(String job, Collection<JobItem> items) {
+    return items.stream()
         .sorted(
-            Comparator.comparingLong((JobItem item) -> Rendezvous.weight(job.id(), item.group()))
+            Comparator.comparingLong((JobItem item) -> Rendezvous.weight(job, item.group()))
                 .thenComparing(JobItem::group)
-                .thenComparingLong(item -> Rendezvous.weight(job.id(), item.id())))
+                .thenComparingLong(item -> Rendezvous.weight(job, item.id())))
         .toList();
   }
 
--- a/core/src/main/java/org/passhaven/core/job/Job.java
+++ b/core/src/main/java/org/passhaven/core/job/Job.java
@@ -1,11 +1,12 @@
 package org.passhaven.core.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import org.passhaven.protocol.job.JobItem;
 import org.passhaven.protocol.job.JobRecord.ItemFinished;
 import org.passhaven.protocol.job.JobSubmission;
@@ -14,13 +15,15 @@
 public final class Job {
   private final JobSubmission submission;
   private final long acceptedAtMillis;
-  private final Map<String, JobItem> items = new HashMap<>();
+  private final int itemCount;
+  private final Map<String, JobItem> items = new LinkedHashMap<>();
   private final List<ItemFinished> results = new ArrayList<>();
   private final Map<String, Integer> positionByItem = new HashMap<>();
   private boolean isEnded;
 
   Job(JobSubmission submission, long acceptedAtMillis) {
-    this.submission = Objects.requireNonNull(submission, "submission");
+    this.submission = submission.withoutItems();
+    this.itemCount = submission.items().size();
     this.acceptedAtMillis = acceptedAtMillis;
     submission.items().forEach(item -> items.putIfAbsent(item.id(), item));
   }
@@ -31,6 +34,8 @@
     }
     positionByItem.put(result.item(), results.size());
     results.add(result);
+    // Nobody asks for the request of a listed item, and the requests of some minutes fill the heap.
+    items.computeIfPresent(result.item(), (id, item) -> item.withoutRequest());
     return true;
   }
 
@@ -45,7 +50,7 @@
     return submission.id();
   }
 
-  /** Returns the submission as the caller sent it. */
+  /** Returns the submission without its items, which are in {@link #items}. */
   public JobSubmission submission() {
     return submission;
   }
@@ -65,7 +70,20 @@
     return positionByItem.containsKey(item);
   }
 
-  /** Returns an item of the job; null if there is none with that id. */
+  /** Returns the number of items that were submitted. */
+  public int itemCount() {
+    return itemCount;
+  }
+
+  /** Returns the items in the order of the submission; those with a result have no request. */
+  public Collection<JobItem> items() {
+    return Collections.unmodifiableCollection(items.values());
+  }
+
+  /**
+   * Returns an item of the job, without its request if it has a result; null if there is none with
+   * that id.
+   */
   public JobItem item(String id) {
     return items.get(id);
   }
--- a/core/src/main/java/org/passhaven/core/job/JobExecution.java
+++ b/core/src/main/java/org/passhaven/core/job/JobExecution.java
@@ -17,8 +17,7 @@
   JobExecution(Job job, JobPolicy policy) {
     this.job = job;
     this.policy = policy;
-    job.submission()
-        .items()
+    job.items()
         .forEach(
             item -> {
               ItemExecution execution = new ItemExecution(this, item);
@@ -48,7 +47,7 @@
   /** Assigns each item a service; one that has begun keeps its service while the route has it. */
   private void assignServices() {
     Map<String, String> services =
-        ItemDistribution.serviceByItem(job.submission(), policy.shares());
+        ItemDistribution.serviceByItem(job.id(), job.items(), policy.shares());
     List<String> allowed = policy.services();
     for (ItemExecution execution : items.values()) {
       if (execution.attempts == 0 || !allowed.contains(execution.service)) {
--- a/core/src/test/java/org/passhaven/core/job/ItemDistributionTest.java
+++ b/core/src/test/java/org/passhaven/core/job/ItemDistributionTest.java
@@ -36,6 +36,10 @@
     return new JobSubmission(id, "h", "/p/", "", "r", "m", 0, 1, 1, requests);
   }
 
+  private static Map<String, String> serviceByItem(JobSubmission job, List<ServiceShare> shares) {
+    return ItemDistribution.serviceByItem(job.id(), job.items(), shares);
+  }
+
   private static long countOf(String service, Map<String, String> services) {
     return services.values().stream().filter(service::equals).count();
   }
@@ -44,8 +48,7 @@
   @Test
   void theShareOfEachJobIsWithinOneItemOfTheWeights() {
     for (int i = 0; i < 100; i++) {
-      Map<String, String> services =
-          ItemDistribution.serviceByItem(job("j" + i, 72), TEN_TO_NINETY);
+      Map<String, String> services = serviceByItem(job("j" + i, 72), TEN_TO_NINETY);
       assertThat(countOf("a", services), anyOf(equalTo(7L), equalTo(8L)));
     }
   }
@@ -55,7 +58,7 @@
   void smallJobsFollowTheWeightsInTotal() {
     long atFirst = 0;
     for (int i = 0; i < 1_000; i++) {
-      atFirst += countOf("a", ItemDistribution.serviceByItem(job("j" + i, 4), TEN_TO_NINETY));
+      atFirst += countOf("a", serviceByItem(job("j" + i, 4), TEN_TO_NINETY));
     }
     assertThat(atFirst / 4_000.0, closeTo(0.1, 0.02));
   }
@@ -64,7 +67,7 @@
   @Test
   void atMostOneGroupIsSplitBetweenTwoServices() {
     JobSubmission job = job("j", 72);
-    Map<String, String> services = ItemDistribution.serviceByItem(job, TEN_TO_NINETY);
+    Map<String, String> services = serviceByItem(job, TEN_TO_NINETY);
     long split =
         job.items().stream()
             .map(JobItem::group)
@@ -85,8 +88,8 @@
   @Test
   void newWeightsMoveOnlyTheDifference() {
     JobSubmission job = job("j", 100);
-    Map<String, String> before = ItemDistribution.serviceByItem(job, TEN_TO_NINETY);
-    Map<String, String> after = ItemDistribution.serviceByItem(job, shares(20, 80));
+    Map<String, String> before = serviceByItem(job, TEN_TO_NINETY);
+    Map<String, String> after = serviceByItem(job, shares(20, 80));
     long moved =
         before.entrySet().stream()
             .filter(entry -> !after.get(entry.getKey()).equals(entry.getValue()))
--- a/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobSchedulerTest.java
@@ -42,8 +42,11 @@
   }
 
   private static Job job(String id, long step, long oldest, JobItem... items) {
-    return new Job(
-        new JobSubmission(id, "h", "/p/", "", "m", "m", step, oldest, 1, List.of(items)), 0);
+    return new Job(submission(id, step, oldest, items), 0);
+  }
+
+  private static JobSubmission submission(String id, long step, long oldest, JobItem... items) {
+    return new JobSubmission(id, "h", "/p/", "", "m", "m", step, oldest, 1, List.of(items));
   }
 
   private List<JobAction.Start> startActions(List<JobAction> actions) {
@@ -483,7 +486,7 @@
     assertThat(givenUp, hasItem(instanceOf(JobAction.Finish.class)));
     scheduler.stopJob("j", "ended");
     scheduler.startOrUpdate(
-        new Job(job("k", 1, 1, item("x", "g", 0, true)).submission(), tooOldMillis),
+        new Job(submission("k", 1, 1, item("x", "g", 0, true)), tooOldMillis),
         POLICY,
         NO_SAVED_TEXTS);
     assertThat(decideSingleStart(List.of(server("a", 1)), tooOldMillis).lastEvent(), is(1L));
--- a/core/src/test/java/org/passhaven/core/job/JobTableTest.java
+++ b/core/src/test/java/org/passhaven/core/job/JobTableTest.java
@@ -50,6 +50,18 @@
     assertThat(table.get("j").item("y"), nullValue());
   }
 
+  /** Guards against requests of listed items that fill the heap until a job finds no room in it. */
+  @Test
+  void theRequestOfAnItemIsKeptUntilItIsListed() {
+    table.apply(singlePieceJob("j", 1, "x", "y"), 0);
+    table.apply(finished("j", "x", ""), 0);
+    Job job = table.get("j");
+    assertThat(job.item("x").body().length, equalTo(0));
+    assertThat(job.item("y").body().length, equalTo(1));
+    assertThat(job.submission().items(), empty());
+    assertThat(job.itemCount(), equalTo(2));
+  }
+
   @Test
   void undecodableJobIsReportedAndNotADuplicate() {
     JobPart undecodable = new JobPart("j", 1, 0, 1, new byte[] {1, 2, 3});
--- a/node/src/main/java/org/passhaven/node/gateway/JobLog.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobLog.java
@@ -412,7 +412,7 @@
         .addKeyValue("job", record.job())
         .addKeyValue("run", job.submission().run())
         .addKeyValue("step", job.submission().step())
-        .addKeyValue("items", job.submission().items().size())
+        .addKeyValue("items", job.itemCount())
         .addKeyValue("listed", job.results().size())
         .log(effect == JobTable.Effect.ACCEPTED ? "job: accepted" : "job: ended");
   }
--- a/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobRunner.java
@@ -250,7 +250,7 @@
           .addKeyValue("run", job.submission().run())
           .addKeyValue("step", job.submission().step())
           .addKeyValue("services", policy.get().shares())
-          .addKeyValue("open", job.submission().items().size() - job.results().size())
+          .addKeyValue("open", job.openItemCount())
           .addKeyValue("live", members.heartbeats().acceptingNodes().size())
           .log("job: run here");
     }
--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -248,11 +248,10 @@
               result.versions(),
               result.score()));
     }
-    return new JobOutcome.Results(
-        job.submission().items().size(), results, Math.max(from, 0) + results.size());
+    return new JobOutcome.Results(job.itemCount(), results, Math.max(from, 0) + results.size());
   }
 
-  /** Returns the request body of an item. */
+  /** Returns the request body of an item that has no result. */
   public Uni<JobOutcome> body(String tenant, String id, String item) {
     return refreshIfUnknown(id)
         .map(
@@ -262,7 +261,9 @@
                 return notFoundOrUnavailable(id, isTableCurrent);
               }
               JobItem found = job.item(item);
-              return found == null ? new JobOutcome.NotFound() : new JobOutcome.Body(found.body());
+              return found == null || job.hasResult(item)
+                  ? new JobOutcome.NotFound()
+                  : new JobOutcome.Body(found.body());
             });
   }
 
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobItem.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobItem.java
@@ -28,4 +28,9 @@
     Objects.requireNonNull(body, "body");
     Objects.requireNonNull(group, "group");
   }
+
+  /** Returns this item without what is needed to run it. */
+  public JobItem withoutRequest() {
+    return new JobItem(id, "", List.of(), new byte[0], group, expectedTokens, null);
+  }
 }
--- a/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
+++ b/protocol/src/main/java/org/passhaven/protocol/job/JobSubmission.java
@@ -55,6 +55,12 @@
     this(id, host, path, tenant, run, model, step, oldestVersion, wantedGroups, items, null);
   }
 
+  /** Returns this submission without its items. */
+  public JobSubmission withoutItems() {
+    return new JobSubmission(
+        id, host, path, tenant, run, model, step, oldestVersion, wantedGroups, List.of(), route);
+  }
+
   /** Returns this submission with the settings of its route. */
   public JobSubmission withRoute(JobRoute acceptedRoute) {
     return new JobSubmission(
