--- a/core/src/main/java/org/passhaven/core/job/JobTable.java
+++ b/core/src/main/java/org/passhaven/core/job/JobTable.java
@@ -1,6 +1,5 @@
 package org.passhaven.core.job;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -85,21 +84,16 @@
       return Effect.IGNORED;
     }
     // If memory runs out here, the last piece is delivered again and finds the others.
-    Effect effect = accept(piece.job(), joined(pieces, piece.content()), nowMillis);
+    List<byte[]> all = new ArrayList<>(pieces);
+    all.add(piece.content());
+    Effect effect = accept(piece.job(), all, nowMillis);
     piecesByAppend.keySet().removeIf(other -> other.job().equals(piece.job()));
     return effect;
   }
 
-  private static byte[] joined(List<byte[]> pieces, byte[] last) {
-    int bytes = pieces.stream().mapToInt(piece -> piece.length).sum() + last.length;
-    ByteBuffer content = ByteBuffer.allocate(bytes);
-    pieces.forEach(content::put);
-    return content.put(last).array();
-  }
-
-  private Effect accept(String id, byte[] content, long nowMillis) {
+  private Effect accept(String id, List<byte[]> pieces, long nowMillis) {
     try {
-      Job job = new Job(Codec.decode(content, JobSubmission.class), nowMillis);
+      Job job = new Job(Codec.decode(pieces, JobSubmission.class), nowMillis);
       jobs.put(id, job);
       knownRuns.add(job.submission().run());
       if (endedBeforeAcceptance.remove(id) != null) {
--- a/protocol/src/test/java/org/passhaven/protocol/CodecTest.java
+++ b/protocol/src/test/java/org/passhaven/protocol/CodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -56,6 +57,26 @@
     }
   }
 
+  /** Guards against a job that is taken apart into records and not read as it was written. */
+  @Test
+  void aMessageInPiecesOfAnySizeIsTheSame() {
+    LogEntry entry =
+        new LogEntry(
+            new RecordId(new NodeId("a"), 7, 3),
+            new LogRecord.SamplesCommitted(
+                2, 5, List.of(new LogRecord.Commit(0, 1, 2, 3, 4, -9L))));
+    byte[] whole = Codec.encode(entry);
+    for (int size = 1; size <= whole.length; size++) {
+      List<byte[]> pieces = new ArrayList<>();
+      for (int from = 0; from < whole.length; from += size) {
+        pieces.add(Arrays.copyOfRange(whole, from, Math.min(whole.length, from + size)));
+      }
+      assertThat(Codec.decode(pieces, LogEntry.class), equalTo(entry));
+      List<byte[]> cut = pieces.subList(0, pieces.size() - 1);
+      assertThrows(CodecException.class, () -> Codec.decode(cut, LogEntry.class));
+    }
+  }
+
   /** Guards against a record nested so deeply that its reader overflows the stack. */
   @Test
   void aDeeplyNestedValueIsRejected() {
