--- a/node/src/main/java/org/passhaven/node/gateway/JobService.java
+++ b/node/src/main/java/org/passhaven/node/gateway/JobService.java
@@ -52,9 +52,9 @@
    * @param routes returns the routes of the current configuration
    */
   public JobService(GatewayContext context, JobLog log, Supplier<RouteTable> routes) {
-    this.routes = Objects.requireNonNull(routes, "routes");
     this.context = Objects.requireNonNull(context, "context");
     this.log = Objects.requireNonNull(log, "log");
+    this.routes = Objects.requireNonNull(routes, "routes");
     this.prefetcher = new ResultTextPrefetcher(context, log);
     log.addListener(this::onRecord);
   }
